Show the whole cell in one command

Cause: README's demo command was missing; scheduling passes could place a task twice while its assignment was on the way to the log, because a task counts as waiting until the record is folded.

Change: the scheduler keeps the waiting tasks of a job itself and takes a task out when it is placed; the table of attempts refuses a second attempt under way. A worker is parked after failing three different jobs, so that one bad job does not take its workers down. Peer sockets close without errors.

--- a/pimentomill/holder/_holder.py
+++ b/pimentomill/holder/_holder.py
@@ -6,7 +6,6 @@
 group over knows every worker that may run it.
 """
 
-from collections import defaultdict
 from concurrent.futures import Future
 from enum import Enum
 from functools import singledispatchmethod
@@ -73,6 +72,7 @@
     describe_job,
     describe_worker,
 )
+from ._attempts import AttemptTable
 from ._flight import Flight, FlightStage
 from ._moves import JobMover
 from ._ports import HolderPorts
@@ -132,7 +132,7 @@
         The group's accepted work.
     views_ : dict
         Workers by id.
-    flights_ : dict
+    attempts_ : AttemptTable
         Attempts under way.
     """
 
@@ -160,9 +160,7 @@
         self.phase_ = HolderPhase.OPENING
         self.fold_ = WorkFold()
         self.views_: dict[InstanceId, WorkerView] = {}
-        self.flights_: dict[TaskRef, Flight] = {}
-        self._by_worker: dict[InstanceId, set[TaskRef]] = defaultdict(set)
-        self._used: dict[TeamName, Resources] = {}
+        self.attempts_ = AttemptTable(self.views_)
         self._outbox: dict[InstanceId, list[Command]] = {}
         self._scheduler = Scheduler(self._find_job, self._team_room)
         self._allotments = AllotmentKeeper(group, epoch, member, ports)
@@ -188,8 +186,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no attempt is between decision and answer."""
-        stages = (FlightStage.APPENDING, FlightStage.COMMANDED)
-        return not any(flight.stage in stages for flight in self.flights_.values())
+        return self.attempts_.is_idle
 
     def close(self) -> None:
         """Place nothing more, so that the group can be handed over."""
@@ -249,13 +246,18 @@
             if task.state is not TaskState.ASSIGNED:
                 continue
             ref = TaskRef(job.id, index, task.attempt)
-            flight = self._add_flight(ref, job, task.worker, FlightStage.ADOPTED)
+            flight = self.attempts_.add(ref, job, task.worker, FlightStage.ADOPTED)
             flight.is_stop_wanted = job.cancelled
 
     def _queue_if_waiting(self, job: Job) -> None:
-        waits = any(task.state is TaskState.WAITING for task in job.tasks)
-        if waits and job.is_live and not job.cancelled:
-            self._scheduler.add(job)
+        waiting = [
+            index
+            for index, task in enumerate(job.tasks)
+            if task.state is TaskState.WAITING
+            and TaskRef(job.id, index, task.attempt + 1) not in self.attempts_
+        ]
+        if waiting and job.is_live and not job.cancelled:
+            self._scheduler.add(job, waiting)
             self._is_dirty = True
         else:
             self._scheduler.remove(job.id)
@@ -277,10 +279,8 @@
         self._scheduler.remove(job.id)
         if job.moved_to:
             self._mover.forward_cancel(job)
-        for index, task in enumerate(job.tasks):
-            flight = self.flights_.get(TaskRef(job.id, index, task.attempt))
-            if flight is not None:
-                self._stop(flight)
+        for flight in self.attempts_.of_job(job):
+            self._stop(flight)
 
     @_on_record.register
     def _(self, record: JobMoved, refusal: str) -> None:
@@ -292,11 +292,11 @@
     @_on_record.register
     def _(self, record: TaskAssigned, refusal: str) -> None:
         ref = TaskRef(record.job, record.index, record.attempt)
-        flight = self.flights_.get(ref)
+        flight = self.attempts_.get(ref)
         if flight is None or flight.stage is not FlightStage.APPENDING:
             return
         if refusal:
-            self._drop_flight(ref)
+            self._drop(ref)
             job = self.fold_.state_.jobs.get(record.job)
             if job is not None:
                 self._queue_if_waiting(job)
@@ -307,13 +307,13 @@
     @_on_record.register
     def _(self, record: TaskEnded, refusal: str) -> None:
         ref = TaskRef(record.job, record.index, record.attempt)
-        flight = self.flights_.get(ref)
+        flight = self.attempts_.get(ref)
         if flight is None:
             return
         if refusal:
             raise InvariantError(f"end of {ref} was refused: {refusal}")
         self._note_health(flight, record.outcome)
-        self._drop_flight(ref)
+        self._drop(ref)
         job = self._find_job(record.job)
         self._queue_if_waiting(job)
         if record.outcome is not TaskOutcome.SUCCEEDED:
@@ -326,38 +326,19 @@
         if outcome is TaskOutcome.SUCCEEDED:
             view.note_success()
         elif outcome in (TaskOutcome.FAILED, TaskOutcome.NOT_STARTED):
-            view.note_failure(self.clock.now())
+            view.note_failure(flight.ref.job, self.clock.now())
 
     def _stop_rest_of_gang(self, job: Job) -> None:
         """Stop the running tasks of a gang that lost one."""
         if type(job.spec).__struct_config__.tag != "gang":
             return
-        for index, task in enumerate(job.tasks):
-            flight = self.flights_.get(TaskRef(job.id, index, task.attempt))
-            if flight is not None and task.state is TaskState.ASSIGNED:
-                self._stop(flight)
+        for flight in self.attempts_.of_job(job):
+            self._stop(flight)
 
     # Attempts.
 
-    def _add_flight(
-        self, ref: TaskRef, job: Job, worker: InstanceId, stage: FlightStage
-    ) -> Flight:
-        flight = Flight(ref, job.team, job.spec.resources, worker, stage)
-        self.flights_[ref] = flight
-        self._by_worker[worker].add(ref)
-        self._used[job.team] = self._used.get(job.team, ZERO) + flight.resources
-        view = self.views_.get(worker)
-        if view is not None:
-            view.commit(ref, flight.resources)
-        return flight
-
-    def _drop_flight(self, ref: TaskRef) -> None:
-        flight = self.flights_.pop(ref)
-        self._by_worker[flight.worker].discard(ref)
-        self._used[flight.team] = self._used[flight.team] - flight.resources
-        view = self.views_.get(flight.worker)
-        if view is not None:
-            view.release(ref)
+    def _drop(self, ref: TaskRef) -> None:
+        self.attempts_.drop(ref)
         self._is_dirty = True
 
     def _queue_start(self, flight: Flight) -> None:
@@ -410,7 +391,7 @@
         for command in commands:
             if isinstance(command, StartTask):
                 ref = TaskRef(command.job, command.index, command.attempt)
-                self.flights_[ref].valid_until = valid_until
+                self.attempts_.flights_[ref].valid_until = valid_until
         batch = CommandBatch(self.epoch, self.report_to, valid_until, commands)
         self.ports.command(self.group, view, batch)
 
@@ -450,20 +431,19 @@
         """Compare a report with the attempts assigned to the worker."""
         running = {TaskRef(s.job, s.index, s.attempt) for s in report.running}
         ended = {TaskRef(e.job, e.index, e.attempt): e for e in report.ended}
-        for ref in list(self._by_worker[view.id]):
-            flight = self.flights_[ref]
-            if ref in running:
+        for flight in self.attempts_.on_worker(view.id):
+            if flight.ref in running:
                 self._note_running(flight)
-            elif ref in ended:
-                self._end(flight, OUTCOMES[ended[ref].outcome])
+            elif flight.ref in ended:
+                self._end(flight, OUTCOMES[ended[flight.ref].outcome])
             else:
                 self._note_absent(flight, view, report)
-        for ref in running - self.flights_.keys():
+        for ref in running - self.attempts_.flights_.keys():
             self._outbox.setdefault(view.id, []).append(StopTask(*ref))
         for ref in view.held_refs():
-            if ref not in running and ref not in self.flights_:
+            if ref not in running and ref not in self.attempts_:
                 view.release(ref)
-        return [end for ref, end in ended.items() if ref not in self.flights_]
+        return [end for ref, end in ended.items() if ref not in self.attempts_]
 
     def _note_running(self, flight: Flight) -> None:
         flight.stage = FlightStage.RUNNING
@@ -511,7 +491,7 @@
                 continue
             refusal = answer.refusal or answer.results[index].refusal
             ref = TaskRef(command.job, command.index, command.attempt)
-            flight = self.flights_.get(ref)
+            flight = self.attempts_.get(ref)
             if flight is None:
                 continue
             if refusal:
@@ -530,8 +510,9 @@
             return
         for command in batch.commands:
             ref = TaskRef(command.job, command.index, command.attempt)
-            if isinstance(command, StartTask) and ref in self.flights_:
-                self._end(self.flights_[ref], TaskOutcome.NOT_STARTED)
+            flight = self.attempts_.get(ref)
+            if isinstance(command, StartTask) and flight is not None:
+                self._end(flight, TaskOutcome.NOT_STARTED)
 
     # Workers of the group.
 
@@ -550,7 +531,7 @@
         listed = {instance.id for instance in mine}
         for worker in [w for w in self.views_ if w not in listed]:
             self.views_[worker].is_leaving_ = True
-            if not self._by_worker[worker]:
+            if not self.attempts_.on_worker(worker):
                 del self.views_[worker]
 
     def _note_instance(self, instance: Instance) -> None:
@@ -559,8 +540,7 @@
             view = WorkerView(instance.id, instance.address, instance.rack)
             view.lease_ends_at_ = self._inherited_lease_ends_at
             self.views_[instance.id] = view
-            for ref in self._by_worker[instance.id]:
-                view.commit(ref, self.flights_[ref].resources)
+            self.attempts_.commit_on(view)
         view.address = instance.address
         view.is_leaving_ = instance.state is InstanceState.LEAVING
 
@@ -597,21 +577,20 @@
     def _expire_lost(self) -> None:
         """End attempts whose lease on a silent worker is surely over."""
         now = self.clock.now()
-        for worker, refs in self._by_worker.items():
+        for worker in self.attempts_.workers():
             view = self.views_.get(worker)
             if view is not None and view.health_ is WorkerHealth.LIVE:
                 continue
             ends_at = view.lease_ends_at_ if view else self._inherited_lease_ends_at
             if now <= ends_at + self.leases.margin_ms:
                 continue
-            for ref in list(refs):
-                flight = self.flights_[ref]
+            for flight in self.attempts_.on_worker(worker):
                 if flight.stage is not FlightStage.APPENDING:
                     self._end(flight, TaskOutcome.LOST)
 
     def _retry_unkept(self) -> None:
         """Send again what the log has not kept, as far as it still matters."""
-        for ref, flight in list(self.flights_.items()):
+        for flight in self.attempts_:
             item = flight.intent
             if item is None or item.state is AppendState.WAITING:
                 continue
@@ -620,7 +599,8 @@
             if isinstance(item.body, TaskAssigned) and (
                 item.state is AppendState.NOT_KEPT
             ):
-                self._drop_flight(ref)
+                self._drop(flight.ref)
+                self._queue_if_waiting(self._find_job(flight.ref.job))
                 continue
             flight.intent = self.ports.append_work(self.group, item.body, 0)
 
@@ -636,7 +616,7 @@
         outcome = self._scheduler.run(views, now, self.clock.wall_ms())
         self._wanted = outcome.wanted
         self._commit(outcome)
-        self._allotments.adjust(self._wanted, self._used)
+        self._allotments.adjust(self._wanted, self.attempts_.used_)
 
     def _commit(self, outcome: PlacementPass) -> None:
         at = self.clock.wall_ms()
@@ -644,7 +624,7 @@
             for placement in placements:
                 attempt = job.tasks[placement.index].attempt + 1
                 ref = TaskRef(job.id, placement.index, attempt)
-                flight = self._add_flight(
+                flight = self.attempts_.add(
                     ref, job, placement.worker, FlightStage.APPENDING
                 )
                 boot = self.views_[placement.worker].boot_
@@ -658,7 +638,7 @@
 
     def _check_limit(self, team: TeamName) -> None:
         """Assert that no placement has gone beyond the group's allotment."""
-        used = self._used.get(team, ZERO)
+        used = self.attempts_.used(team)
         usable = self._allotments.usable(team)
         if not used.fits_in(usable):
             raise InvariantError(f"{team} uses {used} of {usable} in {self.group}")
@@ -738,7 +718,7 @@
         known = self.ports.cell().teams.get(team)
         return TeamRoom(
             share=known.share if known else 1,
-            used=self._used.get(team, ZERO),
+            used=self.attempts_.used(team),
             allotment=self._allotments.usable(team) if known else ZERO,
         )
 
@@ -754,16 +734,12 @@
         if job is None:
             raise NotFoundError(f"there is no job {job_id}")
         running = {
-            ref.index
-            for ref, flight in self._flights_of(job)
+            flight.ref.index
+            for flight in self.attempts_.of_job(job)
             if flight.stage is FlightStage.RUNNING
         }
         return describe_job(job, self.group, self._reason(job), running)
 
-    def _flights_of(self, job: Job) -> list[tuple[TaskRef, Flight]]:
-        refs = [TaskRef(job.id, i, task.attempt) for i, task in enumerate(job.tasks)]
-        return [(ref, self.flights_[ref]) for ref in refs if ref in self.flights_]
-
     def _reason(self, job: Job) -> WaitReason | None:
         if job.id not in self._scheduler.queue_:
             return None
@@ -804,7 +780,11 @@
             largest=list({view.capacity_ for view in views}),
             free=free[:SUMMARY_WORKERS],
             waiting=waiting,
-            running={t: used for t, used in self._used.items() if not used.is_zero()},
+            running={
+                t: used
+                for t, used in self.attempts_.used_.items()
+                if not used.is_zero()
+            },
             capacity=capacity,
         )
 
@@ -814,7 +794,5 @@
         for urgent in (True, False):
             for team in queue.teams(urgent):
                 for job_id in queue.jobs(urgent, team):
-                    tasks = self._find_job(job_id).tasks
-                    waiting = sum(t.state is TaskState.WAITING for t in tasks)
-                    counts.append((team, waiting))
+                    counts.append((team, self._scheduler.waiting_count(job_id)))
         return counts
--- a/pimentomill/peers/_server.py
+++ b/pimentomill/peers/_server.py
@@ -38,24 +38,29 @@
         self.handler = handler
         self.threads = threads
         self._socket = pynng.Rep0()
+        self._contexts: list[pynng.Context] = []
         self._threads = [
-            threading.Thread(target=self._serve, daemon=True, name=f"peer-{i}")
+            threading.Thread(target=self._serve, args=(i,), daemon=True)
             for i in range(threads)
         ]
 
     def start(self) -> None:
         """Begin to listen."""
         self._socket.listen(f"tcp://{self.address}")
+        self._contexts = [self._socket.new_context() for _ in self._threads]
         for thread in self._threads:
             thread.start()
 
     def stop(self) -> None:
         """Stop listening."""
+        for context in self._contexts:
+            context.close()
+        for thread in self._threads:
+            thread.join()
         self._socket.close()
 
-    def _serve(self) -> None:
-        # The context is not closed here: closing the socket closes it.
-        context = self._socket.new_context()
+    def _serve(self, index: int) -> None:
+        context = self._contexts[index]
         while True:
             try:
                 payload = context.recv()
--- a/pimentomill/placement/_scheduler.py
+++ b/pimentomill/placement/_scheduler.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..utils import ZERO, Instant, JobId, Resources, TeamName, dominant_fraction
-from ..work import GangSpec, Job, JobSpec, TaskRef, TaskState
+from ..work import GangSpec, Job, JobSpec, TaskRef
 from ..workers import WorkerView
 from ._plan import Placement, plan_job
 from ._queue import WaitQueue
@@ -69,6 +69,8 @@
         Jobs with waiting tasks.
     reasons_ : dict
         Why each job that was tried still waits.
+    waiting_ : dict
+        Numbers of the waiting tasks of each job.
     """
 
     def __init__(
@@ -80,15 +82,30 @@
         self.team_room = team_room
         self.queue_ = WaitQueue()
         self.reasons_: dict[JobId, WaitReason] = {}
+        self.waiting_: dict[JobId, list[int]] = {}
 
-    def add(self, job: Job) -> None:
-        """Let a job wait."""
+    def add(self, job: Job, indices: list[int]) -> None:
+        """Let tasks of a job wait.
+
+        Parameters
+        ----------
+        job : Job
+            The job.
+        indices : list of int
+            All of its tasks that wait and are not being placed.
+        """
         self.queue_.add(job.id, job.team, job.urgent)
+        self.waiting_[job.id] = indices
+
+    def waiting_count(self, job: JobId) -> int:
+        """Return how many tasks of a job wait."""
+        return len(self.waiting_.get(job, ()))
 
     def remove(self, job: JobId) -> None:
         """Let a job wait no longer."""
         self.queue_.remove(job)
         self.reasons_.pop(job, None)
+        self.waiting_.pop(job, None)
 
     def run(self, views: list[WorkerView], now: Instant, wall_ms: int) -> PlacementPass:
         """Place what fits, the urgent first, then the team furthest below its share.
@@ -159,13 +176,14 @@
         return dominant_fraction(used, self.total) / max(room.share, 1), team
 
     def _try_job(self, job: Job) -> None:
-        waiting = [i for i, t in enumerate(job.tasks) if t.state is TaskState.WAITING]
+        waiting = self.scheduler.waiting_[job.id]
         allowed = self._allowed_by_limit(job, waiting)
         placements = plan_job(job.spec, job, allowed, self.ready) if allowed else []
+        missing = len(waiting) - len(placements)
         if placements:
             self._commit(job, placements)
-        if len(placements) < len(waiting):
-            self._note_reason(job, len(waiting) - len(placements), len(allowed))
+        if missing:
+            self._note_reason(job, missing, len(allowed) - len(placements))
 
     def _allowed_by_limit(self, job: Job, waiting: list[int]) -> list[int]:
         room = self.scheduler.team_room(job.team)
@@ -190,6 +208,15 @@
         amount = job.spec.resources * len(placements)
         self.started[job.team] = self.started.get(job.team, ZERO) + amount
         self.outcome.placements.append((job, placements))
+        self._take_from_queue(job, placements)
+
+    def _take_from_queue(self, job: Job, placements: list[Placement]) -> None:
+        placed = {placement.index for placement in placements}
+        left = [i for i in self.scheduler.waiting_[job.id] if i not in placed]
+        if left:
+            self.scheduler.waiting_[job.id] = left
+        else:
+            self.scheduler.remove(job.id)
 
     def _note_reason(self, job: Job, missing: int, allowed: int) -> None:
         reason = self._reason(job, missing, allowed)
--- a/pimentomill/workers/_view.py
+++ b/pimentomill/workers/_view.py
@@ -2,14 +2,14 @@
 
 from enum import Enum
 
-from ..utils import ZERO, InstanceId, Instant, Resources
+from ..utils import ZERO, InstanceId, Instant, JobId, Resources
 from ..work import TaskRef
 from ._messages import TaskStatus, WorkerClock, WorkerReport
 
 __all__ = ["WorkerHealth", "WorkerView"]
 
 NEVER = Instant(-1)
-PARK_AFTER_FAILURES = 3
+PARK_AFTER_JOBS = 3
 PARK_FIRST_MS = 10_000
 PARK_LAST_MS = 600_000
 
@@ -58,7 +58,7 @@
         self.asked_at_ = NEVER
         self.lease_ends_at_ = NEVER
         self.parked_until_ = NEVER
-        self.failures_in_row_ = 0
+        self.failed_jobs_: set[JobId] = set()
         self._clock = WorkerClock(0)
         self._held: dict[TaskRef, Resources] = {}
 
@@ -140,15 +140,25 @@
         """
         return WorkerClock(self._clock + now - self.heard_at_)
 
-    def note_failure(self, now: Instant) -> None:
-        """Count a failed task; a worker that fails all of them is parked."""
-        self.failures_in_row_ += 1
-        surplus = self.failures_in_row_ - PARK_AFTER_FAILURES
+    def note_failure(self, job: JobId, now: Instant) -> None:
+        """Count a job that failed here.
+
+        Parameters
+        ----------
+        job : JobId
+            The job. One that fails everywhere counts once, so that it does not
+            take its workers down with it.
+        now : Instant
+            Present time; a worker that fails several jobs in a row is parked,
+            each time longer.
+        """
+        self.failed_jobs_.add(job)
+        surplus = len(self.failed_jobs_) - PARK_AFTER_JOBS
         if surplus >= 0:
             pause_ms = min(PARK_FIRST_MS * 2**surplus, PARK_LAST_MS)
             self.parked_until_ = Instant(now + pause_ms)
 
     def note_success(self) -> None:
         """Forget earlier failures."""
-        self.failures_in_row_ = 0
+        self.failed_jobs_.clear()
         self.parked_until_ = NEVER
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,202 @@
+"""Demonstration: a small cell runs each kind of work, step by step."""
+
+import sys
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from scripts.cell import CellShape, SmallCell
+
+__all__ = ["main"]
+
+SHAPE = CellShape(entries=3, workers=6, backends=2, groups=3, accelerators=2)
+WITHDRAWAL_BOUND_S = 4.0
+
+
+class DemoError(Exception):
+    """A step did not show what it should."""
+
+
+def say(text: str) -> None:
+    """Print a step."""
+    print(text, flush=True)
+
+
+def check(condition: bool, what: str) -> None:
+    """Fail the demonstration unless a condition holds."""
+    if not condition:
+        raise DemoError(what)
+
+
+def decoded(response) -> dict:
+    """Return the JSON body of a response."""
+    return msgspec.json.decode(response.data)
+
+
+class Demo:
+    """Steps of the demonstration.
+
+    Parameters
+    ----------
+    cell : SmallCell
+        A cell that is ready.
+    """
+
+    def __init__(self, cell: SmallCell) -> None:
+        self.cell = cell
+        self.key = ""
+        self.key_id = ""
+
+    def steps(self) -> list[Callable[[], None]]:
+        """Return the steps in order."""
+        return [
+            self.show_cell,
+            self.create_team,
+            self.run_batch,
+            self.run_gang,
+            self.run_service,
+            self.send_requests,
+            self.refuse_the_impossible,
+            self.race_operators,
+            self.withdraw_key,
+        ]
+
+    def show_cell(self) -> None:
+        """Show entries, groups and workers."""
+        for what in ("entries", "groups", "workers"):
+            say(self.cell.operate(f"show {what}")["text"] + "\n")
+
+    def create_team(self) -> None:
+        """Create a team and give it a key."""
+        statement = "create team planting share 20 limit cpu 64 memory 128GB"
+        say("> " + statement)
+        say(self.cell.operate(statement + " accelerators 8")["text"])
+        data = self.cell.operate('give key to planting label "demo"')["data"]
+        self.key, self.key_id = data["key"], data["key_id"]
+        say(f"key {self.key_id} given")
+
+    def _submit(self, name: str, spec: dict, entry: int) -> str:
+        response = self.cell.submit(self.key, {"spec": spec}, name, entry)
+        check(response.status == 202, f"{name}: {response.status} {response.data}")
+        return decoded(response)["id"]
+
+    def _run(self, name: str, spec: dict, state: str, entry: int) -> str:
+        job_id = self._submit(name, spec, entry)
+        other = (entry + 1) % self.cell.shape.entries
+        self.cell.wait_for_state(self.key, job_id, state, other)
+        say(f"\n{name}, handed in at entry {entry + 1}, asked at entry {other + 1}:")
+        say(self.cell.explain(job_id, other))
+        return job_id
+
+    def run_batch(self) -> None:
+        """Run a batch job of several tasks."""
+        spec = {
+            "kind": "batch",
+            "tasks": 4,
+            "resources": [2000, 1000, 0],
+            "command": ["sleep", "0.3"],
+        }
+        self._run("batch run", spec, "succeeded", 0)
+
+    def run_gang(self) -> None:
+        """Run a gang whose tasks start together."""
+        spec = {
+            "kind": "gang",
+            "tasks": 3,
+            "resources": [4000, 1000, 1],
+            "command": ["sleep", "0.3"],
+        }
+        self._run("gang", spec, "succeeded", 1)
+
+    def run_service(self) -> None:
+        """Run a service, then cancel it."""
+        spec = {
+            "kind": "service",
+            "replicas": 2,
+            "resources": [1000, 500, 0],
+            "command": ["serve"],
+        }
+        job_id = self._run("service", spec, "running", 2)
+        response = self.cell.call("DELETE", f"/v1/jobs/{job_id}", self.key)
+        check(response.status == 202, f"cancel: {response.status}")
+        self.cell.wait_for_state(self.key, job_id, "cancelled", 1)
+        say("cancelled at entry 1, seen at entry 2")
+
+    def send_requests(self) -> None:
+        """Send an idempotent request, and a seedling order twice."""
+        path = "/v1/services/planting/requests"
+        headers = {"Pimentomill-Idempotent": "true"}
+        response = self.cell.call("POST", path, self.key, b"row 7", 0, headers)
+        check(response.data == b"row 7", f"request: {response.status} {response.data}")
+        say(f"\nrequest answered with {response.status}")
+        headers = {"Idempotency-Key": "order-1"}
+        first = self.cell.call("POST", path, self.key, b"40 plugs", 0, headers)
+        second = self.cell.call("POST", path, self.key, b"40 plugs", 1, headers)
+        check(first.status == 200, f"order: {first.status} {first.data}")
+        check(second.status == 409, f"repeat: {second.status} {second.data}")
+        say(f"order answered; the repeat at entry 2: {decoded(second)['message']}")
+
+    def refuse_the_impossible(self) -> None:
+        """Hand in work that no worker could ever run."""
+        spec = {"kind": "batch", "resources": [900_000, 1000, 0]}
+        response = self.cell.submit(self.key, {"spec": spec}, "too-large")
+        check(response.status == 422, f"too large: {response.status}")
+        say(f"too large a task: {decoded(response)['message']}")
+
+    def race_operators(self) -> None:
+        """Let two operators change the same team."""
+        teams = self.cell.operate("show teams")["data"]
+        version = teams[0]["version"]
+        first = self.cell.operate(f"set team planting share 30 expecting {version}", 0)
+        second = self.cell.operate(f"set team planting share 5 expecting {version}", 1)
+        check(first["status"] == 200, f"first operator: {first}")
+        check(second["status"] == 409, f"second operator: {second}")
+        say(f"second operator: {second['message']}")
+
+    def withdraw_key(self) -> None:
+        """Withdraw the key and show that each entry refuses it."""
+        say(f"\n> withdraw key {self.key_id}")
+        self.cell.operate(f"withdraw key {self.key_id}")
+        withdrawn_at = time.monotonic()
+        spec = {"kind": "batch", "resources": [1000, 100, 0]}
+        for entry in range(self.cell.shape.entries):
+            self._wait_until_refused(spec, entry)
+        seconds = time.monotonic() - withdrawn_at
+        check(seconds < WITHDRAWAL_BOUND_S, f"withdrawn after {seconds:.1f} s")
+        say(f"refused at all entries within {seconds:.2f} s")
+
+    def _wait_until_refused(self, spec: dict, entry: int) -> None:
+        def is_refused() -> bool:
+            name = f"late-{time.monotonic_ns()}"
+            return self.cell.submit(self.key, {"spec": spec}, name, entry).status == 401
+
+        self.cell.wait_for(is_refused, f"refusal at entry {entry + 1}")
+
+
+def run(cell: SmallCell) -> None:
+    """Go through all steps and stop the cell gracefully."""
+    for step in Demo(cell).steps():
+        step()
+    codes = cell.stop()
+    check(not any(codes.values()), f"exit codes {codes}")
+    say("all processes stopped gracefully")
+
+
+def main() -> int:
+    """Run the demonstration and return the exit code."""
+    started = time.monotonic()
+    try:
+        with SmallCell(SHAPE) as cell:
+            run(cell)
+    except (DemoError, TimeoutError) as exc:
+        say(msgspec.json.encode({"demo": "failed", "why": str(exc)}).decode())
+        return 1
+    seconds = round(time.monotonic() - started, 1)
+    verdict = {"demo": "ok", "entries": SHAPE.entries, "seconds": seconds}
+    say(msgspec.json.encode(verdict).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
