Run all parts together through fakes, with invariants checked outside

Cause: nothing showed what the parts do together under faults. The runs found, and this commit mends: - a report of the same millisecond as a start made a running task look lost; - a copy of a start command ran an attempt again after it had ended and been forgotten: the worker now remembers it until the command has expired, and commands name the worker's incarnation; - a job that had been tried and was moved counted its attempts from 1 again; - a late record of an earlier holder was taken for one of the present holder; - a limit lowered while an assignment was on its way to the log did not hold it back.

--- a/pimentomill/holder/_allotments.py
+++ b/pimentomill/holder/_allotments.py
@@ -54,6 +54,14 @@
         returning = self._returns.get(team)
         return allotment - returning.amount if returning else allotment
 
+    def excess(self, team: TeamName) -> Resources:
+        """Return by how much all allotments exceed a limit that was lowered."""
+        cell = self.ports.cell()
+        if team not in cell.teams:
+            return allotted_total(cell, team)
+        over = allotted_total(cell, team) - cell.teams[team].limit
+        return over.at_least(ZERO)
+
     @property
     def is_pending(self) -> bool:
         """Whether a record of this keeper is on its way."""
@@ -130,8 +138,7 @@
 
     def _owed(self, cell: CellState, team: TeamName) -> Resources:
         """Return what the limit or groups that wait longer could use."""
-        owed = allotted_total(cell, team) - cell.teams[team].limit
-        owed = owed.at_least(ZERO)
+        owed = self.excess(team)
         for group, amount in cell.wants.get(team, {}).items():
             if group == self.group:
                 break
--- a/pimentomill/holder/_holder.py
+++ b/pimentomill/holder/_holder.py
@@ -167,6 +167,7 @@
         self._mover = JobMover(group, epoch, clock, ports)
         self._claims = RequestClaims()
         self._wanted: dict[TeamName, Resources] = {}
+        self._commandable: dict[TaskRef, WorkerClock] = {}
         self._is_dirty = True
         self._ready_workers = 0
         self._inherited_lease_ends_at = Instant(
@@ -220,11 +221,15 @@
         opened = isinstance(applied.record, HolderOpened)
         if opened and applied.record.epoch == self.epoch and not applied.refusal:
             self._begin()
-        elif self.phase_ is not HolderPhase.OPENING:
+        elif self.phase_ is not HolderPhase.OPENING and self._is_current(applied):
             self._on_record(applied.record, applied.refusal)
         if applied.writer == self.member:
             self._settle_claim(applied)
 
+    def _is_current(self, applied: AppliedWork) -> bool:
+        """Return whether a record is not a late one of an earlier holder."""
+        return getattr(applied.record, "epoch", self.epoch) == self.epoch
+
     def _begin(self) -> None:
         """Index the work left by earlier holders, and start to act."""
         self.phase_ = HolderPhase.ACTIVE
@@ -325,7 +330,7 @@
             return
         if outcome is TaskOutcome.SUCCEEDED:
             view.note_success()
-        elif outcome in (TaskOutcome.FAILED, TaskOutcome.NOT_STARTED):
+        elif outcome is TaskOutcome.FAILED:
             view.note_failure(flight.ref.job, self.clock.now())
 
     def _stop_rest_of_gang(self, job: Job) -> None:
@@ -338,6 +343,9 @@
     # Attempts.
 
     def _drop(self, ref: TaskRef) -> None:
+        flight = self.attempts_.get(ref)
+        if flight.valid_until:
+            self._commandable[ref] = flight.valid_until
         self.attempts_.drop(ref)
         self._is_dirty = True
 
@@ -350,6 +358,10 @@
         if job.cancelled:
             flight.is_stop_wanted = True
             return
+        if not self._allotments.excess(flight.team).is_zero():
+            # The limit was lowered while the assignment was on its way.
+            self._end(flight, TaskOutcome.NOT_STARTED)
+            return
         lease_until = view.clock_at(self.clock.now()) + self.leases.task_ms
         command = StartTask(
             *flight.ref, flight.resources, job.spec.command, WorkerClock(lease_until)
@@ -392,7 +404,9 @@
             if isinstance(command, StartTask):
                 ref = TaskRef(command.job, command.index, command.attempt)
                 self.attempts_.flights_[ref].valid_until = valid_until
-        batch = CommandBatch(self.epoch, self.report_to, valid_until, commands)
+        batch = CommandBatch(
+            self.epoch, view.boot_, self.report_to, valid_until, commands
+        )
         self.ports.command(self.group, view, batch)
 
     # Reports and answers of workers.
@@ -414,7 +428,7 @@
         if view is None or report.epoch != self.epoch:
             return None
         now = self.clock.now()
-        if report.boot == view.boot_ and report.clock < view.clock_at(view.heard_at_):
+        if not view.is_newer(report):
             return ReportReply(self.epoch)
         if view.health_ is not WorkerHealth.LIVE:
             self._is_dirty = True
@@ -443,7 +457,21 @@
         for ref in view.held_refs():
             if ref not in running and ref not in self.attempts_:
                 view.release(ref)
-        return [end for ref, end in ended.items() if ref not in self.attempts_]
+        return [
+            end
+            for ref, end in ended.items()
+            if ref not in self.attempts_ and self._is_past_start(ref, report)
+        ]
+
+    def _is_past_start(self, ref: TaskRef, report: WorkerReport) -> bool:
+        """Return whether no copy of the start command can take effect any more.
+
+        Until then the worker has to remember that the attempt has ended.
+        """
+        if report.clock <= self._commandable.get(ref, WorkerClock(-1)):
+            return False
+        self._commandable.pop(ref, None)
+        return True
 
     def _note_running(self, flight: Flight) -> None:
         flight.stage = FlightStage.RUNNING
@@ -495,11 +523,18 @@
             if flight is None:
                 continue
             if refusal:
-                self._end(flight, TaskOutcome.NOT_STARTED)
+                self._note_refusal(flight)
             else:
                 flight.stage = FlightStage.RUNNING
         self.on_report(answer.report)
 
+    def _note_refusal(self, flight: Flight) -> None:
+        """Settle an attempt that surely was not started."""
+        self._end(flight, TaskOutcome.NOT_STARTED)
+        view = self.views_.get(flight.worker)
+        if view is not None:
+            view.note_failure(flight.ref.job, self.clock.now())
+
     def _on_no_answer(
         self, worker: InstanceId, batch: CommandBatch, exc: TransportError
     ) -> None:
@@ -512,7 +547,7 @@
             ref = TaskRef(command.job, command.index, command.attempt)
             flight = self.attempts_.get(ref)
             if isinstance(command, StartTask) and flight is not None:
-                self._end(flight, TaskOutcome.NOT_STARTED)
+                self._note_refusal(flight)
 
     # Workers of the group.
 
@@ -716,11 +751,10 @@
 
     def _team_room(self, team: TeamName) -> TeamRoom:
         known = self.ports.cell().teams.get(team)
-        return TeamRoom(
-            share=known.share if known else 1,
-            used=self.attempts_.used(team),
-            allotment=self._allotments.usable(team) if known else ZERO,
-        )
+        used = self.attempts_.used(team)
+        is_over = not self._allotments.excess(team).is_zero()
+        allotment = used if is_over else self._allotments.usable(team)
+        return TeamRoom(known.share if known else 1, used, allotment)
 
     def describe(self, job_id: JobId) -> JobAnswer:
         """Return a job as shown to callers.
--- a/pimentomill/holder/_moves.py
+++ b/pimentomill/holder/_moves.py
@@ -27,7 +27,7 @@
 
 
 class JobMover:
-    """Hand jobs of which nothing was started to other groups.
+    """Hand jobs of which nothing runs or has ended to other groups.
 
     Parameters
     ----------
@@ -95,9 +95,9 @@
 
     def _may_move(self, job: Job) -> bool:
         waited_ms = self.clock.wall_ms() - job.handed_in_at
-        untouched = all(task.state is TaskState.WAITING for task in job.tasks)
+        all_wait = all(task.state is TaskState.WAITING for task in job.tasks)
         patience_ms = MOVE_AFTER_MS * (job.moves + 1)
-        return untouched and job.moves < MAX_MOVES and waited_ms >= patience_ms
+        return all_wait and job.moves < MAX_MOVES and waited_ms >= patience_ms
 
     def _target(
         self,
@@ -145,6 +145,7 @@
             job.urgent,
             job.handed_in_at,
             job.moves,
+            [(task.attempt, task.failures) for task in job.tasks],
         )
         item = self.ports.append_work(job.moved_to, record, 0)
         self._arriving[job.id] = (job, item)
--- a/pimentomill/settings/_schema.py
+++ b/pimentomill/settings/_schema.py
@@ -29,11 +29,11 @@
 SpanMs = Annotated[int, Meta(gt=0, le=86_400_000)]
 
 
-class _Settings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+class _Settings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
     """Base that refuses unknown keys."""
 
 
-class AddressSettings(_Settings, kw_only=True):
+class AddressSettings(_Settings, kw_only=True, frozen=True):
     """Address to listen on.
 
     Parameters
@@ -53,7 +53,7 @@
         return f"{self.host}:{self.port}"
 
 
-class TlsSettings(_Settings, kw_only=True):
+class TlsSettings(_Settings, kw_only=True, frozen=True):
     """Files that the callers' port needs for TLS.
 
     Parameters
@@ -68,7 +68,7 @@
     private_key: str
 
 
-class CallerSettings(AddressSettings, kw_only=True):
+class CallerSettings(AddressSettings, kw_only=True, frozen=True):
     """The port that callers and operators use.
 
     Parameters
@@ -92,7 +92,7 @@
     socket_timeout_ms: SpanMs = 10_000
 
 
-class GroupSettings(_Settings, kw_only=True):
+class GroupSettings(_Settings, kw_only=True, frozen=True):
     """A group of workers that one entry holds at a time.
 
     Parameters
@@ -107,7 +107,7 @@
     racks: Annotated[list[Rack], Meta(min_length=1)]
 
 
-class LeaseSettings(_Settings, kw_only=True):
+class LeaseSettings(_Settings, kw_only=True, frozen=True):
     """Terms of the leases, in milliseconds.
 
     Parameters
@@ -145,7 +145,7 @@
             )
 
 
-class EntrySettings(_Settings, kw_only=True):
+class EntrySettings(_Settings, kw_only=True, frozen=True):
     """Settings of an entry.
 
     Parameters
@@ -195,7 +195,7 @@
             raise ValueError(f"a rack may be in one group only, got {racks}")
 
 
-class PlatformSettings(_Settings, kw_only=True):
+class PlatformSettings(_Settings, kw_only=True, frozen=True):
     """Settings of the platform stand-in.
 
     Parameters
@@ -216,7 +216,7 @@
     appends_per_second: PositiveInt = 500
 
 
-class WorkerSettings(_Settings, kw_only=True):
+class WorkerSettings(_Settings, kw_only=True, frozen=True):
     """Settings of a worker stand-in.
 
     Parameters
@@ -245,7 +245,7 @@
     report_ms: SpanMs = 2_000
 
 
-class BackendSettings(_Settings, kw_only=True):
+class BackendSettings(_Settings, kw_only=True, frozen=True):
     """Settings of a backend server stand-in.
 
     Parameters
--- a/pimentomill/standins/_worker.py
+++ b/pimentomill/standins/_worker.py
@@ -62,6 +62,8 @@
         Its own clock.
     checks_epochs : bool, default=True
         Whether it refuses commands of an epoch below the highest seen.
+    checks_capacity : bool, default=True
+        Whether it refuses tasks beyond its capacity by itself.
 
     Notes
     -----
@@ -76,11 +78,13 @@
         capacity: Resources,
         clock: Clock,
         checks_epochs: bool = True,
+        checks_capacity: bool = True,
     ) -> None:
         self.id = id
         self.capacity = capacity
         self.clock = clock
         self.checks_epochs = checks_epochs
+        self.checks_capacity = checks_capacity
         self.boot_ = new_id("boot")
         self.epoch_ = Epoch(-1)
         self.report_to_ = ""
@@ -105,7 +109,7 @@
         refusal = self._refusal(batch)
         results = []
         if not refusal:
-            self.epoch_ = batch.epoch
+            self.epoch_ = max(self.epoch_, batch.epoch)
             self.report_to_ = batch.report_to
             results = [CommandResult(self._do(command)) for command in batch.commands]
         return CommandAnswer(refusal, results, self.report())
@@ -113,6 +117,8 @@
     def _refusal(self, batch: CommandBatch) -> str:
         if self.checks_epochs and batch.epoch < self.epoch_:
             return f"epoch {batch.epoch} is over, {self.epoch_} was seen"
+        if batch.commands and batch.boot != self.boot_:
+            return f"the commands are for {batch.boot}, this is {self.boot_}"
         if batch.commands and self.clock.now() > batch.valid_until:
             return "the commands came too late"
         return ""
@@ -126,15 +132,21 @@
         ref = TaskRef(command.job, command.index, command.attempt)
         if ref in self.running_ or ref in self.ended_:
             return ""
-        used = ZERO
-        for running in self.running_.values():
-            used = used + running.resources
-        if not (used + command.resources).fits_in(self.capacity):
+        used = self.used()
+        fits = (used + command.resources).fits_in(self.capacity)
+        if self.checks_capacity and not fits:
             return f"{used.describe()} in use of {self.capacity.describe()}"
         self.running_[ref] = self._new_task(command)
         self.started_.append(ref)
         return ""
 
+    def used(self) -> Resources:
+        """Return the sum of what its tasks declared."""
+        used = ZERO
+        for running in self.running_.values():
+            used = used + running.resources
+        return used
+
     def _new_task(self, command: StartTask) -> _Running:
         words = command.command or ["sleep"]
         now = self.clock.now()
--- a/pimentomill/work/_fold.py
+++ b/pimentomill/work/_fold.py
@@ -142,7 +142,7 @@
             spec=record.spec,
             urgent=record.urgent,
             handed_in_at=record.handed_in_at,
-            tasks=[Task() for _ in range(task_count(record.spec))],
+            tasks=_new_tasks(record),
             moves=record.moves,
         )
         return ""
@@ -169,7 +169,7 @@
         if job is None or job.cancelled:
             return f"job {record.job} is not waiting here"
         if any(task.state is not TaskState.WAITING for task in job.tasks):
-            return f"job {record.job} was started"
+            return f"tasks of job {record.job} run or have ended"
         job.moved_to = record.to
         job.moves += 1
         return ""
@@ -261,6 +261,12 @@
             del ended[:count]
 
 
+def _new_tasks(record: JobAccepted) -> list[Task]:
+    if record.tries:
+        return [Task(attempt=tries[0], failures=tries[1]) for tries in record.tries]
+    return [Task() for _ in range(task_count(record.spec))]
+
+
 def _end(task: Task, outcome: TaskOutcome, at: int) -> None:
     task.state = TaskState.ENDED
     task.outcome = outcome
--- a/pimentomill/work/_records.py
+++ b/pimentomill/work/_records.py
@@ -47,7 +47,20 @@
 
 
 class JobAccepted(WorkRecord, frozen=True, tag="ja"):
-    """A job is taken in; a repeat of its id is refused."""
+    """A job is taken in; a repeat of its id is refused.
+
+    Parameters
+    ----------
+    job, team, spec, urgent
+        The hand-in.
+    handed_in_at : int
+        Time of day of the hand-in, in milliseconds.
+    moves : int, default=0
+        How often it has moved between groups.
+    tries : list of tuple of int, default=[]
+        Attempts and failures of each task in earlier groups, so that attempts
+        are numbered on.
+    """
 
     job: JobId
     team: TeamName
@@ -55,6 +68,7 @@
     urgent: bool
     handed_in_at: int
     moves: int = 0
+    tries: list[tuple[int, int]] = []
 
 
 class JobCancelled(WorkRecord, frozen=True, tag="jc"):
@@ -64,7 +78,7 @@
 
 
 class JobMoved(WorkRecord, frozen=True, tag="jm"):
-    """A job of which nothing was started goes to another group."""
+    """A job of which nothing runs or has ended goes to another group."""
 
     epoch: Epoch
     job: JobId
--- a/pimentomill/workers/_messages.py
+++ b/pimentomill/workers/_messages.py
@@ -81,6 +81,9 @@
     ----------
     epoch : Epoch
         Epoch of the holder; a worker refuses one below the highest it knows.
+    boot : str
+        Incarnation of the worker that the commands are for; the worker refuses
+        commands for another one.
     report_to : str
         ``host:port`` that the worker's reports go to from now on.
     valid_until : WorkerClock
@@ -90,6 +93,7 @@
     """
 
     epoch: Epoch
+    boot: str
     report_to: str
     valid_until: WorkerClock
     commands: list[StartTask | StopTask | ThrottleTask]
--- a/pimentomill/workers/_view.py
+++ b/pimentomill/workers/_view.py
@@ -101,6 +101,14 @@
         """Return the attempts that resources are promised to."""
         return list(self._held)
 
+    def is_newer(self, report: WorkerReport) -> bool:
+        """Return whether a report was surely made after the latest one.
+
+        Two reports of the same millisecond can't be put in order; the second to
+        arrive is left out.
+        """
+        return report.boot != self.boot_ or report.clock > self._clock
+
     def note_report(self, report: WorkerReport, now: Instant) -> None:
         """Take in a report.
 
--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of all parts through fakes, with invariants checked."""
--- /dev/null
+++ b/proofs/invariants.py
@@ -0,0 +1,189 @@
+"""What must hold after each step of a run, checked from outside."""
+
+from collections import Counter, defaultdict
+
+from pimentomill.cell import CellFold, CellState
+from pimentomill.entry import CELL_STREAM, group_stream
+from pimentomill.exceptions import InvariantError
+from pimentomill.holder import HolderPhase
+from pimentomill.platform import decode_envelope
+from pimentomill.utils import ZERO, GroupName, JobId, Resources, TeamName
+from pimentomill.work import TaskRef, WorkFold
+
+__all__ = ["Invariants"]
+
+BATCH = 10_000
+
+
+class LogOracle:
+    """Facts by the whole log, which no entry sees sooner."""
+
+    def __init__(self, world) -> None:
+        self.world = world
+        self.cell = CellFold()
+        self.work = {group: WorkFold() for group in world.groups}
+
+    def refresh(self) -> None:
+        """Fold what was appended since the last call."""
+        self._fold(self.cell, CELL_STREAM)
+        for group, fold in self.work.items():
+            self._fold(fold, group_stream(group))
+
+    def _fold(self, fold, stream) -> None:
+        while True:
+            start = fold.state_.next_offset
+            part = self.world.log_.slice(stream, start, BATCH)
+            for index, payload in enumerate(part.records):
+                fold.apply(part.start + index, decode_envelope(payload))
+            if not part.records:
+                return
+
+    def state(self) -> CellState:
+        """Return the cell's facts."""
+        return self.cell.state_
+
+    def job(self, job_id: JobId):
+        """Return a job from the group that has it now."""
+        for fold in self.work.values():
+            job = fold.state_.jobs.get(job_id)
+            if job is not None and not job.moved_to:
+                return job
+        return None
+
+
+class Invariants:
+    """Check a world after each step.
+
+    Parameters
+    ----------
+    world : World
+        The world.
+
+    Attributes
+    ----------
+    checked_ : Counter
+        Checks made, by invariant.
+    """
+
+    def __init__(self, world) -> None:
+        self.world = world
+        self.oracle = LogOracle(world)
+        self.checked_: Counter = Counter()
+        self._limits: dict[TeamName, Resources] = {}
+        self._limits_before: list[tuple[int, TeamName, Resources]] = []
+        self.starts_: dict[tuple[JobId, int], list[TaskRef]] = defaultdict(list)
+        world.on_start.append(self._on_start)
+
+    def _on_start(self, worker, ref: TaskRef) -> None:
+        self._refresh()
+        self._check_start_was_recorded(worker, ref)
+        self._check_not_in_two_places(ref)
+        self._check_not_run_again(ref)
+        self._check_capacity(worker)
+        self._check_limit(ref)
+        self.starts_[(ref.job, ref.index)].append(ref)
+
+    def check_step(self) -> None:
+        """Check what must hold after every step."""
+        self._refresh()
+        self._check_one_holder()
+
+    def _refresh(self) -> None:
+        self.oracle.refresh()
+        self._note_limits()
+
+    def _fail(self, name: str, detail: str) -> None:
+        raise InvariantError(f"{name}: {detail}")
+
+    def _check_start_was_recorded(self, worker, ref: TaskRef) -> None:
+        self.checked_["a start was recorded before"] += 1
+        job = self.oracle.job(ref.job)
+        task = job.tasks[ref.index] if job else None
+        if task is None or task.attempt < ref.attempt:
+            self._fail("a start was recorded before", f"{ref} on {worker.model.id}")
+
+    def _check_not_in_two_places(self, ref: TaskRef) -> None:
+        self.checked_["no task in two places"] += 1
+        places = [
+            (worker.model.id, other)
+            for worker in self.world.workers_.values()
+            for other in worker.model.running_
+            if (other.job, other.index) == (ref.job, ref.index)
+        ]
+        if len(places) > 1:
+            self._fail("no task in two places", f"{places}")
+
+    def _check_not_run_again(self, ref: TaskRef) -> None:
+        """Check that no attempt starts twice, and non-idempotent work only once."""
+        self.checked_["finished work is not run again"] += 1
+        earlier = self.starts_[(ref.job, ref.index)]
+        if ref in earlier:
+            self._fail("finished work is not run again", f"{ref} started twice")
+        job = self.oracle.job(ref.job)
+        is_once = not getattr(job.spec, "idempotent", True)
+        if is_once and earlier and not self._failed_before(job, ref):
+            self._fail("finished work is not run again", f"{ref} after {earlier}")
+
+    @staticmethod
+    def _failed_before(job, ref: TaskRef) -> bool:
+        return job.tasks[ref.index].failures > 0
+
+    def _check_capacity(self, worker) -> None:
+        self.checked_["capacity is not exceeded"] += 1
+        used = worker.model.used()
+        if not used.fits_in(worker.model.capacity):
+            self._fail("capacity is not exceeded", f"{worker.model.id} runs {used}")
+
+    def _check_limit(self, ref: TaskRef) -> None:
+        self.checked_["limit is not exceeded"] += 1
+        team = self.oracle.job(ref.job).team
+        limit = self._highest_limit(team)
+        running = self._running_of(team)
+        if not running.fits_in(limit):
+            detail = f"{team} runs {running.describe()} of {limit.describe()}"
+            self._fail("limit is not exceeded", detail)
+
+    def _highest_limit(self, team: TeamName) -> Resources:
+        """Return the largest limit that a start under way may still go by.
+
+        A holder's view of the log is at most a lease term old, and its command
+        is valid for a bounded time after that.
+        """
+        leases = self.world.shape.leases
+        since = self.world.clock_.now() - leases.ownership_ms - leases.command_ms
+        limit = self.oracle.state().teams[team].limit
+        for changed_at, changed_team, before in self._limits_before:
+            if changed_team == team and changed_at > since:
+                limit = limit.at_least(before)
+        return limit
+
+    def _note_limits(self) -> None:
+        """Remember limits that were changed."""
+        for team in self.oracle.state().teams.values():
+            before = self._limits.get(team.name)
+            if before is not None and before != team.limit:
+                now = self.world.clock_.now()
+                self._limits_before.append((now, team.name, before))
+            self._limits[team.name] = team.limit
+
+    def _running_of(self, team: TeamName) -> Resources:
+        running = ZERO
+        for worker in self.world.workers_.values():
+            for ref, task in worker.model.running_.items():
+                job = self.oracle.job(ref.job)
+                if job is not None and job.team == team:
+                    running = running + task.resources
+        return running
+
+    def _check_one_holder(self) -> None:
+        self.checked_["one holder at a time"] += 1
+        holders: dict[GroupName, list[str]] = defaultdict(list)
+        for name, entry in self.world.entries_.items():
+            if not entry.core.guard_.is_valid():
+                continue
+            for group, holder in entry.core.holders_.items():
+                if holder.phase_ is not HolderPhase.SUPERSEDED:
+                    holders[group].append(name)
+        for group, names in holders.items():
+            if len(names) > 1:
+                self._fail("one holder at a time", f"{group} is held by {names}")
--- /dev/null
+++ b/proofs/world.py
@@ -0,0 +1,223 @@
+"""All parts together: cores, log and workers, driven by one queue of events."""
+
+import heapq
+import random
+from collections.abc import Callable
+from itertools import count
+
+import msgspec
+
+from pimentomill.platform import Instance, InstanceKind, InstanceState
+from pimentomill.settings import (
+    AddressSettings,
+    CallerSettings,
+    EntrySettings,
+    GroupSettings,
+    LeaseSettings,
+)
+from pimentomill.standins import LogModel, WorkerModel
+from pimentomill.utils import GroupName, InstanceId, ManualClock, Resources
+from proofs.clocks import SkewedClock
+from proofs.faults import FaultPlan, Faults
+from proofs.sim_entry import SimEntry
+from proofs.sim_worker import SimWorker
+
+__all__ = ["World", "WorldShape"]
+
+RETAINED = 10_000_000
+MAX_SKEW_MS = 1_000_000
+MAX_DRIFT_PPM = 2_000
+FAST_MS = (1, 15)
+SLOW_MS = (500, 4_000)
+
+
+class WorldShape(msgspec.Struct, frozen=True):
+    """Size of a world."""
+
+    entries: int = 3
+    groups: int = 3
+    workers_per_group: int = 2
+    capacity: Resources = Resources(8_000, 16_000, 2)
+    leases: LeaseSettings = LeaseSettings(
+        ownership_ms=4_000,
+        renew_ms=1_000,
+        margin_ms=300,
+        task_ms=20_000,
+        command_ms=1_000,
+        report_ms=1_000,
+    )
+    retained_records: int = RETAINED
+    workers_check_epochs: bool = False
+
+
+class World:
+    """Run entries and workers against a fake log and network.
+
+    Parameters
+    ----------
+    seed : int
+        One seed gives one run.
+    shape : WorldShape
+        Size.
+    plan : FaultPlan
+        How likely faults of messages are.
+
+    Attributes
+    ----------
+    clock_ : ManualClock
+        True time.
+    entries_ : dict
+        Entries that run, by name.
+    workers_ : dict
+        Workers by id.
+    """
+
+    def __init__(self, seed: int, shape: WorldShape, plan: FaultPlan) -> None:
+        self.seed = seed
+        self.shape = shape
+        self.plan = plan
+        self.rng = random.Random(seed)
+        self.clock_ = ManualClock()
+        self.log_ = LogModel(shape.retained_records)
+        self.faults_ = Faults()
+        self.trace_: list[str] = []
+        self.steps_ = 0
+        self.on_start: list[Callable] = []
+        self._events: list = []
+        self._order = count()
+        self._incarnations = count(1)
+        self.entries_: dict[str, SimEntry] = {}
+        self.workers_: dict[InstanceId, SimWorker] = {}
+        self._add_workers()
+        for index in range(shape.entries):
+            self.add_entry(f"entry-{index + 1}")
+
+    def _add_workers(self) -> None:
+        for index in range(self.shape.groups * self.shape.workers_per_group):
+            id = InstanceId(f"worker-{index + 1}")
+            rack = self._rack(index % self.shape.groups)
+            model = WorkerModel(
+                id,
+                self.shape.capacity,
+                self.skewed_clock(),
+                checks_epochs=self.shape.workers_check_epochs,
+                checks_capacity=False,
+            )
+            self.workers_[id] = SimWorker(self, model, rack)
+
+    @staticmethod
+    def _rack(group: int) -> str:
+        return f"dc{group % 2 + 1}/r{group + 1}"
+
+    @property
+    def groups(self) -> list[GroupName]:
+        """All groups."""
+        return [GroupName(f"g{i + 1}") for i in range(self.shape.groups)]
+
+    def skewed_clock(self) -> SkewedClock:
+        """Return a clock with a skew of its own."""
+        offset = self.rng.randrange(MAX_SKEW_MS)
+        drift = self.rng.randint(-MAX_DRIFT_PPM, MAX_DRIFT_PPM)
+        return SkewedClock(self.clock_, offset, drift)
+
+    def settings(self, name: str) -> EntrySettings:
+        """Return settings of an entry; its name serves as its address."""
+        groups = [
+            GroupSettings(name=group, racks=[self._rack(i)])
+            for i, group in enumerate(self.groups)
+        ]
+        return EntrySettings(
+            name=name,
+            data_centre="dc1",
+            callers=CallerSettings(host=name, port=1),
+            control=AddressSettings(host=name, port=2),
+            peers=AddressSettings(host=name, port=3),
+            platform_url="http://127.0.0.1:1",
+            groups=groups,
+            leases=self.shape.leases,
+        )
+
+    def add_entry(self, name: str) -> SimEntry:
+        """Start an entry as a new incarnation."""
+        entry = SimEntry(self, name, next(self._incarnations))
+        self.entries_[name] = entry
+        entry.start()
+        return entry
+
+    def kill_entry(self, name: str) -> None:
+        """End an entry at once."""
+        self.entries_.pop(name).is_dead = True
+
+    # Events.
+
+    def at(self, delay_ms: int, action: Callable[[], None]) -> None:
+        """Do something later."""
+        due = self.clock_.now() + max(delay_ms, 0)
+        heapq.heappush(self._events, (due, next(self._order), action))
+
+    def step(self) -> None:
+        """Move to the next event and do it."""
+        due, _, action = heapq.heappop(self._events)
+        if due > self.clock_.now():
+            self.clock_.advance(due - self.clock_.now())
+        self.steps_ += 1
+        action()
+
+    def run_until(self, true_ms: int, after_step: Callable[[], None]) -> None:
+        """Do all events up to a time."""
+        while self._events and self._events[0][0] <= true_ms:
+            self.step()
+            after_step()
+        if true_ms > self.clock_.now():
+            self.clock_.advance(true_ms - self.clock_.now())
+
+    # Network.
+
+    def pause_ms(self) -> int:
+        """Return the time that a message takes."""
+        return self.rng.randint(*FAST_MS)
+
+    def log_pause_ms(self) -> int:
+        """Return the time that a call to the log takes one way."""
+        bounds = SLOW_MS if self.faults_.is_log_slow else FAST_MS
+        return self.rng.randint(*bounds)
+
+    def reaches_log(self, entry: str) -> bool:
+        """Return whether an entry reaches the log now."""
+        return not self.faults_.is_log_down and entry not in self.faults_.cut_from_log
+
+    def happens(self, chance: float, kind: str) -> bool:
+        """Draw a fault and count it."""
+        if self.rng.random() >= chance:
+            return False
+        self.faults_.counts[kind] += 1
+        return True
+
+    def deliver(self, action: Callable[[], None]) -> bool:
+        """Deliver a message, or lose, repeat or delay it; False if lost."""
+        if self.happens(self.plan.lose_message, "lost message"):
+            return False
+        delay = self.pause_ms()
+        if self.happens(self.plan.late_message, "late message"):
+            delay = self.rng.randint(0, self.plan.late_ms)
+        self.at(delay, action)
+        if self.happens(self.plan.repeat_message, "repeated message"):
+            self.at(self.rng.randint(0, self.plan.late_ms), action)
+        return True
+
+    def instances(self) -> list[Instance]:
+        """Return the platform's list."""
+        return [
+            Instance(
+                id=id,
+                kind=InstanceKind.WORKER,
+                state=InstanceState.LIVE,
+                address=id,
+                rack=worker.rack,
+            )
+            for id, worker in self.workers_.items()
+        ]
+
+    def note(self, text: str) -> None:
+        """Add a line to the trace."""
+        self.trace_.append(f"{self.clock_.now():>8} {text}")
