Hand a group over without a moment of two holders, and never stop opening one

Cause, two holders: the releasing entry went on renewing task leases until it had read its own release back, while the next holder was already acting. A successor bounds inherited leases from its claim, so such a late renewal outlived the bound. Cause, stuck group: the record that opens a group's stream was given up in an outage and not sent again, and the group stayed without placement for good.

Ruled out: claim rules (the release was in the log, the claim was right) and the guard (both leases were valid by their own terms). The first search was not repeatable: sets of texts are ordered by a seed of the process.

Change: a holder does nothing from the moment its release leaves. Records that must be kept are appended again until confirmed.

--- a/pimentomill/entry/_core.py
+++ b/pimentomill/entry/_core.py
@@ -333,13 +333,18 @@
 
     def _release_closed(self) -> None:
         """Hand over groups whose last command has ended."""
-        closed = [
+        for holder in self.holders_.values():
+            if self.is_stopping_:
+                holder.close()
+            if holder.phase_ is HolderPhase.CLOSING and holder.is_idle:
+                holder.release()
+        released = [
             group
             for group, holder in self.holders_.items()
-            if holder.phase_ is HolderPhase.CLOSING and holder.is_idle
+            if holder.phase_ is HolderPhase.RELEASED
         ]
-        if closed:
-            record = GroupsReleased(self.member, closed)
+        if released:
+            record = GroupsReleased(self.member, released)
             self._submit_once("release", record, CELL_PATIENCE_MS)
 
     def begin_stop(self) -> None:
@@ -413,7 +418,7 @@
             If this entry does not hold it, or is still reading its stream.
         """
         holder = self.holders_.get(group)
-        if holder is None or holder.phase_ is HolderPhase.OPENING:
+        if holder is None or not holder.is_acting:
             raise NotHolderError(f"group {group} has no holder here")
         return holder
 
--- a/pimentomill/holder/_attempts.py
+++ b/pimentomill/holder/_attempts.py
@@ -27,7 +27,7 @@
         self.views = views
         self.flights_: dict[TaskRef, Flight] = {}
         self.used_: dict[TeamName, Resources] = {}
-        self._by_worker: dict[InstanceId, set[TaskRef]] = defaultdict(set)
+        self._by_worker: dict[InstanceId, dict[TaskRef, None]] = defaultdict(dict)
 
     def __contains__(self, ref: TaskRef) -> bool:
         return ref in self.flights_
@@ -69,7 +69,7 @@
             raise InvariantError(f"{ref} is under way already")
         flight = Flight(ref, job.team, job.spec.resources, worker, stage)
         self.flights_[ref] = flight
-        self._by_worker[worker].add(ref)
+        self._by_worker[worker][ref] = None
         self.used_[job.team] = self.used(job.team) + flight.resources
         view = self.views.get(worker)
         if view is not None:
@@ -79,7 +79,7 @@
     def drop(self, ref: TaskRef) -> None:
         """Remove an attempt and release what was promised to it."""
         flight = self.flights_.pop(ref)
-        self._by_worker[flight.worker].discard(ref)
+        del self._by_worker[flight.worker][ref]
         self.used_[flight.team] = self.used_[flight.team] - flight.resources
         view = self.views.get(flight.worker)
         if view is not None:
--- a/pimentomill/holder/_holder.py
+++ b/pimentomill/holder/_holder.py
@@ -72,6 +72,7 @@
     describe_job,
     describe_worker,
 )
+from ._appends import LastingAppends
 from ._attempts import AttemptTable
 from ._flight import Flight, FlightStage
 from ._moves import JobMover
@@ -92,14 +93,23 @@
 
 
 class HolderPhase(Enum):
-    """What a holder is doing."""
+    """What a holder is doing.
+
+    An opening holder reads the group's stream, an active one places work, a
+    closing one only waits for answers under way. Once the release has left, or
+    a later holder has opened the stream, the holder does nothing any more.
+    """
 
     OPENING = "opening"
     ACTIVE = "active"
     CLOSING = "closing"
+    RELEASED = "released"
     SUPERSEDED = "superseded"
 
 
+ACTING_PHASES = (HolderPhase.ACTIVE, HolderPhase.CLOSING)
+
+
 class GroupHolder:
     """Place, start, watch and stop the tasks of one group.
 
@@ -164,7 +174,8 @@
         self._outbox: dict[InstanceId, list[Command]] = {}
         self._scheduler = Scheduler(self._find_job, self._team_room)
         self._allotments = AllotmentKeeper(group, epoch, member, ports)
-        self._mover = JobMover(group, epoch, clock, ports)
+        self._appends = LastingAppends(ports)
+        self._mover = JobMover(group, epoch, clock, ports, self._appends)
         self._claims = RequestClaims()
         self._wanted: dict[TeamName, Resources] = {}
         self._commandable: dict[TaskRef, WorkerClock] = {}
@@ -177,7 +188,7 @@
     def open(self) -> None:
         """Queue the record that ends the rights of earlier holders."""
         record = HolderOpened(self.clock.wall_ms(), self.epoch, self.member)
-        self.ports.append_work(self.group, record, 0)
+        self._appends.append(self.group, record, 0)
 
     @property
     def next_offset(self) -> Offset:
@@ -189,9 +200,19 @@
         """Whether no attempt is between decision and answer."""
         return self.attempts_.is_idle
 
+    @property
+    def is_acting(self) -> bool:
+        """Whether this holder may send commands, renew leases and end tasks."""
+        return self.phase_ in ACTING_PHASES
+
     def close(self) -> None:
         """Place nothing more, so that the group can be handed over."""
-        self.phase_ = HolderPhase.CLOSING
+        if self.phase_ is HolderPhase.ACTIVE:
+            self.phase_ = HolderPhase.CLOSING
+
+    def release(self) -> None:
+        """Do nothing any more, because the release is about to leave."""
+        self.phase_ = HolderPhase.RELEASED
 
     # Records of the group's stream.
 
@@ -217,6 +238,7 @@
     def _react(self, applied: AppliedWork) -> None:
         if self.fold_.state_.epoch > self.epoch:
             self.phase_ = HolderPhase.SUPERSEDED
+        if not self.is_acting and self.phase_ is not HolderPhase.OPENING:
             return
         opened = isinstance(applied.record, HolderOpened)
         if opened and applied.record.epoch == self.epoch and not applied.refusal:
@@ -237,7 +259,7 @@
             self._index_job(job)
         at = self.clock.wall_ms()
         for record in RequestClaims.orphans(self.fold_.state_.requests, self.epoch, at):
-            self.ports.append_work(self.group, record, END_LINGER_MS)
+            self._appends.append(self.group, record, END_LINGER_MS)
         self._is_dirty = True
 
     def _index_job(self, job: Job) -> None:
@@ -425,7 +447,7 @@
             None if the worker does not belong to this holder.
         """
         view = self.views_.get(report.worker)
-        if view is None or report.epoch != self.epoch:
+        if view is None or report.epoch != self.epoch or not self.is_acting:
             return None
         now = self.clock.now()
         if not view.is_newer(report):
@@ -443,7 +465,7 @@
 
     def _reconcile(self, view: WorkerView, report: WorkerReport) -> list[TaskEndReport]:
         """Compare a report with the attempts assigned to the worker."""
-        running = {TaskRef(s.job, s.index, s.attempt) for s in report.running}
+        running = [TaskRef(s.job, s.index, s.attempt) for s in report.running]
         ended = {TaskRef(e.job, e.index, e.attempt): e for e in report.ended}
         for flight in self.attempts_.on_worker(view.id):
             if flight.ref in running:
@@ -452,8 +474,9 @@
                 self._end(flight, OUTCOMES[ended[flight.ref].outcome])
             else:
                 self._note_absent(flight, view, report)
-        for ref in running - self.attempts_.flights_.keys():
-            self._outbox.setdefault(view.id, []).append(StopTask(*ref))
+        for ref in running:
+            if ref not in self.attempts_:
+                self._outbox.setdefault(view.id, []).append(StopTask(*ref))
         for ref in view.held_refs():
             if ref not in running and ref not in self.attempts_:
                 view.release(ref)
@@ -511,6 +534,8 @@
         answer : CommandAnswer or TransportError
             The worker's answer, or why there is none.
         """
+        if not self.is_acting:
+            return
         if isinstance(answer, TransportError):
             self._on_no_answer(worker, batch, answer)
             return
@@ -583,8 +608,11 @@
 
     def tick(self) -> None:
         """Do what is due: ask silent workers, expire leases, place work."""
-        resting = (HolderPhase.OPENING, HolderPhase.SUPERSEDED)
-        if self.phase_ in resting or not self.guard.is_valid():
+        if not self.guard.is_valid():
+            return
+        if self.is_acting or self.phase_ is HolderPhase.OPENING:
+            self._appends.retry()
+        if not self.is_acting:
             return
         self._watch_workers()
         self._expire_lost()
@@ -731,7 +759,7 @@
         record = RequestEnded(
             self.clock.wall_ms(), self.epoch, request, outcome, status
         )
-        self.ports.append_work(self.group, record, END_LINGER_MS)
+        self._appends.append(self.group, record, END_LINGER_MS)
 
     def describe_request(self, request: RequestId) -> StoredAnswer:
         """Return a non-idempotent request as shown to callers.
--- a/pimentomill/holder/_moves.py
+++ b/pimentomill/holder/_moves.py
@@ -16,6 +16,7 @@
 )
 from ..workers import WorkerView
 from ._answers import GroupSummary
+from ._appends import LastingAppends
 from ._ports import HolderPorts
 
 __all__ = ["JobMover"]
@@ -23,6 +24,7 @@
 MOVE_AFTER_MS = 1_000
 MAX_MOVES = 8
 MOVES_PER_TICK = 64
+DONE_LINGER_MS = 1_000
 MOVABLE_CODES = (WaitCode.TOO_LARGE, WaitCode.NO_ROOM, WaitCode.NO_WORKERS)
 
 
@@ -39,6 +41,8 @@
         Source of time.
     ports : HolderPorts
         Ways out.
+    appends : LastingAppends
+        Records that must be kept.
 
     Notes
     -----
@@ -48,12 +52,18 @@
     """
 
     def __init__(
-        self, group: GroupName, epoch: Epoch, clock: Clock, ports: HolderPorts
+        self,
+        group: GroupName,
+        epoch: Epoch,
+        clock: Clock,
+        ports: HolderPorts,
+        appends: LastingAppends,
     ) -> None:
         self.group = group
         self.epoch = epoch
         self.clock = clock
         self.ports = ports
+        self.appends = appends
         self._leaving: dict[JobId, PendingAppend] = {}
         self._arriving: dict[JobId, tuple[Job, PendingAppend]] = {}
 
@@ -155,7 +165,7 @@
     def forward_cancel(self, job: Job) -> None:
         """Pass a cancellation on to the group that has the job now."""
         record = JobCancelled(self.clock.wall_ms(), job.id)
-        self.ports.append_work(job.moved_to, record, 0)
+        self.appends.append(job.moved_to, record, 0)
 
     def _confirm(self) -> None:
         for job_id, item in list(self._leaving.items()):
@@ -167,7 +177,7 @@
             del self._arriving[job_id]
             if item.state is AppendState.KEPT:
                 record = JobMoveDone(self.clock.wall_ms(), self.epoch, job_id)
-                self.ports.append_work(self.group, record, 1_000)
+                self.appends.append(self.group, record, DONE_LINGER_MS)
             else:
                 self.resume(job)
 
--- a/proofs/invariants.py
+++ b/proofs/invariants.py
@@ -182,7 +182,7 @@
             if not entry.core.guard_.is_valid():
                 continue
             for group, holder in entry.core.holders_.items():
-                if holder.phase_ is not HolderPhase.SUPERSEDED:
+                if holder.is_acting or holder.phase_ is HolderPhase.OPENING:
                     holders[group].append(name)
         for group, names in holders.items():
             if len(names) > 1:
--- a/proofs/sim_worker.py
+++ b/proofs/sim_worker.py
@@ -1,7 +1,8 @@
 """A worker of a simulated world."""
 
+from itertools import count
+
 from pimentomill.standins import WorkerModel
-from pimentomill.utils import new_id
 from pimentomill.workers import CommandBatch, ReportReply, WorkerReport
 
 __all__ = ["SimWorker"]
@@ -17,6 +18,8 @@
         self.model = model
         self.rack = rack
         self._report_at = 0
+        self._boots = count(1)
+        self.reboot()
         world.at(0, self._run)
 
     @property
@@ -63,6 +66,6 @@
         """Lose all tasks and what they had ended with."""
         self.model.running_.clear()
         self.model.ended_.clear()
-        self.model.boot_ = new_id("boot")
+        self.model.boot_ = f"{self.model.id}-{next(self._boots)}"
         self.model.epoch_ = -1
         self.model.report_to_ = ""
