--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one JSON line each."""
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,16 @@
+"""Run all measurements, or those named on the command line."""
+
+import sys
+
+from benchmarks import whole_path
+
+MODULES = {"whole_path": whole_path}
+
+
+def main() -> None:
+    """Run the chosen measurements."""
+    for name in sys.argv[1:] or MODULES:
+        MODULES[name].run()
+
+
+main()
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,73 @@
+"""Processor time, memory and traffic of running entries."""
+
+import os
+from pathlib import Path
+
+import msgspec
+
+from scripts.cell import SmallCell
+
+__all__ = ["Usage", "usage_of_entries"]
+
+KB = 1_000
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+UTIME_FIELD = 11
+
+
+class Usage(msgspec.Struct):
+    """What an entry has used so far.
+
+    Parameters
+    ----------
+    cpu_s : float
+        Processor time in seconds.
+    resident_mb : float
+        Resident memory now, in MB.
+    sent, received : int
+        Bytes of control traffic.
+    """
+
+    cpu_s: float
+    resident_mb: float
+    sent: int
+    received: int
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time of a process, in seconds."""
+    text = Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[UTIME_FIELD]) + int(fields[UTIME_FIELD + 1])) / TICKS_PER_S
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process, in MB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024 / KB / KB
+    return 0.0
+
+
+def control_bytes(cell: SmallCell, entry: int) -> dict[str, int]:
+    """Return the bytes of control traffic of an entry, by direction."""
+    response = cell.http.request("GET", cell.control_url(entry) + "/metrics")
+    data = msgspec.json.decode(response.data)
+    metrics = data["resource_metrics"][0]["scope_metrics"][0]["metrics"]
+    points = next(m for m in metrics if m["name"] == "control_bytes")["data"]
+    return {p["attributes"]["direction"]: p["value"] for p in points["data_points"]}
+
+
+def usage_of_entries(cell: SmallCell) -> list[Usage]:
+    """Return what each entry has used so far."""
+    usages = []
+    for index, process in enumerate(cell.entries):
+        traffic = control_bytes(cell, index)
+        usages.append(
+            Usage(
+                cpu_seconds(process.pid),
+                resident_mb(process.pid),
+                traffic["sent"],
+                traffic["received"],
+            )
+        )
+    return usages
--- a/pimentomill/entry/_control_api.py
+++ b/pimentomill/entry/_control_api.py
@@ -4,6 +4,7 @@
 
 from ..http import HttpRequest, HttpResponse, Router
 from ..telemetry import Metrics
+from ..utils import TrafficMeter
 from ..workers import WorkerReport
 from ._actor import CoreHandle
 
@@ -19,15 +20,18 @@
         The core of this entry.
     metrics : Metrics
         Counters.
+    meter : TrafficMeter
+        Where bytes of control traffic are counted.
     """
 
-    def __init__(self, core: CoreHandle, metrics: Metrics) -> None:
+    def __init__(self, core: CoreHandle, metrics: Metrics, meter: TrafficMeter) -> None:
         self.core = core
         self.metrics = metrics
+        self.meter = meter
 
     def router(self) -> Router:
         """Return the routes."""
-        router = Router()
+        router = Router(meter=self.meter)
         router.add("POST", "/v1/reports", self._report)
         router.add("GET", "/metrics", self._metrics)
         router.add("GET", "/healthz", self._health)
--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -25,7 +25,15 @@
 from ..requests import AskStored, ClaimCall, DispatchCall, Dispatcher, RetryBudget
 from ..settings import EntrySettings
 from ..telemetry import Metrics, PartLog
-from ..utils import GroupName, MemberId, Offset, StreamName, SystemClock, new_id
+from ..utils import (
+    GroupName,
+    MemberId,
+    Offset,
+    StreamName,
+    SystemClock,
+    TrafficMeter,
+    new_id,
+)
 from ..workers import CommandBatch, WorkerClient, WorkerView
 from ._actor import CoreActor, CoreHandle
 from ._caller_api import CallerApi
@@ -63,14 +71,15 @@
         self.clock = SystemClock()
         self.rng = random.Random()
         self.member = MemberId(new_id(cfg.name))
-        self.metrics = Metrics()
+        self.meter = TrafficMeter()
+        self.metrics = Metrics(self.meter)
         self.log = PartLog("entry", entry=cfg.name)
-        self.platform = PlatformClient(cfg.platform_url, connections=8)
+        self.platform = PlatformClient(cfg.platform_url, 8, self.meter)
         self.failure_: Exception | None = None
         self._ended = threading.Event()
         self._readers: dict[StreamName, StreamReader] = {}
         self._writers = self._make_writers()
-        self._peer_client = PeerClient()
+        self._peer_client = PeerClient(self.meter)
         self._build_core()
         self._build_services()
 
@@ -86,7 +95,7 @@
     def _build_core(self) -> None:
         core = EntryCore(self.cfg, self.member, self.clock, self)
         self._guard = core.guard_
-        client = WorkerClient(COMMAND_ANSWER_MS)
+        client = WorkerClient(COMMAND_ANSWER_MS, self.meter)
         self._commands = CommandPool(client, core.guard_, self._on_answer)
         ref = CoreActor.start(core, self.log, self._on_fatal)
         self.core = CoreHandle(ref, CORE_TIMEOUT_MS)
@@ -117,7 +126,9 @@
             self.metrics,
             PartLog("callers", entry=cfg.name),
         )
-        self._peer_server = PeerServer(cfg.peers.authority, self._answer_peer)
+        self._peer_server = PeerServer(
+            cfg.peers.authority, self._answer_peer, self.meter
+        )
         self._caller_server = HttpServer(
             cfg.callers.host,
             cfg.callers.port,
@@ -132,7 +143,7 @@
         self._control_server = HttpServer(
             cfg.control.host,
             cfg.control.port,
-            ControlApi(self.core, self.metrics).router(),
+            ControlApi(self.core, self.metrics, self.meter).router(),
             threads=CONTROL_THREADS,
         )
 
--- a/pimentomill/http/__init__.py
+++ b/pimentomill/http/__init__.py
@@ -1,6 +1,7 @@
 """Serving of typed messages over HTTP."""
 
 from ._app import HttpRequest, HttpResponse, Router
+from ._client import MeteredClient, is_unsent
 from ._errors import response_of
 from ._server import HttpServer
 
@@ -8,6 +9,8 @@
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
+    "MeteredClient",
     "Router",
+    "is_unsent",
     "response_of",
 ]
--- a/pimentomill/http/_app.py
+++ b/pimentomill/http/_app.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..exceptions import PimentomillError, ValidationError
+from ..utils import TrafficMeter, header_bytes
 from ._errors import ErrorBody, response_of
 
 __all__ = ["HttpRequest", "HttpResponse", "Router"]
@@ -15,7 +16,8 @@
 T = TypeVar("T")
 JSON = "application/json"
 TEXT = "text/plain; charset=utf-8"
-BYTES = "application/octet-stream"
+REQUEST_LINE_BYTES = 64
+ANSWER_OVERHEAD_BYTES = 80
 
 
 class HttpRequest(msgspec.Struct):
@@ -94,12 +96,17 @@
     ----------
     on_error : callable, default=None
         Called with the request and an exception that no handler expected.
+    meter : TrafficMeter or None, default=None
+        Where bytes are counted.
     """
 
     def __init__(
-        self, on_error: Callable[[HttpRequest, Exception], None] | None = None
+        self,
+        on_error: Callable[[HttpRequest, Exception], None] | None = None,
+        meter: TrafficMeter | None = None,
     ) -> None:
         self.on_error = on_error
+        self.meter = meter
         self._routes: list[tuple[str, re.Pattern[str], Handler]] = []
 
     def add(self, method: str, pattern: str, handler: Handler) -> None:
@@ -168,9 +175,19 @@
             ("Content-Length", str(len(response.body))),
             *response.headers.items(),
         ]
+        if self.meter is not None:
+            self._count(environ, headers, len(response.body))
         start_response(f"{response.status} {phrase}", headers)
         return [response.body]
 
+    def _count(
+        self, environ: dict, headers: list[tuple[str, str]], body_bytes: int
+    ) -> None:
+        received = sum(len(k) + len(v) for k, v in environ.items() if k[:5] == "HTTP_")
+        received += int(environ.get("CONTENT_LENGTH") or 0)
+        sent = ANSWER_OVERHEAD_BYTES + header_bytes(dict(headers)) + body_bytes
+        self.meter.add(sent, REQUEST_LINE_BYTES + received)
+
 
 def _request_of(environ: dict) -> HttpRequest:
     length = int(environ.get("CONTENT_LENGTH") or 0)
--- /dev/null
+++ b/pimentomill/http/_client.py
@@ -0,0 +1,79 @@
+"""HTTP client for control traffic."""
+
+import urllib3
+from urllib3.util import SKIP_HEADER
+
+from ..utils import TrafficMeter, header_bytes
+
+__all__ = ["MeteredClient", "is_unsent"]
+
+REQUEST_LINE_BYTES = 64
+STATUS_LINE_BYTES = 17
+NOT_SENT_ERRORS = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+BARE_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
+
+
+def is_unsent(exc: urllib3.exceptions.HTTPError) -> bool:
+    """Return whether an error proves that a request did not leave."""
+    return isinstance(exc, NOT_SENT_ERRORS)
+
+
+class MeteredClient:
+    """Post bodies over kept connections, and count the bytes.
+
+    Parameters
+    ----------
+    meter : TrafficMeter
+        Where bytes are counted.
+    connections : int, default=2
+        Connections kept to each address.
+    addresses : int, default=256
+        Addresses that connections are kept to.
+    """
+
+    def __init__(
+        self, meter: TrafficMeter, connections: int = 2, addresses: int = 256
+    ) -> None:
+        self.meter = meter
+        self.connections = connections
+        self.addresses = addresses
+        self._pool = urllib3.PoolManager(
+            num_pools=addresses, maxsize=connections, retries=False
+        )
+
+    def post(
+        self, url: str, body: bytes, connect_timeout_s: float, answer_timeout_s: float
+    ) -> urllib3.BaseHTTPResponse:
+        """Post a body once and return the whole answer.
+
+        Parameters
+        ----------
+        url : str
+            Where to post.
+        body : bytes
+            What to post.
+        connect_timeout_s, answer_timeout_s : float
+            How long to wait for the connection and for the answer, in seconds.
+
+        Returns
+        -------
+        urllib3.BaseHTTPResponse
+            The answer.
+
+        Raises
+        ------
+        urllib3.exceptions.HTTPError
+            If there is no whole answer; see `is_unsent`.
+        """
+        timeout = urllib3.Timeout(connect=connect_timeout_s, read=answer_timeout_s)
+        response = self._pool.request(
+            "POST", url, body=body, headers=BARE_HEADERS, timeout=timeout
+        )
+        received = STATUS_LINE_BYTES + header_bytes(response.headers)
+        self.meter.add(
+            REQUEST_LINE_BYTES + len(url) + len(body), received + len(response.data)
+        )
+        return response
--- a/pimentomill/peers/_client.py
+++ b/pimentomill/peers/_client.py
@@ -6,6 +6,7 @@
 import pynng
 
 from ..exceptions import TransportError
+from ..utils import TrafficMeter
 from ._messages import PeerMessage, PeerReply, Refusal
 
 __all__ = ["PeerClient"]
@@ -18,6 +19,11 @@
 class PeerClient:
     """Ask peers over request-reply sockets.
 
+    Parameters
+    ----------
+    meter : TrafficMeter
+        Where bytes are counted.
+
     Notes
     -----
     The sockets are told not to send a request again by themselves; whoever asks
@@ -25,7 +31,8 @@
     the asked side drops repeats of what must not run twice.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, meter: TrafficMeter) -> None:
+        self.meter = meter
         self._sockets: dict[str, pynng.Req0] = {}
         self._lock = threading.Lock()
 
@@ -63,18 +70,20 @@
             raise reply.error()
         return reply
 
-    @staticmethod
     def _exchange(
-        context: pynng.Context, message: PeerMessage, timeout_ms: int
+        self, context: pynng.Context, message: PeerMessage, timeout_ms: int
     ) -> PeerReply:
         context.send_timeout = timeout_ms
         context.recv_timeout = timeout_ms
         try:
-            context.send(_encoder.encode(message))
+            question = _encoder.encode(message)
+            context.send(question)
         except pynng.NNGException as exc:
             raise TransportError(f"peer unreachable: {exc}", sent=False) from exc
         try:
-            return _decoder.decode(context.recv())
+            answer = context.recv()
+            self.meter.add(len(question), len(answer))
+            return _decoder.decode(answer)
         except pynng.NNGException as exc:
             raise TransportError(f"peer did not answer: {exc}", sent=True) from exc
         except msgspec.DecodeError as exc:
--- a/pimentomill/peers/_server.py
+++ b/pimentomill/peers/_server.py
@@ -6,6 +6,7 @@
 import msgspec
 import pynng
 
+from ..utils import TrafficMeter
 from ._messages import PeerMessage, PeerReply, Refusal
 
 __all__ = ["PeerServer"]
@@ -24,6 +25,8 @@
     handler : callable
         Takes a `PeerMessage` and returns a `PeerReply`; an error that it
         raises goes back as a `Refusal`.
+    meter : TrafficMeter
+        Where bytes are counted.
     threads : int, default=16
         Questions answered at once.
     """
@@ -32,10 +35,12 @@
         self,
         address: str,
         handler: Callable[[PeerMessage], PeerReply],
+        meter: TrafficMeter,
         threads: int = 16,
     ) -> None:
         self.address = address
         self.handler = handler
+        self.meter = meter
         self.threads = threads
         self._socket = pynng.Rep0()
         self._contexts: list[pynng.Context] = []
@@ -64,7 +69,9 @@
         while True:
             try:
                 payload = context.recv()
-                context.send(self._answer(payload))
+                answer = self._answer(payload)
+                context.send(answer)
+                self.meter.add(len(answer), len(payload))
             except pynng.Closed:
                 return
             except pynng.NNGException:
--- a/pimentomill/platform/_client.py
+++ b/pimentomill/platform/_client.py
@@ -4,7 +4,8 @@
 import urllib3
 
 from ..exceptions import AppendUnknownError, LogUnavailableError
-from ..utils import Offset, StreamName
+from ..http import MeteredClient, is_unsent
+from ..utils import Offset, StreamName, TrafficMeter
 from ._messages import (
     Appended,
     AppendRequest,
@@ -19,10 +20,6 @@
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 3.0
 OK = 200
-NOT_SENT_ERRORS = (
-    urllib3.exceptions.NewConnectionError,
-    urllib3.exceptions.ConnectTimeoutError,
-)
 
 
 class PlatformClient:
@@ -34,6 +31,8 @@
         Base address, such as ``http://10.0.0.5:7000``.
     connections : int, default=4
         Connections kept open.
+    meter : TrafficMeter or None, default=None
+        Where bytes are counted.
 
     Notes
     -----
@@ -41,12 +40,13 @@
     and decides.
     """
 
-    def __init__(self, url: str, connections: int = 4) -> None:
+    def __init__(
+        self, url: str, connections: int = 4, meter: TrafficMeter | None = None
+    ) -> None:
         self.url = url
         self.connections = connections
-        self._pool = urllib3.PoolManager(
-            maxsize=connections, block=False, retries=False
-        )
+        self.meter = meter
+        self._http = MeteredClient(meter or TrafficMeter(), connections, addresses=1)
 
     def append(self, stream: StreamName, records: list[bytes]) -> Offset:
         """Append records to a stream.
@@ -73,9 +73,9 @@
         body = msgspec.json.encode(AppendRequest(records))
         try:
             response = self._post(f"/v1/streams/{stream}/append", body)
-        except NOT_SENT_ERRORS as exc:
-            raise LogUnavailableError(f"log unreachable: {exc}") from exc
         except urllib3.exceptions.HTTPError as exc:
+            if is_unsent(exc):
+                raise LogUnavailableError(f"log unreachable: {exc}") from exc
             raise AppendUnknownError(f"answer lost: {exc}") from exc
         if response.status in (429, 503):
             raise LogUnavailableError(f"log refused with {response.status}")
@@ -136,5 +136,4 @@
             raise LogUnavailableError(f"platform's answer is broken: {exc}") from exc
 
     def _post(self, path: str, body: bytes, timeout_s: float = ANSWER_TIMEOUT_S):
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
-        return self._pool.request("POST", self.url + path, body=body, timeout=timeout)
+        return self._http.post(self.url + path, body, CONNECT_TIMEOUT_S, timeout_s)
--- a/pimentomill/standins/_worker.py
+++ b/pimentomill/standins/_worker.py
@@ -91,6 +91,7 @@
         self.running_: dict[TaskRef, _Running] = {}
         self.ended_: dict[TaskRef, WorkerOutcome] = {}
         self.started_: list[TaskRef] = []
+        self.start_times_: dict[TaskRef, int] = {}
 
     def carry_out(self, batch: CommandBatch) -> CommandAnswer:
         """Carry out a batch of commands.
@@ -138,6 +139,7 @@
             return f"{used.describe()} in use of {self.capacity.describe()}"
         self.running_[ref] = self._new_task(command)
         self.started_.append(ref)
+        self.start_times_[ref] = self.clock.wall_ms()
         return ""
 
     def used(self) -> Resources:
@@ -301,7 +303,8 @@
 
     def _started(self, req: HttpRequest) -> HttpResponse:
         with self._lock:
-            return HttpResponse.json(self.model_.started_)
+            starts = [(*ref, at) for ref, at in self.model_.start_times_.items()]
+            return HttpResponse.json(starts)
 
     def _run(self) -> None:
         report_at = self.clock.now()
--- a/pimentomill/telemetry/_metrics.py
+++ b/pimentomill/telemetry/_metrics.py
@@ -2,9 +2,12 @@
 
 import json
 
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
+from ..utils import TrafficMeter
+
 __all__ = ["Metrics"]
 
 SCOPE = "pimentomill"
@@ -13,23 +16,38 @@
 class Metrics:
     """Metrics of one process.
 
+    Parameters
+    ----------
+    meter : TrafficMeter
+        Bytes of control traffic.
+
     Attributes
     ----------
-    accepted_, refused_, requests_, commands_, control_bytes_ : Counter
-        Hand-ins kept and refused, requests by outcome, commands to workers,
-        and bytes of control traffic.
+    accepted_, refused_, requests_ : Counter
+        Hand-ins kept and refused, and requests by outcome.
+    commands_, reports_, failures_ : Counter
+        Commands to workers, their reports, and unexpected errors.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, meter: TrafficMeter) -> None:
+        self.meter = meter
         self._reader = InMemoryMetricReader()
         self._provider = MeterProvider(metric_readers=[self._reader])
-        meter = self._provider.get_meter(SCOPE)
-        self.accepted_ = meter.create_counter("jobs_accepted", "1")
-        self.refused_ = meter.create_counter("jobs_refused", "1")
-        self.requests_ = meter.create_counter("requests", "1")
-        self.commands_ = meter.create_counter("worker_commands", "1")
-        self.reports_ = meter.create_counter("worker_reports", "1")
-        self.failures_ = meter.create_counter("unexpected_errors", "1")
+        otel = self._provider.get_meter(SCOPE)
+        self.accepted_ = otel.create_counter("jobs_accepted", "1")
+        self.refused_ = otel.create_counter("jobs_refused", "1")
+        self.requests_ = otel.create_counter("requests", "1")
+        self.commands_ = otel.create_counter("worker_commands", "1")
+        self.reports_ = otel.create_counter("worker_reports", "1")
+        self.failures_ = otel.create_counter("unexpected_errors", "1")
+
+        otel.create_observable_counter("control_bytes", [self._observe_traffic], "By")
+
+    def _observe_traffic(self, options: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(self.meter.sent_, {"direction": "sent"}),
+            Observation(self.meter.received_, {"direction": "received"}),
+        ]
 
     def read_json(self) -> bytes:
         """Return the present values as JSON, empty before the first."""
--- a/pimentomill/utils/__init__.py
+++ b/pimentomill/utils/__init__.py
@@ -18,6 +18,7 @@
     stable_hash,
 )
 from ._resources import ZERO, Resources, dominant_fraction
+from ._traffic import TrafficMeter, header_bytes
 from ._validation import check_name, check_positive
 
 __all__ = [
@@ -38,10 +39,12 @@
     "StreamName",
     "SystemClock",
     "TeamName",
+    "TrafficMeter",
     "check_name",
     "check_positive",
     "digest_id",
     "dominant_fraction",
+    "header_bytes",
     "new_id",
     "stable_hash",
 ]
--- /dev/null
+++ b/pimentomill/utils/_traffic.py
@@ -0,0 +1,35 @@
+"""Counting of the bytes that control costs."""
+
+import threading
+from collections.abc import Mapping
+
+__all__ = ["TrafficMeter", "header_bytes"]
+
+LINE_OVERHEAD = 4
+STATUS_LINE_BYTES = 17
+
+
+def header_bytes(headers: Mapping[str, str]) -> int:
+    """Return the size of header lines, with separators and line ends."""
+    return sum(len(k) + len(v) + LINE_OVERHEAD for k, v in headers.items())
+
+
+class TrafficMeter:
+    """Count bytes sent and received, at the level of HTTP and messages.
+
+    Attributes
+    ----------
+    sent_, received_ : int
+        Bytes so far.
+    """
+
+    def __init__(self) -> None:
+        self.sent_ = 0
+        self.received_ = 0
+        self._lock = threading.Lock()
+
+    def add(self, sent: int, received: int) -> None:
+        """Count a message and its answer."""
+        with self._lock:
+            self.sent_ += sent
+            self.received_ += received
--- a/pimentomill/workers/_client.py
+++ b/pimentomill/workers/_client.py
@@ -4,17 +4,14 @@
 import urllib3
 
 from ..exceptions import TransportError
+from ..http import MeteredClient, is_unsent
+from ..utils import TrafficMeter
 from ._messages import CommandAnswer, CommandBatch
 
 __all__ = ["WorkerClient"]
 
 CONNECT_TIMEOUT_S = 1.0
 OK = 200
-POOLS = 256
-NOT_SENT_ERRORS = (
-    urllib3.exceptions.NewConnectionError,
-    urllib3.exceptions.ConnectTimeoutError,
-)
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(CommandAnswer)
 
@@ -26,14 +23,14 @@
     ----------
     answer_timeout_ms : int
         How long to wait for an answer.
+    meter : TrafficMeter
+        Where bytes are counted.
     """
 
-    def __init__(self, answer_timeout_ms: int) -> None:
+    def __init__(self, answer_timeout_ms: int, meter: TrafficMeter) -> None:
         self.answer_timeout_ms = answer_timeout_ms
-        self._pool = urllib3.PoolManager(num_pools=POOLS, maxsize=2, retries=False)
-        self._timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_S, read=answer_timeout_ms / 1000
-        )
+        self.meter = meter
+        self._http = MeteredClient(meter)
 
     def send(self, address: str, batch: CommandBatch) -> CommandAnswer:
         """Send a batch once.
@@ -58,13 +55,15 @@
         """
         url = f"http://{address}/v1/commands"
         try:
-            response = self._pool.request(
-                "POST", url, body=_encoder.encode(batch), timeout=self._timeout
+            response = self._http.post(
+                url,
+                _encoder.encode(batch),
+                CONNECT_TIMEOUT_S,
+                self.answer_timeout_ms / 1000,
             )
-        except NOT_SENT_ERRORS as exc:
-            raise TransportError(f"worker unreachable: {exc}", sent=False) from exc
         except urllib3.exceptions.HTTPError as exc:
-            raise TransportError(f"answer lost: {exc}", sent=True) from exc
+            sent = not is_unsent(exc)
+            raise TransportError(f"no answer from the worker: {exc}", sent) from exc
         if response.status != OK:
             raise TransportError(f"worker answered {response.status}", sent=True)
         try:
