--- a/pimentomill/entry/_core.py
+++ b/pimentomill/entry/_core.py
@@ -51,7 +51,7 @@
 NEVER = Instant(-1)
 CELL_PATIENCE_MS = 5_000
 WORK_PATIENCE_MS = 5_000
-REBALANCE_PAUSE_MS = 10_000
+REBALANCE_PAUSE_MS = 3_000
 STALE_AFTER_MS = 4_000
 CLAIM_PATIENCE_MS = 2_000
 
@@ -125,6 +125,7 @@
         self._folds = FoldWaiters()
         self._pending: dict[str, PendingAppend] = {}
         self._renew_at = NEVER
+        self._claim_from = NEVER
         self._rebalance_at = NEVER
         self._read_at = NEVER
         self._is_caught_up = False
@@ -273,7 +274,8 @@
         if now >= self._renew_at:
             self._renew(now)
         if self.guard_.is_valid() and not self.is_stopping_:
-            self._claim()
+            if now >= self._claim_from:
+                self._claim()
             self._evict()
             self._rebalance(now)
         self._release_closed()
@@ -302,6 +304,8 @@
             caller_address=self.cfg.callers.authority,
         )
         self._submit_once("join", record, CELL_PATIENCE_MS)
+        # Entries that start together shall see each other before they claim.
+        self._claim_from = Instant(now + self.cfg.leases.renew_ms // 2)
         self._renew_at = Instant(now + self.cfg.leases.renew_ms)
 
     def _renew(self, now: Instant) -> None:
--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -55,6 +55,7 @@
 CONTROL_THREADS = 6
 STOP_POLL_S = 0.05
 COMMAND_ANSWER_MS = 2_000
+PLATFORM_CONNECTIONS = 32
 
 
 class EntryDaemon:
@@ -74,7 +75,9 @@
         self.meter = TrafficMeter()
         self.metrics = Metrics(self.meter)
         self.log = PartLog("entry", entry=cfg.name)
-        self.platform = PlatformClient(cfg.platform_url, 8, self.meter)
+        self.platform = PlatformClient(
+            cfg.platform_url, PLATFORM_CONNECTIONS, self.meter
+        )
         self.failure_: Exception | None = None
         self._ended = threading.Event()
         self._readers: dict[StreamName, StreamReader] = {}
--- a/pimentomill/holder/_holder.py
+++ b/pimentomill/holder/_holder.py
@@ -504,17 +504,17 @@
     def _note_absent(
         self, flight: Flight, view: WorkerView, report: WorkerReport
     ) -> None:
-        """Settle an attempt that its worker does not know."""
-        if flight.stage is FlightStage.RUNNING:
+        """Settle an attempt that its worker does not know.
+
+        A worker remembers what it ran until the holder has noted the end, but
+        not across a reboot.
+        """
+        if flight.stage is FlightStage.APPENDING:
+            return
+        task = self._find_job(flight.ref.job).tasks[flight.ref.index]
+        if task.boot != view.boot_ or flight.stage is FlightStage.RUNNING:
             self._end(flight, TaskOutcome.LOST)
-        elif flight.stage is FlightStage.ADOPTED:
-            task = self._find_job(flight.ref.job).tasks[flight.ref.index]
-            same_boot = task.boot == view.boot_
-            outcome = TaskOutcome.NOT_STARTED if same_boot else TaskOutcome.LOST
-            self._end(flight, outcome)
-        elif (
-            flight.stage is FlightStage.COMMANDED and report.clock > flight.valid_until
-        ):
+        elif flight.stage is FlightStage.ADOPTED or report.clock > flight.valid_until:
             self._end(flight, TaskOutcome.NOT_STARTED)
 
     def on_answer(
@@ -551,7 +551,11 @@
                 self._note_refusal(flight)
             else:
                 flight.stage = FlightStage.RUNNING
-        self.on_report(answer.report)
+        view = self.views_.get(worker)
+        if view is not None:
+            view.note_clock(answer.boot, answer.clock, self.clock.now())
+        if answer.report is not None:
+            self.on_report(answer.report)
 
     def _note_refusal(self, flight: Flight) -> None:
         """Settle an attempt that surely was not started."""
--- a/pimentomill/http/_client.py
+++ b/pimentomill/http/_client.py
@@ -47,16 +47,32 @@
     def post(
         self, url: str, body: bytes, connect_timeout_s: float, answer_timeout_s: float
     ) -> urllib3.BaseHTTPResponse:
-        """Post a body once and return the whole answer.
+        """Post a body once and return the whole answer; see `call`."""
+        timeout = urllib3.Timeout(connect=connect_timeout_s, read=answer_timeout_s)
+        return self.call("POST", url, body, {}, timeout)
+
+    def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: dict[str, str],
+        timeout: urllib3.Timeout,
+    ) -> urllib3.BaseHTTPResponse:
+        """Make a call once and return the whole answer.
 
         Parameters
         ----------
+        method : str
+            HTTP method.
         url : str
-            Where to post.
+            Where to.
         body : bytes
-            What to post.
-        connect_timeout_s, answer_timeout_s : float
-            How long to wait for the connection and for the answer, in seconds.
+            What to send.
+        headers : dict
+            Headers besides the necessary ones.
+        timeout : urllib3.Timeout
+            How long to wait for the connection and for the answer.
 
         Returns
         -------
@@ -68,12 +84,16 @@
         urllib3.exceptions.HTTPError
             If there is no whole answer; see `is_unsent`.
         """
-        timeout = urllib3.Timeout(connect=connect_timeout_s, read=answer_timeout_s)
         response = self._pool.request(
-            "POST", url, body=body, headers=BARE_HEADERS, timeout=timeout
+            method,
+            url,
+            body=body or None,
+            headers={**BARE_HEADERS, **headers},
+            timeout=timeout,
         )
         received = STATUS_LINE_BYTES + header_bytes(response.headers)
         self.meter.add(
-            REQUEST_LINE_BYTES + len(url) + len(body), received + len(response.data)
+            REQUEST_LINE_BYTES + len(url) + header_bytes(headers) + len(body),
+            received + len(response.data),
         )
         return response
--- a/pimentomill/platform/_client.py
+++ b/pimentomill/platform/_client.py
@@ -20,6 +20,7 @@
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 3.0
 OK = 200
+NOT_MODIFIED = 304
 
 
 class PlatformClient:
@@ -46,6 +47,8 @@
         self.url = url
         self.connections = connections
         self.meter = meter
+        self._list: list[Instance] = []
+        self._list_tag = ""
         self._http = MeteredClient(meter or TrafficMeter(), connections, addresses=1)
 
     def append(self, stream: StreamName, records: list[bytes]) -> Offset:
@@ -113,27 +116,43 @@
         Returns
         -------
         list of Instance
-            As the platform sees them now, with its lag.
+            As the platform sees them now, with its lag. The list travels only
+            when it has changed.
 
         Raises
         ------
         LogUnavailableError
             If the list can't be read.
         """
-        answer = self._fetch("/v1/instances", b"", InstanceList, ANSWER_TIMEOUT_S)
-        return answer.instances
+        headers = {"If-None-Match": self._list_tag} if self._list_tag else {}
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=ANSWER_TIMEOUT_S)
+        url = self.url + "/v1/instances"
+        try:
+            response = self._http.call("GET", url, b"", headers, timeout)
+        except urllib3.exceptions.HTTPError as exc:
+            raise LogUnavailableError(f"platform unreachable: {exc}") from exc
+        if response.status == NOT_MODIFIED:
+            return self._list
+        self._list = _decoded(response, InstanceList).instances
+        self._list_tag = response.headers.get("ETag", "")
+        return self._list
 
     def _fetch(self, path: str, body: bytes, kind: type, timeout_s: float):
         try:
             response = self._post(path, body, timeout_s)
         except urllib3.exceptions.HTTPError as exc:
             raise LogUnavailableError(f"platform unreachable: {exc}") from exc
-        if response.status != OK:
-            raise LogUnavailableError(f"platform answered {response.status}")
-        try:
-            return msgspec.json.decode(response.data, type=kind)
-        except msgspec.DecodeError as exc:
-            raise LogUnavailableError(f"platform's answer is broken: {exc}") from exc
+        return _decoded(response, kind)
 
     def _post(self, path: str, body: bytes, timeout_s: float = ANSWER_TIMEOUT_S):
         return self._http.post(self.url + path, body, CONNECT_TIMEOUT_S, timeout_s)
+
+
+def _decoded(response: urllib3.BaseHTTPResponse, kind: type):
+    """Return the message in an answer of the platform."""
+    if response.status != OK:
+        raise LogUnavailableError(f"platform answered {response.status}")
+    try:
+        return msgspec.json.decode(response.data, type=kind)
+    except msgspec.DecodeError as exc:
+        raise LogUnavailableError(f"platform's answer is broken: {exc}") from exc
--- a/pimentomill/standins/_platform.py
+++ b/pimentomill/standins/_platform.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's log service and instance list."""
 
+import hashlib
 import threading
 import time
 from http import HTTPStatus
@@ -26,6 +27,7 @@
 SERVER_THREADS = 64
 MS_PER_S = 1_000
 LIST_EXPIRY_MS = 10_000
+TAG_BYTES = 8
 
 
 class LogFaults(msgspec.Struct, forbid_unknown_fields=True):
@@ -119,7 +121,7 @@
         router = Router()
         router.add("POST", "/v1/streams/{stream}/append", self._append)
         router.add("POST", "/v1/read", self._read)
-        router.add("POST", "/v1/instances", self._list)
+        router.add("GET", "/v1/instances", self._list)
         router.add("PUT", "/v1/instances", self._register)
         router.add("PUT", "/v1/faults", self._set_faults)
         router.add("GET", "/v1/stats", self._stats)
@@ -191,7 +193,12 @@
             if lagged:
                 self._listed = self._listed[self._listed.index(lagged[-1]) :]
             answer = self._listed[0][1]
-        return HttpResponse.json(InstanceList(answer))
+        response = HttpResponse.json(InstanceList(answer))
+        tag = f'"{hashlib.blake2b(response.body, digest_size=TAG_BYTES).hexdigest()}"'
+        if req.headers.get("if-none-match") == tag:
+            response = HttpResponse(HTTPStatus.NOT_MODIFIED, b"")
+        response.headers["ETag"] = tag
+        return response
 
     def _is_listed(self, instance: Instance, registered_at: Instant) -> bool:
         if instance.kind is InstanceKind.ENTRY:
--- a/pimentomill/standins/_worker.py
+++ b/pimentomill/standins/_worker.py
@@ -104,7 +104,7 @@
         Returns
         -------
         CommandAnswer
-            What became of them, and a report.
+            What became of them, or a report if there are none.
         """
         self.step()
         refusal = self._refusal(batch)
@@ -113,7 +113,9 @@
             self.epoch_ = max(self.epoch_, batch.epoch)
             self.report_to_ = batch.report_to
             results = [CommandResult(self._do(command)) for command in batch.commands]
-        return CommandAnswer(refusal, results, self.report())
+        report = None if batch.commands else self.report()
+        clock = WorkerClock(self.clock.now())
+        return CommandAnswer(refusal, results, self.boot_, clock, report)
 
     def _refusal(self, batch: CommandBatch) -> str:
         if self.checks_epochs and batch.epoch < self.epoch_:
--- a/pimentomill/workers/_messages.py
+++ b/pimentomill/workers/_messages.py
@@ -176,13 +176,13 @@
     forget: list[TaskEndReport] = []
 
 
-class CommandResult(msgspec.Struct):
+class CommandResult(msgspec.Struct, omit_defaults=True):
     """What became of one command; `refusal` is empty if it was done."""
 
     refusal: str = ""
 
 
-class CommandAnswer(msgspec.Struct):
+class CommandAnswer(msgspec.Struct, omit_defaults=True):
     """Answer of a worker to a batch.
 
     Parameters
@@ -191,10 +191,16 @@
         Why the whole batch was refused, empty if it was not.
     results : list of CommandResult
         One per command, empty if the batch was refused.
-    report : WorkerReport
-        The worker's state after the commands.
+    boot : str
+        Incarnation of the worker.
+    clock : WorkerClock
+        Its clock after the commands.
+    report : WorkerReport or None, default=None
+        The worker's state, if the batch was empty.
     """
 
     refusal: str
     results: list[CommandResult]
-    report: WorkerReport
+    boot: str
+    clock: WorkerClock
+    report: WorkerReport | None = None
--- a/pimentomill/workers/_view.py
+++ b/pimentomill/workers/_view.py
@@ -109,6 +109,22 @@
         """
         return report.boot != self.boot_ or report.clock > self._clock
 
+    def note_clock(self, boot: str, clock: WorkerClock, now: Instant) -> None:
+        """Take in a reading of the worker's clock that came with an answer.
+
+        Parameters
+        ----------
+        boot : str
+            Incarnation of the worker.
+        clock : WorkerClock
+            The reading. Reports made before it are out of date.
+        now : Instant
+            When it was received.
+        """
+        if boot == self.boot_ and clock > self._clock:
+            self._clock = clock
+            self.heard_at_ = now
+
     def note_report(self, report: WorkerReport, now: Instant) -> None:
         """Take in a report.
 
--- a/proofs/invariants.py
+++ b/proofs/invariants.py
@@ -8,7 +8,7 @@
 from pimentomill.holder import HolderPhase
 from pimentomill.platform import decode_envelope
 from pimentomill.utils import ZERO, GroupName, JobId, Resources, TeamName
-from pimentomill.work import TaskRef, WorkFold
+from pimentomill.work import BatchSpec, TaskEnded, TaskOutcome, TaskRef, WorkFold
 
 __all__ = ["Invariants"]
 
@@ -22,6 +22,7 @@
         self.world = world
         self.cell = CellFold()
         self.work = {group: WorkFold() for group in world.groups}
+        self.outcomes: dict[TaskRef, TaskOutcome] = {}
 
     def refresh(self) -> None:
         """Fold what was appended since the last call."""
@@ -34,10 +35,17 @@
             start = fold.state_.next_offset
             part = self.world.log_.slice(stream, start, BATCH)
             for index, payload in enumerate(part.records):
-                fold.apply(part.start + index, decode_envelope(payload))
+                applied = fold.apply(part.start + index, decode_envelope(payload))
+                self._note_outcome(applied)
             if not part.records:
                 return
 
+    def _note_outcome(self, applied) -> None:
+        record = applied.record if applied is not None else None
+        if isinstance(record, TaskEnded) and not applied.refusal:
+            ref = TaskRef(record.job, record.index, record.attempt)
+            self.outcomes[ref] = record.outcome
+
     def state(self) -> CellState:
         """Return the cell's facts."""
         return self.cell.state_
@@ -114,19 +122,40 @@
             self._fail("no task in two places", f"{places}")
 
     def _check_not_run_again(self, ref: TaskRef) -> None:
-        """Check that no attempt starts twice, and non-idempotent work only once."""
+        """Check that an attempt follows only on attempts that surely ended.
+
+        What is not idempotent may follow a failed or stopped attempt, but not
+        one that was lost; nothing may follow a success but in a gang that
+        starts again as a whole.
+        """
         self.checked_["finished work is not run again"] += 1
         earlier = self.starts_[(ref.job, ref.index)]
         if ref in earlier:
             self._fail("finished work is not run again", f"{ref} started twice")
         job = self.oracle.job(ref.job)
-        is_once = not getattr(job.spec, "idempotent", True)
-        if is_once and earlier and not self._failed_before(job, ref):
-            self._fail("finished work is not run again", f"{ref} after {earlier}")
-
-    @staticmethod
-    def _failed_before(job, ref: TaskRef) -> bool:
-        return job.tasks[ref.index].failures > 0
+        allowed = {TaskOutcome.FAILED, TaskOutcome.STOPPED}
+        if getattr(job.spec, "idempotent", True):
+            allowed.add(TaskOutcome.LOST)
+        if not isinstance(job.spec, BatchSpec):
+            allowed.add(TaskOutcome.SUCCEEDED)
+        for other in earlier:
+            outcome = self.oracle.outcomes.get(other)
+            if outcome not in allowed:
+                detail = f"{ref} after {other}, which {outcome}"
+                self._fail("finished work is not run again", detail)
+
+    def _check_said_not_run(self) -> None:
+        """Check that what the log says was not started was not started."""
+        self.checked_["not run means not run"] += 1
+        for refs in self.starts_.values():
+            for ref in refs:
+                if self.oracle.outcomes.get(ref) is TaskOutcome.NOT_STARTED:
+                    self._fail("not run means not run", f"{ref} was started")
+
+    def check_end(self) -> None:
+        """Check what can be told only at the end of a run."""
+        self._refresh()
+        self._check_said_not_run()
 
     def _check_capacity(self, worker) -> None:
         self.checked_["capacity is not exceeded"] += 1
--- a/proofs/soak.py
+++ b/proofs/soak.py
@@ -365,6 +365,7 @@
 
     def _check_end(self) -> None:
         """Check that nothing accepted is lost, and that all of it has ended."""
+        self.invariants.check_end()
         oracle = self.invariants.oracle
         oracle.refresh()
         for job_id in sorted(self.kept_):
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -229,7 +229,7 @@
         return "\n".join(tails)
 
     def _platform_answers(self) -> bool:
-        return self._status("POST", self.platform_url + "/v1/instances") == 200
+        return self._status("GET", self.platform_url + "/v1/instances") == 200
 
     def _entries_are_ready(self) -> bool:
         return all(
