--- a/pimentomill/entry/__init__.py
+++ b/pimentomill/entry/__init__.py
@@ -2,7 +2,7 @@
 
 from ._core import EntryCore, EntryHealth
 from ._daemon import EntryDaemon
-from ._effects import CELL_STREAM, CoreEffects, group_stream
+from ._effects import CELL_STREAM, CoreEffects, group_stream, stream_group
 
 __all__ = [
     "CELL_STREAM",
@@ -11,4 +11,5 @@
     "EntryDaemon",
     "EntryHealth",
     "group_stream",
+    "stream_group",
 ]
--- a/pimentomill/entry/_core.py
+++ b/pimentomill/entry/_core.py
@@ -34,8 +34,17 @@
     decode_envelope,
 )
 from ..settings import EntrySettings
-from ..utils import Clock, GroupName, InstanceId, Instant, MemberId, Offset
-from ..work import WorkRecord
+from ..snapshots import SnapshotPart, SnapshotSchedule, SnapshotWriter
+from ..utils import (
+    Clock,
+    GroupName,
+    InstanceId,
+    Instant,
+    MemberId,
+    Offset,
+    StreamName,
+)
+from ..work import WorkRecord, WorkState
 from ..workers import (
     CommandAnswer,
     CommandBatch,
@@ -129,6 +138,7 @@
         self._rebalance_at = NEVER
         self._read_at = NEVER
         self._is_caught_up = False
+        self._snapshots: dict[StreamName, SnapshotWriter] = {}
         self._groups = [GroupName(group.name) for group in cfg.groups]
         self._racks = {GroupName(g.name): g.racks for g in cfg.groups}
 
@@ -136,7 +146,16 @@
 
     def start(self) -> None:
         """Begin to read the cell's stream."""
-        self.effects.start_reading(CELL_STREAM, Offset(0))
+        self.effects.start_reading(CELL_STREAM)
+
+    def on_cell_snapshot(self, state: CellState) -> None:
+        """Take in a snapshot of the cell's facts, if it is news."""
+        if state.next_offset <= self.fold_.state_.next_offset:
+            return
+        self.fold_ = CellFold(state)
+        self._note_snapshot(CELL_STREAM, state.next_offset)
+        self._witness.observe(state)
+        self._sync_holders()
 
     def on_cell_slice(self, part: StreamSlice | None) -> None:
         """Take in a read of the cell's stream.
@@ -198,7 +217,7 @@
             ports=self,
         )
         self.holders_[group] = holder
-        self.effects.start_reading(group_stream(group), holder.next_offset)
+        self.effects.start_reading(group_stream(group))
         holder.open()
         holder.on_instances(self._workers())
 
@@ -206,6 +225,14 @@
         del self.holders_[group]
         self.effects.stop_reading(group_stream(group))
 
+    def on_group_snapshot(self, group: GroupName, state: WorkState) -> None:
+        """Take in a snapshot of a held group's work, if it is news."""
+        holder = self.holders_.get(group)
+        if holder is None or state.next_offset <= holder.next_offset:
+            return
+        holder.on_snapshot(state)
+        self._note_snapshot(group_stream(group), state.next_offset)
+
     def on_group_slice(self, group: GroupName, part: StreamSlice) -> None:
         """Take in a read of a held group's stream."""
         holder = self.holders_.get(group)
@@ -281,6 +308,35 @@
         self._release_closed()
         for holder in self.holders_.values():
             holder.tick()
+        self._write_snapshots(now)
+
+    def _write_snapshots(self, now: Instant) -> None:
+        """Write the snapshots that are due and that are this entry's to write."""
+        cell = self.cell()
+        live = sorted(m for m in cell.members if self._witness.is_live(m))
+        if self.guard_.is_valid() and self.member in live:
+            rank = live.index(self.member)
+            self._snapshot_writer(CELL_STREAM).run(cell, self.member, rank, now)
+        for group, holder in self.holders_.items():
+            if holder.is_acting:
+                writer = self._snapshot_writer(group_stream(group))
+                writer.run(holder.fold_.state_, self.member, 0, now)
+
+    def _snapshot_writer(self, stream: StreamName) -> SnapshotWriter:
+        if stream not in self._snapshots:
+            cfg = self.cfg.snapshots
+            schedule = SnapshotSchedule(cfg.every_records, cfg.every_ms)
+            self._snapshots[stream] = SnapshotWriter(
+                stream, schedule, self._submit_part
+            )
+        return self._snapshots[stream]
+
+    def _submit_part(self, stream: StreamName, part: SnapshotPart) -> PendingAppend:
+        return self.effects.submit(stream, part, 0, WORK_PATIENCE_MS)
+
+    def _note_snapshot(self, stream: StreamName, offset: Offset) -> None:
+        schedule = self._snapshot_writer(stream).schedule
+        schedule.note(offset, self.clock.now())
 
     def _submit_once(self, purpose: str, record: CellRecord, patience_ms: int) -> None:
         """Queue a record unless the last one of its purpose is under way."""
--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from ..cell import CellState
 from ..exceptions import LogUnavailableError, PimentomillError
 from ..http import HttpServer
 from ..peers import (
@@ -28,18 +29,18 @@
 from ..utils import (
     GroupName,
     MemberId,
-    Offset,
     StreamName,
     SystemClock,
     TrafficMeter,
     new_id,
 )
+from ..work import WorkState
 from ..workers import CommandBatch, WorkerClient, WorkerView
 from ._actor import CoreActor, CoreHandle
 from ._caller_api import CallerApi
 from ._control_api import ControlApi
 from ._core import EntryCore
-from ._effects import CELL_STREAM
+from ._effects import CELL_STREAM, stream_group
 from ._io import CommandPool, StreamReader
 from ._jobs import JobService
 from ._operator import OperatorService
@@ -263,10 +264,14 @@
         self.metrics.commands_.add(len(batch.commands))
         self._commands.put(group, view.id, view.address, batch)
 
-    def start_reading(self, stream: StreamName, offset: Offset) -> None:
-        """Begin to read a stream."""
+    def start_reading(self, stream: StreamName) -> None:
+        """Begin to read a stream, from its latest snapshot on."""
         reader = StreamReader(
-            self.platform, stream, offset, lambda part: self._on_read(stream, part)
+            self.platform,
+            stream,
+            CellState if stream == CELL_STREAM else WorkState,
+            lambda state: self._on_snapshot(stream, state),
+            lambda part: self._on_read(stream, part),
         )
         self._readers[stream] = reader
         reader.start()
@@ -275,11 +280,18 @@
         """Read a stream no longer."""
         self._readers.pop(stream).stop()
 
+    def _on_snapshot(self, stream: StreamName, state: CellState | WorkState) -> None:
+        if isinstance(state, CellState):
+            self.core.tell(lambda core: core.on_cell_snapshot(state))
+        else:
+            group = stream_group(stream)
+            self.core.tell(lambda core: core.on_group_snapshot(group, state))
+
     def _on_read(self, stream: StreamName, part) -> None:
         if stream == CELL_STREAM:
             self.core.tell(lambda core: core.on_cell_slice(part))
         elif part is not None:
-            group = GroupName(stream.partition(".")[2])
+            group = stream_group(stream)
             self.core.tell(lambda core: core.on_group_slice(group, part))
 
     def _on_settled(self, item: PendingAppend) -> None:
--- a/pimentomill/entry/_effects.py
+++ b/pimentomill/entry/_effects.py
@@ -3,10 +3,10 @@
 from typing import Any, Protocol
 
 from ..platform import PendingAppend
-from ..utils import GroupName, Offset, StreamName
+from ..utils import GroupName, StreamName
 from ..workers import CommandBatch, WorkerView
 
-__all__ = ["CELL_STREAM", "CoreEffects", "group_stream"]
+__all__ = ["CELL_STREAM", "CoreEffects", "group_stream", "stream_group"]
 
 CELL_STREAM = StreamName("cell")
 
@@ -16,6 +16,11 @@
     return StreamName(f"group.{group}")
 
 
+def stream_group(stream: StreamName) -> GroupName:
+    """Return the group whose stream it is."""
+    return GroupName(stream.partition(".")[2])
+
+
 class CoreEffects(Protocol):
     """Ways out of the core; none of them blocks."""
 
@@ -27,8 +32,8 @@
     def command(self, group: GroupName, view: WorkerView, batch: CommandBatch) -> None:
         """Send commands to a worker."""
 
-    def start_reading(self, stream: StreamName, offset: Offset) -> None:
-        """Begin to read a stream."""
+    def start_reading(self, stream: StreamName) -> None:
+        """Begin to read a stream, from its latest snapshot on."""
 
     def stop_reading(self, stream: StreamName) -> None:
         """Read a stream no longer."""
--- a/pimentomill/entry/_io.py
+++ b/pimentomill/entry/_io.py
@@ -4,10 +4,12 @@
 import random
 import threading
 from collections.abc import Callable
+from typing import Any
 
 from ..exceptions import LogUnavailableError, TransportError
 from ..ownership import LeaseGuard
 from ..platform import PlatformClient, ReadRequest, StreamSlice
+from ..snapshots import load_latest
 from ..utils import GroupName, InstanceId, Offset, StreamName
 from ..workers import CommandAnswer, CommandBatch, WorkerClient
 
@@ -29,8 +31,11 @@
         The platform.
     stream : StreamName
         What to follow.
-    offset : Offset
-        Where to begin.
+    kind : type
+        Class of the state that the stream adds up to.
+    on_snapshot : callable
+        Called with the latest state that the log keeps a snapshot of, before
+        anything is read, and again after records were forgotten unread.
     on_read : callable
         Called with a `StreamSlice`, or None after a read without news.
     """
@@ -39,13 +44,17 @@
         self,
         client: PlatformClient,
         stream: StreamName,
-        offset: Offset,
+        kind: type,
+        on_snapshot: Callable[[Any], None],
         on_read: Callable[[StreamSlice | None], None],
     ) -> None:
         self.client = client
         self.stream = stream
-        self.offset = offset
+        self.kind = kind
+        self.on_snapshot = on_snapshot
         self.on_read = on_read
+        self._position: Offset | None = None
+        self._wait_ms = 0
         self._stopped = threading.Event()
         self._rng = random.Random(stream)
         self._thread = threading.Thread(
@@ -61,27 +70,55 @@
         self._stopped.set()
 
     def _run(self) -> None:
-        position = self.offset
         failures = 0
-        wait_ms = 0
         while not self._stopped.is_set():
-            req = ReadRequest({self.stream: position}, wait_ms, READ_LIMIT)
             try:
-                result = self.client.read(req)
+                self._follow()
+                failures = 0
             except LogUnavailableError:
                 failures += 1
                 ceiling = min(RETRY_FIRST_S * 2**failures, RETRY_LAST_S)
                 self._stopped.wait(self._rng.uniform(ceiling / 2, ceiling))
-                continue
-            failures = 0
-            wait_ms = READ_WAIT_MS
-            part = result.streams.get(self.stream)
+
+    def _follow(self) -> None:
+        """Read on until the log fails."""
+        if self._position is None:
+            self._position = self._load_snapshot()
+        while not self._stopped.is_set():
+            part = self._read(self.stream, self._position, self._wait_ms)
             if self._stopped.is_set():
                 return
+            if part is not None and part.start != self._position:
+                self._position = self._load_snapshot_behind(part)
+                continue
+            self._wait_ms = READ_WAIT_MS
             if part is not None:
-                position = Offset(part.start + len(part.records))
+                self._position = Offset(part.start + len(part.records))
             self.on_read(part)
 
+    def _read(
+        self, stream: StreamName, position: Offset, wait_ms: int = 0
+    ) -> StreamSlice | None:
+        req = ReadRequest({stream: position}, wait_ms, READ_LIMIT)
+        return self.client.read(req).streams.get(stream)
+
+    def _load_snapshot(self) -> Offset:
+        state = load_latest(self._read, self.stream, self.kind)
+        if state is None:
+            return Offset(0)
+        self.on_snapshot(state)
+        return state.next_offset
+
+    def _load_snapshot_behind(self, part: StreamSlice) -> Offset:
+        """Go back to a snapshot after records were forgotten unread."""
+        position = self._load_snapshot()
+        if position < part.first:
+            raise LogUnavailableError(
+                f"{self.stream} was forgotten up to {part.first}, and the latest "
+                f"snapshot covers only {position}"
+            )
+        return position
+
 
 class CommandPool:
     """Send commands to workers on a few threads.
--- a/pimentomill/holder/_holder.py
+++ b/pimentomill/holder/_holder.py
@@ -49,6 +49,7 @@
     TaskState,
     WorkFold,
     WorkRecord,
+    WorkState,
 )
 from ..workers import (
     Command,
@@ -216,6 +217,27 @@
 
     # Records of the group's stream.
 
+    def on_snapshot(self, state: WorkState) -> None:
+        """Begin with a snapshot.
+
+        Parameters
+        ----------
+        state : WorkState
+            State that covers more than was folded so far. A holder that acts
+            already has fallen behind what the log keeps; it gives the group
+            up, since it does not know what it has missed.
+        """
+        if self.phase_ is HolderPhase.OPENING:
+            self.fold_ = WorkFold(state)
+            self._resume_if_opened()
+        else:
+            self.release()
+
+    def _resume_if_opened(self) -> None:
+        """Act at once if the snapshot covers this holder's own opening."""
+        if self.fold_.state_.epoch == self.epoch:
+            self._begin()
+
     def on_records(self, start: Offset, payloads: list[bytes]) -> None:
         """Fold records read from the group's stream.
 
--- a/pimentomill/settings/__init__.py
+++ b/pimentomill/settings/__init__.py
@@ -9,6 +9,7 @@
     GroupSettings,
     LeaseSettings,
     PlatformSettings,
+    SnapshotSettings,
     TlsSettings,
     WorkerSettings,
 )
@@ -21,6 +22,7 @@
     "GroupSettings",
     "LeaseSettings",
     "PlatformSettings",
+    "SnapshotSettings",
     "TlsSettings",
     "WorkerSettings",
     "load_settings",
--- a/pimentomill/settings/_schema.py
+++ b/pimentomill/settings/_schema.py
@@ -15,6 +15,7 @@
     "GroupSettings",
     "LeaseSettings",
     "PlatformSettings",
+    "SnapshotSettings",
     "TlsSettings",
     "WorkerSettings",
 ]
@@ -145,6 +146,22 @@
             )
 
 
+class SnapshotSettings(_Settings, kw_only=True, frozen=True):
+    """When snapshots are written to the log.
+
+    Parameters
+    ----------
+    every_records : int, default=20000
+        Records of a stream after which one is written; must stay below what
+        the log keeps.
+    every_ms : int, default=600000
+        Time after which one is written if there are new records.
+    """
+
+    every_records: PositiveInt = 20_000
+    every_ms: SpanMs = 600_000
+
+
 class EntrySettings(_Settings, kw_only=True, frozen=True):
     """Settings of an entry.
 
@@ -168,6 +185,8 @@
         SHA-256 digests of the operators' keys, in hexadecimal.
     leases : LeaseSettings
         Terms of the leases.
+    snapshots : SnapshotSettings
+        When snapshots are written.
     max_waiting_per_team : int, default=20000
         Tasks that a team may have waiting in the cell.
     stop_by_ms : int, default=10000
@@ -183,6 +202,7 @@
     groups: Annotated[list[GroupSettings], Meta(min_length=1)]
     operator_key_digests: list[Digest] = []
     leases: LeaseSettings = msgspec.field(default_factory=LeaseSettings)
+    snapshots: SnapshotSettings = msgspec.field(default_factory=SnapshotSettings)
     max_waiting_per_team: PositiveInt = 20_000
     stop_by_ms: SpanMs = 10_000
 
--- /dev/null
+++ b/pimentomill/snapshots/__init__.py
@@ -0,0 +1,16 @@
+"""Snapshots of folded state, kept in the log ahead of its retention."""
+
+from ._loader import load_latest
+from ._parts import SnapshotCollector, SnapshotPart, snapshot_stream, split_snapshot
+from ._schedule import SnapshotSchedule
+from ._writer import SnapshotWriter
+
+__all__ = [
+    "SnapshotCollector",
+    "SnapshotPart",
+    "SnapshotSchedule",
+    "SnapshotWriter",
+    "load_latest",
+    "snapshot_stream",
+    "split_snapshot",
+]
--- /dev/null
+++ b/pimentomill/snapshots/_loader.py
@@ -0,0 +1,44 @@
+"""Finding of the latest snapshot in the log."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from ..platform import StreamSlice, decode_envelope
+from ..utils import Offset, StreamName
+from ._parts import SnapshotCollector, SnapshotPart, snapshot_stream
+
+__all__ = ["load_latest"]
+
+ReadSlice = Callable[[StreamName, Offset], StreamSlice | None]
+_decoder = msgspec.msgpack.Decoder(SnapshotPart)
+
+
+def load_latest(read_slice: ReadSlice, stream: StreamName, kind: type) -> Any | None:
+    """Return the state of the latest whole snapshot of a stream.
+
+    Parameters
+    ----------
+    read_slice : callable
+        Reads a stream from an offset on; returns None if there is nothing.
+    stream : StreamName
+        Stream whose snapshot is wanted.
+    kind : type
+        Class of its state.
+
+    Returns
+    -------
+    object or None
+        None if the log keeps no whole snapshot.
+    """
+    collector = SnapshotCollector(kind)
+    source = snapshot_stream(stream)
+    position = Offset(0)
+    while True:
+        part = read_slice(source, position)
+        if part is None or not part.records:
+            return collector.latest_
+        for payload in part.records:
+            collector.add(_decoder.decode(decode_envelope(payload).body))
+        position = Offset(part.start + len(part.records))
--- a/proofs/sim_entry.py
+++ b/proofs/sim_entry.py
@@ -3,14 +3,17 @@
 from collections.abc import Callable
 from typing import Any
 
-from pimentomill.entry import CELL_STREAM, EntryCore
-from pimentomill.exceptions import NotHolderError, TransportError
+from pimentomill.cell import CellState
+from pimentomill.entry import CELL_STREAM, EntryCore, stream_group
+from pimentomill.exceptions import InvariantError, NotHolderError, TransportError
 from pimentomill.platform import (
     AppendBatch,
     AppendQueue,
     PendingAppend,
 )
+from pimentomill.snapshots import load_latest
 from pimentomill.utils import GroupName, InstanceId, Instant, MemberId, StreamName
+from pimentomill.work import WorkState
 from pimentomill.workers import CommandBatch, WorkerReport, WorkerView
 
 __all__ = ["SimEntry"]
@@ -157,11 +160,11 @@
         for item in items:
             self.core.on_settled(item)
 
-    def start_reading(self, stream: StreamName, offset) -> None:
+    def start_reading(self, stream: StreamName) -> None:
         """Begin to read a stream."""
         mark = object()
         self._readers[stream] = mark
-        self.later(self.world.pause_ms(), lambda: self._poll(stream, offset, mark))
+        self.later(self.world.pause_ms(), lambda: self._poll(stream, None, mark))
 
     def stop_reading(self, stream: StreamName) -> None:
         """Read a stream no longer."""
@@ -175,17 +178,41 @@
             delay = world.rng.randint(*RETRY_MS)
             self.later(delay, lambda: self._poll(stream, position, mark))
             return
+        if position is None:
+            position = self._load_snapshot(stream)
         part = world.log_.slice(stream, position, READ_LIMIT)
+        if part.start != position:
+            world.faults_.counts["records forgotten unread"] += 1
+            position = self._load_snapshot(stream)
+            part = world.log_.slice(stream, position, READ_LIMIT)
+            if part.start != position:
+                detail = f"{stream} from {position}, the log begins at {part.start}"
+                raise InvariantError(f"snapshots ahead of retention: {detail}")
         pause_ms = world.log_pause_ms()
         self.later(pause_ms, lambda: self._on_read(stream, part, mark))
 
+    def _load_snapshot(self, stream: StreamName) -> int:
+        def read(source, start):
+            return self.world.log_.slice(source, start, READ_LIMIT)
+
+        is_cell = stream == CELL_STREAM
+        state = load_latest(read, stream, CellState if is_cell else WorkState)
+        if state is None:
+            return 0
+        self.world.faults_.counts["snapshot loaded"] += 1
+        if is_cell:
+            self.core.on_cell_snapshot(state)
+        else:
+            self.core.on_group_snapshot(stream_group(stream), state)
+        return state.next_offset
+
     def _on_read(self, stream: StreamName, part, mark: object) -> None:
         if self._readers.get(stream) is not mark:
             return
         if stream == CELL_STREAM:
             self.core.on_cell_slice(part if part.records else None)
         elif part.records:
-            self.core.on_group_slice(GroupName(stream.partition(".")[2]), part)
+            self.core.on_group_slice(stream_group(stream), part)
         position = part.start + len(part.records)
         pause_ms = self.world.rng.randint(*POLL_MS)
         self.later(pause_ms, lambda: self._poll(stream, position, mark))
--- a/proofs/soak.py
+++ b/proofs/soak.py
@@ -382,10 +382,17 @@
         for task in job.tasks:
             if task.state is not TaskState.ENDED:
                 raise InvariantError(f"ended work does not run: {job}")
-            if task.outcome is TaskOutcome.NOT_STARTED and not job.cancelled:
+            if task.outcome is TaskOutcome.NOT_STARTED and not may_end_unrun(job):
                 raise InvariantError(f"accepted work is run: {job}")
 
 
+def may_end_unrun(job) -> bool:
+    """Return whether a task may end unrun: cancelled, or its gang was lost."""
+    is_gang = isinstance(job.spec, GangSpec)
+    was_lost = any(task.outcome is TaskOutcome.LOST for task in job.tasks)
+    return job.cancelled or (is_gang and was_lost and not job.spec.idempotent)
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run one soak and print its outcome as JSON; return the exit code."""
     parser = argparse.ArgumentParser(description="Run all parts through fakes.")
--- a/proofs/world.py
+++ b/proofs/world.py
@@ -14,6 +14,7 @@
     EntrySettings,
     GroupSettings,
     LeaseSettings,
+    SnapshotSettings,
 )
 from pimentomill.standins import LogModel, WorkerModel
 from pimentomill.utils import GroupName, InstanceId, ManualClock, Resources
@@ -24,7 +25,6 @@
 
 __all__ = ["World", "WorldShape"]
 
-RETAINED = 10_000_000
 MAX_SKEW_MS = 1_000_000
 MAX_DRIFT_PPM = 2_000
 FAST_MS = (1, 15)
@@ -46,7 +46,8 @@
         command_ms=1_000,
         report_ms=1_000,
     )
-    retained_records: int = RETAINED
+    retained_records: int = 400
+    snapshot_every: int = 40
     workers_check_epochs: bool = False
 
 
@@ -135,6 +136,9 @@
             platform_url="http://127.0.0.1:1",
             groups=groups,
             leases=self.shape.leases,
+            snapshots=SnapshotSettings(
+                every_records=self.shape.snapshot_every, every_ms=15_000
+            ),
         )
 
     def add_entry(self, name: str) -> SimEntry:
