--- a/pimentomill/peers/_client.py
+++ b/pimentomill/peers/_client.py
@@ -12,6 +12,7 @@
 __all__ = ["PeerClient"]
 
 NO_RESEND_MS = -1
+CONNECT_TIMEOUT_MS = 500
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerReply)
 
@@ -61,20 +62,16 @@
         PimentomillError
             The error that the peer reported.
         """
-        context = self._socket(address).new_context()
+        context = self._new_context(address, timeout_ms)
         try:
-            reply = self._exchange(context, message, timeout_ms)
+            reply = self._exchange(context, message)
         finally:
             context.close()
         if isinstance(reply, Refusal):
             raise reply.error()
         return reply
 
-    def _exchange(
-        self, context: pynng.Context, message: PeerMessage, timeout_ms: int
-    ) -> PeerReply:
-        context.send_timeout = timeout_ms
-        context.recv_timeout = timeout_ms
+    def _exchange(self, context: pynng.Context, message: PeerMessage) -> PeerReply:
         try:
             question = _encoder.encode(message)
             context.send(question)
@@ -89,14 +86,18 @@
         except msgspec.DecodeError as exc:
             raise TransportError(f"peer's answer is broken: {exc}", sent=True) from exc
 
-    def _socket(self, address: str) -> pynng.Req0:
+    def _new_context(self, address: str, timeout_ms: int) -> pynng.Context:
+        """Return a context, which keeps the socket's timeouts of this moment."""
         with self._lock:
-            socket = self._sockets.get(address)
-            if socket is None:
-                socket = pynng.Req0(resend_time=NO_RESEND_MS)
-                socket.dial(f"tcp://{address}", block=False)
-                self._sockets[address] = socket
-            return socket
+            socket = self._sockets.get(address) or self._dial(address)
+            socket.recv_timeout = timeout_ms
+            return socket.new_context()
+
+    def _dial(self, address: str) -> pynng.Req0:
+        socket = pynng.Req0(resend_time=NO_RESEND_MS, send_timeout=CONNECT_TIMEOUT_MS)
+        socket.dial(f"tcp://{address}", block=False)
+        self._sockets[address] = socket
+        return socket
 
     def forget_all_but(self, addresses: set[str]) -> None:
         """Close the connections to peers that are gone."""
--- a/pimentomill/peers/_server.py
+++ b/pimentomill/peers/_server.py
@@ -1,6 +1,7 @@
 """Answering of other entries."""
 
 import threading
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -11,6 +12,7 @@
 
 __all__ = ["PeerServer"]
 
+STOP_WITHIN_S = 2.0
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
 
@@ -57,11 +59,12 @@
             thread.start()
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening; questions that take longer than the bound are left."""
         for context in self._contexts:
             context.close()
+        deadline = time.monotonic() + STOP_WITHIN_S
         for thread in self._threads:
-            thread.join()
+            thread.join(max(deadline - time.monotonic(), 0))
         self._socket.close()
 
     def _serve(self, index: int) -> None:
