Order a worker's incarnations, so that a late report of an earlier one is known

Cause: a report that a worker had sent before a reboot arrived after one from after it. Incarnations had random names, so the late one was taken for a newer incarnation and the running tasks for lost; they were started elsewhere too. An incarnation is a number that grows now, as the time of a machine's start does.

--- a/pimentomill/standins/_worker.py
+++ b/pimentomill/standins/_worker.py
@@ -9,7 +9,7 @@
 from ..http import HttpRequest, HttpResponse, HttpServer, Router
 from ..platform import Instance, InstanceKind, InstanceState
 from ..settings import WorkerSettings
-from ..utils import ZERO, Clock, Epoch, InstanceId, Instant, Resources, new_id
+from ..utils import ZERO, Clock, Epoch, InstanceId, Instant, Resources
 from ..work import TaskRef
 from ..workers import (
     Command,
@@ -85,7 +85,7 @@
         self.clock = clock
         self.checks_epochs = checks_epochs
         self.checks_capacity = checks_capacity
-        self.boot_ = new_id("boot")
+        self.boot_ = clock.wall_ms()
         self.epoch_ = Epoch(-1)
         self.report_to_ = ""
         self.running_: dict[TaskRef, _Running] = {}
--- a/pimentomill/work/_records.py
+++ b/pimentomill/work/_records.py
@@ -103,7 +103,7 @@
         The attempt; its number must follow the latest one.
     worker : InstanceId
         Where it goes.
-    boot : str
+    boot : int
         Incarnation of the worker that the holder saw.
     why : str
         Why there.
@@ -114,7 +114,7 @@
     index: int
     attempt: int
     worker: InstanceId
-    boot: str
+    boot: int
     why: str
 
 
--- a/pimentomill/work/_state.py
+++ b/pimentomill/work/_state.py
@@ -94,7 +94,7 @@
         Attempts that failed or were lost.
     worker : InstanceId
         Worker of the present or latest attempt.
-    boot : str
+    boot : int
         Incarnation of that worker when the task was assigned.
     epoch : Epoch
         Epoch of the holder that assigned it.
@@ -110,7 +110,7 @@
     attempt: int = 0
     failures: int = 0
     worker: InstanceId = InstanceId("")
-    boot: str = ""
+    boot: int = -1
     epoch: Epoch = Epoch(-1)
     why: str = ""
     outcome: TaskOutcome | None = None
--- a/pimentomill/work/tests/test_fold.py
+++ b/pimentomill/work/tests/test_fold.py
@@ -46,7 +46,7 @@
         return self.apply(JobAccepted(1, job, "kiln", spec, False, 1))
 
     def assign(self, index=0, attempt=1, epoch=5, job="j"):
-        return self.apply(TaskAssigned(2, epoch, job, index, attempt, "w1", "b", "why"))
+        return self.apply(TaskAssigned(2, epoch, job, index, attempt, "w1", 1, "why"))
 
     def end(self, outcome, index=0, attempt=1, epoch=5, job="j", at=3):
         return self.apply(TaskEnded(at, epoch, job, index, attempt, outcome))
--- a/pimentomill/workers/_messages.py
+++ b/pimentomill/workers/_messages.py
@@ -81,7 +81,7 @@
     ----------
     epoch : Epoch
         Epoch of the holder; a worker refuses one below the highest it knows.
-    boot : str
+    boot : int
         Incarnation of the worker that the commands are for; the worker refuses
         commands for another one.
     report_to : str
@@ -93,7 +93,7 @@
     """
 
     epoch: Epoch
-    boot: str
+    boot: int
     report_to: str
     valid_until: WorkerClock
     commands: list[StartTask | StopTask | ThrottleTask]
@@ -135,8 +135,9 @@
     ----------
     worker : InstanceId
         Who reports.
-    boot : str
-        Incarnation; it changes when the worker has lost its tasks.
+    boot : int
+        Incarnation; it grows when the worker has lost its tasks, as the time
+        of its start does.
     clock : WorkerClock
         Its clock when the report was made.
     epoch : Epoch
@@ -150,7 +151,7 @@
     """
 
     worker: InstanceId
-    boot: str
+    boot: int
     clock: WorkerClock
     epoch: Epoch
     capacity: Resources
@@ -191,7 +192,7 @@
         Why the whole batch was refused, empty if it was not.
     results : list of CommandResult
         One per command, empty if the batch was refused.
-    boot : str
+    boot : int
         Incarnation of the worker.
     clock : WorkerClock
         Its clock after the commands.
@@ -201,6 +202,6 @@
 
     refusal: str
     results: list[CommandResult]
-    boot: str
+    boot: int
     clock: WorkerClock
     report: WorkerReport | None = None
--- a/pimentomill/workers/_view.py
+++ b/pimentomill/workers/_view.py
@@ -53,7 +53,7 @@
         self.health_ = WorkerHealth.UNKNOWN
         self.is_leaving_ = False
         self.is_drained_ = False
-        self.boot_ = ""
+        self.boot_ = -1
         self.heard_at_ = NEVER
         self.asked_at_ = NEVER
         self.lease_ends_at_ = NEVER
@@ -107,14 +107,14 @@
         Two reports of the same millisecond can't be put in order; the second to
         arrive is left out.
         """
-        return report.boot != self.boot_ or report.clock > self._clock
+        return (report.boot, report.clock) > (self.boot_, self._clock)
 
-    def note_clock(self, boot: str, clock: WorkerClock, now: Instant) -> None:
+    def note_clock(self, boot: int, clock: WorkerClock, now: Instant) -> None:
         """Take in a reading of the worker's clock that came with an answer.
 
         Parameters
         ----------
-        boot : str
+        boot : int
             Incarnation of the worker.
         clock : WorkerClock
             The reading. Reports made before it are out of date.
--- a/proofs/sim_worker.py
+++ b/proofs/sim_worker.py
@@ -66,6 +66,6 @@
         """Lose all tasks and what they had ended with."""
         self.model.running_.clear()
         self.model.ended_.clear()
-        self.model.boot_ = f"{self.model.id}-{next(self._boots)}"
+        self.model.boot_ = next(self._boots)
         self.model.epoch_ = -1
         self.model.report_to_ = ""
