--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo lint format bench soak
+.PHONY: test demo lint format bench soak proofs
 
 SEED ?= 1
 STEPS ?= 100000
@@ -31,3 +31,6 @@
 
 soak: $(STAMP)
 	$(PYTHON) -m proofs.soak --seed $(SEED) --steps $(STEPS)
+
+proofs: $(STAMP)
+	$(PYTHON) -m proofs.points
--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -6,7 +6,7 @@
 from pimentomill.cell import CellFold
 from pimentomill.entry import EntryCore
 from pimentomill.holder import GroupHolder
-from pimentomill.ownership import LeaseGuard, Witness
+from pimentomill.ownership import LeaseGuard
 from pimentomill.platform import InstanceState
 from pimentomill.requests import BackendPool, Dispatcher, RequestResult
 from pimentomill.utils import Instant, Resources
@@ -45,7 +45,10 @@
 @contextmanager
 def claims_do_not_wait():
     """Claim groups although their holder's lease may run."""
-    with mock.patch.object(Witness, "lapses_at", lambda self, member: Instant(0)):
+    with mock.patch(
+        "pimentomill.ownership._policy._claimable_at",
+        lambda state, witness, group: Instant(0),
+    ):
         yield
 
 
--- /dev/null
+++ b/proofs/points.py
@@ -0,0 +1,246 @@
+"""The ten points that must always hold, each with its proof."""
+
+import argparse
+import io
+import sys
+import unittest
+from collections import Counter
+from collections.abc import Callable
+from functools import cache
+
+import msgspec
+
+from pimentomill.exceptions import InvariantError
+from proofs.histories import (
+    History,
+    check_answers,
+    check_backends,
+    check_keys,
+    check_requests,
+)
+from proofs.soak import Soak, SoakResult
+
+__all__ = ["POINTS", "Evidence", "Point", "main"]
+
+SOAK_SEEDS = range(1, 9)
+SOAK_STEPS = 20_000
+HISTORY_SEEDS = range(1, 11)
+HISTORY_STEPS = 400
+ANSWER_SEEDS = range(1, 6)
+ANSWER_STEPS = 80
+
+
+class Evidence(msgspec.Struct):
+    """What a proof went through.
+
+    Parameters
+    ----------
+    steps : int
+        Steps made.
+    faults : dict
+        Faults shown, by kind.
+    failure : str
+        What was broken, empty if nothing was.
+    """
+
+    steps: int
+    faults: dict[str, int]
+    failure: str = ""
+
+
+class Point(msgspec.Struct):
+    """A point that must always hold.
+
+    Parameters
+    ----------
+    point : str
+        The point.
+    proof : str
+        How it is proved.
+    run : callable or None
+        Gives the `Evidence`; None while there is no proof.
+    mutations : list of str
+        Mechanisms without which the proof is red.
+    """
+
+    point: str
+    proof: str
+    run: Callable[[], Evidence] | None
+    mutations: list[str] = []
+
+
+@cache
+def soak_results() -> list[SoakResult]:
+    """Return the soak runs, which several points share."""
+    return [Soak(seed).run(SOAK_STEPS) for seed in SOAK_SEEDS]
+
+
+def by_soak() -> Evidence:
+    """Return the evidence of the soak runs."""
+    faults: Counter = Counter()
+    for result in soak_results():
+        faults.update(result.faults)
+    failures = [f"seed {r.seed}: {r.failure}" for r in soak_results() if r.failure]
+    steps = sum(result.steps for result in soak_results())
+    return Evidence(steps, dict(faults), "; ".join(failures))
+
+
+def by_histories(
+    check: Callable[[int, int], History],
+    seeds: range = HISTORY_SEEDS,
+    steps: int = HISTORY_STEPS,
+) -> Callable[[], Evidence]:
+    """Return a proof by random histories of one part."""
+
+    def run() -> Evidence:
+        evidence = Evidence(0, {})
+        faults: Counter = Counter()
+        for seed in seeds:
+            try:
+                history = check(seed, steps)
+            except InvariantError as exc:
+                evidence.failure = f"seed {seed}: {exc}"
+                break
+            evidence.steps += history.steps
+            faults.update(history.faults)
+        evidence.faults = dict(faults)
+        return evidence
+
+    return run
+
+
+def by_processes(name: str, fault: str) -> Callable[[], Evidence]:
+    """Return a proof by a test of real processes."""
+
+    def run() -> Evidence:
+        suite = unittest.defaultTestLoader.loadTestsFromName(name)
+        result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
+        bad = [*result.failures, *result.errors]
+        failure = bad[0][1].strip().splitlines()[-1] if bad else ""
+        return Evidence(result.testsRun, {fault: result.testsRun}, failure)
+
+    return run
+
+
+def both(first: Callable[[], Evidence], second: Callable[[], Evidence]):
+    """Return a proof that holds if two do."""
+
+    def run() -> Evidence:
+        a, b = first(), second()
+        faults = dict(Counter(a.faults) + Counter(b.faults))
+        return Evidence(a.steps + b.steps, faults, a.failure or b.failure)
+
+    return run
+
+
+POINTS = [
+    Point(
+        "No instance ever holds more work than its capacity allows.",
+        "soak: resources of running tasks at each start",
+        by_soak,
+        ["nothing is promised"],
+    ),
+    Point(
+        "No task ever runs in two places at once.",
+        "soak: all workers at each start, one holder a group at each step",
+        by_soak,
+        [
+            "lost tasks are not waited for",
+            "guard is always valid",
+            "claims do not wait",
+        ],
+    ),
+    Point(
+        "Work is taken only for the key's team; a withdrawn key stops working.",
+        "random histories of keys against a plain dict",
+        by_histories(check_keys),
+        ["digests are not compared"],
+    ),
+    Point(
+        "No team ever has more running across the fleet than its upper limit.",
+        "soak: what each team has running at each start",
+        by_soak,
+        ["limits are not split"],
+    ),
+    Point(
+        "A caller gets the whole answer to its own request.",
+        "a server that truncates, crosses, drops and refuses answers",
+        by_histories(check_answers, ANSWER_SEEDS, ANSWER_STEPS),
+        ["answers are not matched"],
+    ),
+    Point(
+        "When the system says a request was not run, it was not run.",
+        "the same server, and soak: recorded ends against real starts",
+        both(by_histories(check_answers, ANSWER_SEEDS, ANSWER_STEPS), by_soak),
+        ["lost answers count as not run"],
+    ),
+    Point(
+        "A non-idempotent request runs at most once.",
+        "random histories of claims, and soak: starts of non-idempotent work",
+        both(by_histories(check_requests), by_soak),
+        ["claims of requests are forgotten"],
+    ),
+    Point(
+        "A leaving backend server receives no new work.",
+        "random histories of the instance list against the list itself",
+        by_histories(check_backends),
+        ["leaving is not noticed"],
+    ),
+    Point(
+        "A planned stop cuts off no request in flight.",
+        "real processes: SIGTERM with a request in flight",
+        by_processes(
+            "tests.test_callers.GracefulStopTest."
+            "test_stop_cuts_off_nothing_in_flight_and_work_goes_on",
+            "entry stopped",
+        ),
+        ["killed instead of stopped"],
+    ),
+    Point(
+        "An accepted configuration is in force everywhere and never reverts.",
+        "soak: versions at each step, agreement 4 s after the last change",
+        by_soak,
+        ["older snapshots are taken"],
+    ),
+]
+
+
+class Line(msgspec.Struct):
+    """A line of the report; `holds` is null while there is no proof."""
+
+    point: str
+    proof: str
+    faults: dict[str, int]
+    steps: int
+    holds: bool | None
+    failure: str = ""
+
+
+def line_of(point: Point) -> Line:
+    """Run a point's proof and return its line."""
+    if point.run is None:
+        return Line(point.point, point.proof, {}, 0, None)
+    evidence = point.run()
+    return Line(
+        point.point,
+        point.proof,
+        evidence.faults,
+        evidence.steps,
+        not evidence.failure,
+        evidence.failure,
+    )
+
+
+def main() -> int:
+    """Run all proofs, print a line each, and return the exit code."""
+    argparse.ArgumentParser(description="Prove the ten points.").parse_args()
+    code = 0
+    for point in POINTS:
+        line = line_of(point)
+        print(msgspec.json.encode(line).decode(), flush=True)
+        code = code or int(line.holds is False)
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,6 +7,7 @@
 import unittest
 
 import msgspec
+import urllib3
 
 from scripts.cell import OPERATOR_KEY, CellShape, SmallCell
 
@@ -161,30 +162,43 @@
 
 
 class GracefulStopTest(unittest.TestCase):
-    def test_stop_cuts_off_nothing_in_flight_and_work_goes_on(self):
-        cell = SmallCell(SHAPE)
-        self.addCleanup(cell.close)
-        cell.start()
-        cell.operate("create team planting share 2 limit cpu 32 memory 64GB")
-        key = cell.operate("give key to planting")["data"]["key"]
-        service = {"kind": "service", "replicas": 2, "resources": [1000, 100, 0]}
-        work = {"spec": {**service, "command": ["serve"]}}
-        job_id = decoded(cell.submit(key, work, "svc", 1))["id"]
-        running = cell.wait_for_state(key, job_id, "running", 1)
+    def setUp(self):
+        self.cell = SmallCell(SHAPE)
+        self.addCleanup(self.cell.close)
+        self.cell.start()
+        self.cell.operate("create team planting share 2 limit cpu 32 memory 64GB")
+        self.key = self.cell.operate("give key to planting")["data"]["key"]
+
+    def call_and_end(self, number):
+        """Send a slow request to the first entry, and the entry a signal."""
         headers = {"Idempotency-Key": "slow", "Stand-In-Sleep-Ms": "1500"}
-        answers = []
+        bodies = []
 
         def call():
-            answers.append(cell.call("POST", PATH, key, b"in flight", 0, headers))
+            try:
+                response = self.cell.call("POST", PATH, self.key, b"x", 0, headers)
+                bodies.append(response.data)
+            except urllib3.exceptions.HTTPError:
+                bodies.append(None)
 
         thread = threading.Thread(target=call)
         thread.start()
         time.sleep(0.5)
-        cell.entries[0].send(signal.SIGTERM)
+        self.cell.entries[0].send(number)
         thread.join()
-        self.assertEqual(answers[0].data, b"in flight")
-        self.assertEqual(cell.entries[0].stop(), 0)
-        after = cell.wait_for_state(key, job_id, "running", 1)
+        return bodies[0]
+
+    def test_stop_cuts_off_nothing_in_flight_and_work_goes_on(self):
+        service = {"kind": "service", "replicas": 2, "resources": [1000, 100, 0]}
+        work = {"spec": {**service, "command": ["serve"]}}
+        job_id = decoded(self.cell.submit(self.key, work, "svc", 1))["id"]
+        running = self.cell.wait_for_state(self.key, job_id, "running", 1)
+        self.assertEqual(self.call_and_end(signal.SIGTERM), b"x")
+        self.assertEqual(self.cell.entries[0].stop(), 0)
+        after = self.cell.wait_for_state(self.key, job_id, "running", 1)
         attempts = [(t["worker"], t["attempt"]) for t in after["tasks"]]
         before = [(t["worker"], t["attempt"]) for t in running["tasks"]]
         self.assertEqual(attempts, before)
+
+    def test_the_same_check_notices_a_kill(self):
+        self.assertIsNone(self.call_and_end(signal.SIGKILL))
