--- a/pimentomill/requests/_backends.py
+++ b/pimentomill/requests/_backends.py
@@ -100,7 +100,8 @@
         wait_ms : int
             How long to wait for a slot.
         avoid : set of InstanceId
-            Backend servers that failed this request before.
+            Backend servers that failed this request before; taken only if no
+            other has a free slot.
 
         Returns
         -------
@@ -127,8 +128,9 @@
             if backend.instance.service == service
             and backend.instance.state is InstanceState.LIVE
             and backend.free
-            and backend.instance.id not in avoid
         ]
+        fresh = [b for b in open_ones if b.instance.id not in avoid]
+        open_ones = fresh or open_ones
         if not open_ones:
             return None
         first = self.rng.choice(open_ones)
--- a/proofs/histories.py
+++ b/proofs/histories.py
@@ -256,7 +256,9 @@
         if fate != "whole":
             self.history.fault(f"answer {fate}")
         if fate == "refused":
-            conn.sendall(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            conn.sendall(
+                b"HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+            )
             return
         self.ran.append(request)
         if fate == "dropped":
@@ -280,7 +282,7 @@
         not run was run, or if a non-idempotent request ran twice.
     """
     rng, history = random.Random(seed), History()
-    server = _CrookedServer(rng, history)
+    server = _CrookedServer(random.Random(-seed), history)
     pool = BackendPool([RACK], rng)
     live = InstanceState.LIVE
     pool.update(
