--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -2,9 +2,9 @@
 
 import sys
 
-from benchmarks import whole_path
+from benchmarks import slopes, whole_path
 
-MODULES = {"whole_path": whole_path}
+MODULES = {"slopes": slopes, "whole_path": whole_path}
 
 
 def main() -> None:
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,174 @@
+"""Slopes of cost against size, from which the two-year page is worked out."""
+
+import gc
+import time
+import tracemalloc
+
+import msgspec
+
+from benchmarks.measure import percentile, report
+from pimentomill.cell import CellFold, MemberJoined, MemberRenewed
+from pimentomill.placement import Scheduler, TeamRoom
+from pimentomill.platform import decode_envelope, encode_envelope
+from pimentomill.snapshots import SnapshotCollector, split_snapshot
+from pimentomill.utils import ZERO, Resources
+from pimentomill.work import (
+    BatchSpec,
+    HolderOpened,
+    Job,
+    JobAccepted,
+    Task,
+    TaskAssigned,
+    TaskEnded,
+    TaskOutcome,
+    WorkFold,
+    WorkState,
+)
+from pimentomill.workers import (
+    TaskStatus,
+    WorkerHealth,
+    WorkerReport,
+    WorkerView,
+)
+
+__all__ = ["run"]
+
+JOBS = 5_000
+WORKERS = (20, 200, 1_200)
+PASSES = 200
+WAITING = 1_000
+NEED = Resources(500, 256, 0)
+CAPACITY = Resources(16_000, 64_000, 2)
+AMPLE = Resources(10**9, 10**9, 10**6)
+US = 1_000_000
+MS = 1_000
+
+
+def work_records(jobs: int, ended: bool) -> list[bytes]:
+    """Return the records of jobs that were accepted, assigned and ended."""
+    records = [HolderOpened(1, 1, "m")]
+    spec = BatchSpec(resources=NEED, command=["roast", "lot-7"])
+    for number in range(jobs):
+        job = f"{number:024x}@g1"
+        records.append(JobAccepted(1, job, "kiln", spec, False, 1))
+        why = "batch: tightest fit"
+        records.append(TaskAssigned(1, 1, job, 0, 1, f"worker-{number % 150}", 1, why))
+        if ended:
+            records.append(TaskEnded(1, 1, job, 0, 1, TaskOutcome.SUCCEEDED))
+    return [encode_envelope("m", seq + 1, r) for seq, r in enumerate(records)]
+
+
+def fold_all(fold, payloads: list[bytes]) -> float:
+    """Fold records and return the microseconds of each."""
+    started = time.perf_counter()
+    for offset, payload in enumerate(payloads):
+        fold.apply(offset, decode_envelope(payload))
+    return (time.perf_counter() - started) / len(payloads) * US
+
+
+def measure_folds() -> WorkState:
+    """Print the cost of folding and the memory and bytes of a job."""
+    payloads = work_records(JOBS, ended=True)
+    report("fold of a work record", fold_all(WorkFold(), payloads), "us")
+    size = sum(len(p) for p in payloads) / JOBS
+    report("log bytes of a job's three records", size, "bytes")
+    payloads = work_records(JOBS, ended=False)
+    gc.collect()
+    tracemalloc.start()
+    fold = WorkFold()
+    fold_all(fold, payloads)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    report("memory of a running job", held / JOBS, "bytes")
+    cell = CellFold()
+    renewals = [MemberJoined("m", 0, "m", "dc1", "p", "c", "a")]
+    renewals += [MemberRenewed("m", n) for n in range(JOBS)]
+    encoded = [encode_envelope("m", i + 1, r) for i, r in enumerate(renewals)]
+    report("fold of a renewal", fold_all(cell, encoded), "us")
+    report("log bytes of a renewal", len(encoded[-1]), "bytes")
+    return fold.state_
+
+
+def measure_snapshot(state: WorkState) -> None:
+    """Print size, writing and loading of a snapshot of running jobs."""
+    started = time.perf_counter()
+    parts = split_snapshot(state, state.next_offset, "s")
+    written = time.perf_counter()
+    collector = SnapshotCollector(WorkState)
+    for part in parts:
+        collector.add(part)
+    loaded = time.perf_counter()
+    size = sum(len(part.data) for part in parts) / JOBS
+    report("snapshot, size a job", size, "bytes")
+    report("snapshot, write a job", (written - started) / JOBS * US, "us")
+    report("snapshot, load a job", (loaded - written) / JOBS * US, "us")
+
+
+def make_views(count: int) -> list[WorkerView]:
+    """Return live workers."""
+    views = []
+    for number in range(count):
+        view = WorkerView(f"worker-{number}", "a", f"dc1/r{number // 5}")
+        view.capacity_ = CAPACITY
+        view.health_ = WorkerHealth.LIVE
+        views.append(view)
+    return views
+
+
+def measure_passes() -> None:
+    """Print the time to place one task against the number of workers."""
+    for count in WORKERS:
+        jobs: dict[str, Job] = {}
+        scheduler = Scheduler(jobs.__getitem__, lambda _: TeamRoom(1, ZERO, AMPLE))
+        views = make_views(count)
+        spans = []
+        spec = BatchSpec(resources=NEED)
+        for number in range(PASSES):
+            job = Job(f"j{number}", "kiln", spec, False, 0, [Task()])
+            jobs[job.id] = job
+            scheduler.add(job, [0])
+            started = time.perf_counter()
+            scheduler.run(views, 0, 0)
+            spans.append((time.perf_counter() - started) * MS)
+        report(f"pass of one job, {count} workers, p50", percentile(spans, 0.5), "ms")
+        report(f"pass of one job, {count} workers, p99", percentile(spans, 0.99), "ms")
+
+
+def measure_full_cell() -> None:
+    """Print the time of a pass that places nothing, with work waiting."""
+    jobs: dict[str, Job] = {}
+    scheduler = Scheduler(jobs.__getitem__, lambda _: TeamRoom(1, ZERO, AMPLE))
+    views = make_views(150)
+    for view in views:
+        view.commit("full", CAPACITY)
+    spec = BatchSpec(resources=NEED)
+    for number in range(WAITING):
+        job = Job(f"j{number}", f"t{number % 45}", spec, False, 0, [Task()])
+        jobs[job.id] = job
+        scheduler.add(job, [0])
+    started = time.perf_counter()
+    scheduler.run(views, 0, 0)
+    span = (time.perf_counter() - started) * MS
+    report(f"pass over a full group, 150 workers, {WAITING} waiting", span, "ms")
+
+
+def measure_report() -> None:
+    """Print the bytes of a report and the time to decode and note it."""
+    running = [TaskStatus(f"{n:024x}@g1", 0, 1, NEED, NEED) for n in range(5)]
+    message = WorkerReport("worker-1", 1, 1, 1, CAPACITY, running, [])
+    raw = msgspec.json.encode(message)
+    view = make_views(1)[0]
+    started = time.perf_counter()
+    for _ in range(JOBS):
+        view.note_report(msgspec.json.decode(raw, type=WorkerReport), 0)
+    span = (time.perf_counter() - started) / JOBS * US
+    report("report of a worker with 5 tasks", len(raw), "bytes")
+    report("report, decode and note", span, "us")
+
+
+def run() -> None:
+    """Run all measures of this module."""
+    measure_snapshot(measure_folds())
+    measure_passes()
+    measure_full_cell()
+    measure_report()
--- a/pimentomill/placement/_scheduler.py
+++ b/pimentomill/placement/_scheduler.py
@@ -152,9 +152,13 @@
         self.outcome = outcome
         self.is_barred = False
         self.started: dict[TeamName, Resources] = {}
+        self.attained: dict[TeamName, float] = {}
         self.total = ZERO
         for view in views:
             self.total = self.total + view.capacity_
+        self.sizes = {view.capacity_ for view in views}
+        # Free resources only shrink in a pass, so what found no room stays without.
+        self.without_room: set[Resources] = set()
 
     def place_lane(self, urgent: bool) -> None:
         """Try teams in turn, always the one furthest below its share."""
@@ -171,20 +175,33 @@
             self._try_job(job)
 
     def _attained(self, team: TeamName) -> tuple[float, TeamName]:
-        room = self.scheduler.team_room(team)
-        used = room.used + self.started.get(team, ZERO)
-        return dominant_fraction(used, self.total) / max(room.share, 1), team
+        """Return a team's part of the group against its share, and its name."""
+        if team not in self.attained:
+            room = self.scheduler.team_room(team)
+            used = room.used + self.started.get(team, ZERO)
+            fraction = dominant_fraction(used, self.total)
+            self.attained[team] = fraction / max(room.share, 1)
+        return self.attained[team], team
 
     def _try_job(self, job: Job) -> None:
         waiting = self.scheduler.waiting_[job.id]
         allowed = self._allowed_by_limit(job, waiting)
-        placements = plan_job(job.spec, job, allowed, self.ready) if allowed else []
+        placements = self._plan(job, allowed)
         missing = len(waiting) - len(placements)
         if placements:
             self._commit(job, placements)
         if missing:
             self._note_reason(job, missing, len(allowed) - len(placements))
 
+    def _plan(self, job: Job, allowed: list[int]) -> list[Placement]:
+        need = job.spec.resources
+        if not allowed or need in self.without_room:
+            return []
+        placements = plan_job(job.spec, job, allowed, self.ready)
+        if not placements and not isinstance(job.spec, GangSpec):
+            self.without_room.add(need)
+        return placements
+
     def _allowed_by_limit(self, job: Job, waiting: list[int]) -> list[int]:
         room = self.scheduler.team_room(job.team)
         used = room.used + self.started.get(job.team, ZERO)
@@ -207,6 +224,7 @@
             by_id[placement.worker].commit(ref, job.spec.resources)
         amount = job.spec.resources * len(placements)
         self.started[job.team] = self.started.get(job.team, ZERO) + amount
+        self.attained.pop(job.team, None)
         self.outcome.placements.append((job, placements))
         self._take_from_queue(job, placements)
 
@@ -235,7 +253,7 @@
         need = job.spec.resources
         if not self.ready:
             return WaitReason(WaitCode.NO_WORKERS)
-        if not any(need.fits_in(view.capacity_) for view in self.views):
+        if not any(need.fits_in(size) for size in self.sizes):
             return WaitReason(WaitCode.TOO_LARGE, need.describe())
         if allowed < missing:
             room = self.scheduler.team_room(job.team)
--- a/pimentomill/placement/tests/test_scheduler.py
+++ b/pimentomill/placement/tests/test_scheduler.py
@@ -67,6 +67,15 @@
         self.assertEqual(views[0].committed_, ZERO)
         self.assertEqual(len(self.run_pass([*views, worker("w3")])), 3)
 
+    def test_smaller_work_finds_room_behind_larger_without(self):
+        self.add("wide", self.batch(8_000))
+        self.add("wide-too", self.batch(8_000), at=1)
+        self.add("small", self.batch(1_000), at=2)
+        view = worker("w1")
+        view.commit("other", Resources(4_000))
+        self.assertEqual(self.run_pass([view]), [("small", "w1")])
+        self.assertIs(self.reason("wide-too"), WaitCode.NO_ROOM)
+
     def test_urgent_work_goes_first(self):
         self.add("slow", self.batch(8_000))
         self.add("fast", self.batch(8_000), urgent=True)
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import time
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,10 @@
 POLL_S = 0.1
 STOP_WITHIN_S = 20.0
 HTTP_TIMEOUT_S = 15.0
+FIRST_PORT = 20_000
+PORT_SPAN = 12_000
+PORT_BLOCKS = 40
+PORTS_A_BLOCK = 300
 
 
 class CellShape(msgspec.Struct, kw_only=True):
@@ -38,11 +43,19 @@
     appends_per_second: int = 500
 
 
+_ports = count(FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_A_BLOCK)
+
+
 def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a TCP port that is free and that no outgoing connection takes."""
+    while True:
+        port = FIRST_PORT + (next(_ports) - FIRST_PORT) % PORT_SPAN
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Process:
