--- /dev/null
+++ b/pimentomill/http/tests/test_server.py
@@ -0,0 +1,85 @@
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+
+import trustme
+import urllib3
+
+from pimentomill.exceptions import AdmissionError, NotFoundError, ValidationError
+from pimentomill.http import HttpRequest, HttpResponse, HttpServer, Router
+from pimentomill.settings import TlsSettings
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def request(method, path):
+    return HttpRequest(method, path, "", {}, b"")
+
+
+class RouterTest(unittest.TestCase):
+    def setUp(self):
+        self.failures = []
+        self.router = Router(lambda req, exc: self.failures.append(exc))
+
+    def answer(self, exc):
+        def handler(req, name):
+            raise exc
+
+        self.router.add("GET", "/things/{name}", handler)
+        return self.router.answer(request("GET", "/things/a"))
+
+    def test_errors_have_statuses(self):
+        cases = {400: ValidationError("x"), 404: NotFoundError("x")}
+        for status, exc in cases.items():
+            with self.subTest(status):
+                self.setUp()
+                self.assertEqual(self.answer(exc).status, status)
+
+    def test_refusal_tells_when_to_come_back(self):
+        response = self.answer(AdmissionError("full", 1_500))
+        self.assertEqual((response.status, response.headers["Retry-After"]), (429, "2"))
+
+    def test_unexpected_error_shows_nothing_of_the_inside(self):
+        response = self.answer(KeyError("secret"))
+        self.assertEqual(response.status, 500)
+        self.assertNotIn(b"secret", response.body)
+        self.assertEqual(len(self.failures), 1)
+
+    def test_segment_is_passed_on_by_name(self):
+        self.router.add("GET", "/jobs/{job}", lambda req, job: HttpResponse.text(job))
+        self.assertEqual(self.router.answer(request("GET", "/jobs/j@g1")).body, b"j@g1")
+
+
+class TlsTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        authority = trustme.CA()
+        certificate = authority.issue_cert("127.0.0.1")
+        self.ca_path = str(Path(folder.name) / "ca.pem")
+        chain, key = Path(folder.name) / "chain.pem", Path(folder.name) / "key.pem"
+        authority.cert_pem.write_to_path(self.ca_path)
+        certificate.cert_chain_pems[0].write_to_path(str(chain))
+        certificate.private_key_pem.write_to_path(str(key))
+        router = Router()
+        router.add("GET", "/x", lambda req: HttpResponse.text("whole"))
+        port = free_port()
+        tls = TlsSettings(certificate=str(chain), private_key=str(key))
+        server = HttpServer("127.0.0.1", port, router, tls=tls)
+        server.start()
+        self.addCleanup(server.stop)
+        self.url = f"https://127.0.0.1:{port}/x"
+
+    def test_caller_that_trusts_the_authority_is_answered(self):
+        pool = urllib3.PoolManager(ca_certs=self.ca_path, retries=False)
+        self.assertEqual(pool.request("GET", self.url).data, b"whole")
+
+    def test_caller_that_does_not_trust_it_is_told(self):
+        pool = urllib3.PoolManager(retries=False)
+        with self.assertRaises(urllib3.exceptions.SSLError):
+            pool.request("GET", self.url)
