--- a/pimentomill/cell/__init__.py
+++ b/pimentomill/cell/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from ._escrow import allotted_total, grant_wants, unallotted
-from ._fold import Applied, CellFold
+from ._fold import CellFold
 from ._records import (
     AllotmentDrawn,
     AllotmentReturned,
@@ -29,7 +29,6 @@
 __all__ = [
     "AllotmentDrawn",
     "AllotmentReturned",
-    "Applied",
     "CellFold",
     "CellRecord",
     "CellState",
--- a/pimentomill/cell/_fold.py
+++ b/pimentomill/cell/_fold.py
@@ -4,9 +4,8 @@
 
 import msgspec
 
-from ..exceptions import InvariantError
-from ..platform import Envelope
-from ..utils import Epoch, MemberId, Offset
+from ..platform import Applied, Envelope, take_next
+from ..utils import Epoch, Offset
 from . import _escrow, _records
 from ._records import (
     AllotmentDrawn,
@@ -36,7 +35,7 @@
     WorkerMark,
 )
 
-__all__ = ["Applied", "CellFold"]
+__all__ = ["CellFold"]
 
 _UNION = MemberJoined
 for _name in _records.__all__:
@@ -48,30 +47,6 @@
 ABSENT = Offset(-1)
 
 
-class Applied(msgspec.Struct, frozen=True):
-    """What became of a record.
-
-    Parameters
-    ----------
-    offset : Offset
-        Where it stands.
-    writer : MemberId
-        Who wrote it.
-    seq : int
-        Its number among the writer's records.
-    record : CellRecord
-        The record.
-    refusal : str
-        Why it was refused, empty if it took effect.
-    """
-
-    offset: Offset
-    writer: MemberId
-    seq: int
-    record: CellRecord
-    refusal: str
-
-
 class CellFold:
     """Apply records in order.
 
@@ -110,15 +85,8 @@
         InvariantError
             If a record was skipped.
         """
-        state = self.state_
-        if offset != state.next_offset:
-            raise InvariantError(
-                f"offset must be {state.next_offset}, got {offset}: records skipped"
-            )
-        state.next_offset = Offset(offset + 1)
-        if envelope.seq <= state.last_seq.get(envelope.writer, 0):
+        if not take_next(self.state_, offset, envelope):
             return None
-        state.last_seq[envelope.writer] = envelope.seq
         record = _decoder.decode(envelope.body)
         refusal = self._apply(record, offset)
         return Applied(offset, envelope.writer, envelope.seq, record, refusal)
--- a/pimentomill/entry/_caller_api.py
+++ b/pimentomill/entry/_caller_api.py
@@ -20,6 +20,7 @@
 from ..utils import JobId, RequestId, ServiceName, TeamName, check_name
 from ..work import RequestOutcome, Submission
 from ._actor import CoreHandle
+from ._health_api import add_health_routes
 from ._jobs import JobService
 from ._operator import OperatorService
 from ._peers import HolderDirectory
@@ -98,8 +99,7 @@
         router.add("POST", "/v1/services/{service}/requests", self._run_request)
         router.add("GET", "/v1/requests/{request}", self._find_request)
         router.add("POST", "/v1/commands", self._command)
-        router.add("GET", "/healthz", self._healthz)
-        router.add("GET", "/readyz", self._readyz)
+        add_health_routes(router, self.core)
         return router
 
     def _note_failure(self, req: HttpRequest, exc: Exception) -> None:
@@ -184,14 +184,6 @@
             return HttpResponse.text(answer.text + "\n")
         return HttpResponse.json(answer)
 
-    def _healthz(self, req: HttpRequest) -> HttpResponse:
-        return HttpResponse.json(self.core.ask(lambda core: core.health()))
-
-    def _readyz(self, req: HttpRequest) -> HttpResponse:
-        health = self.core.ask(lambda core: core.health())
-        status = HTTPStatus.OK if health.is_ready else HTTPStatus.SERVICE_UNAVAILABLE
-        return HttpResponse.json(health, status)
-
 
 def _idempotency_key(req: HttpRequest) -> str:
     key = req.headers.get(KEY_HEADER, "")
--- a/pimentomill/entry/_control_api.py
+++ b/pimentomill/entry/_control_api.py
@@ -7,6 +7,7 @@
 from ..utils import TrafficMeter
 from ..workers import WorkerReport
 from ._actor import CoreHandle
+from ._health_api import add_health_routes
 
 __all__ = ["ControlApi"]
 
@@ -34,8 +35,7 @@
         router = Router(meter=self.meter)
         router.add("POST", "/v1/reports", self._report)
         router.add("GET", "/metrics", self._metrics)
-        router.add("GET", "/healthz", self._health)
-        router.add("GET", "/readyz", self._ready)
+        add_health_routes(router, self.core)
         return router
 
     def _report(self, req: HttpRequest) -> HttpResponse:
@@ -46,11 +46,3 @@
 
     def _metrics(self, req: HttpRequest) -> HttpResponse:
         return HttpResponse(HTTPStatus.OK, self.metrics.read_json())
-
-    def _health(self, req: HttpRequest) -> HttpResponse:
-        return HttpResponse.json(self.core.ask(lambda core: core.health()))
-
-    def _ready(self, req: HttpRequest) -> HttpResponse:
-        health = self.core.ask(lambda core: core.health())
-        status = HTTPStatus.OK if health.is_ready else HTTPStatus.SERVICE_UNAVAILABLE
-        return HttpResponse.json(health, status)
--- a/pimentomill/entry/_core.py
+++ b/pimentomill/entry/_core.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from ..cell import (
-    Applied,
     CellFold,
     CellRecord,
     CellState,
@@ -27,6 +26,7 @@
 )
 from ..platform import (
     AppendState,
+    Applied,
     Instance,
     InstanceKind,
     PendingAppend,
--- a/pimentomill/entry/_waiters.py
+++ b/pimentomill/entry/_waiters.py
@@ -4,9 +4,8 @@
 
 import msgspec
 
-from ..cell import Applied
 from ..exceptions import AppendUnknownError, ConflictError, LogUnavailableError
-from ..platform import AppendState, PendingAppend
+from ..platform import AppendState, Applied, PendingAppend
 
 __all__ = ["AppendWaiters", "FoldWaiters"]
 
--- a/pimentomill/holder/_allotments.py
+++ b/pimentomill/holder/_allotments.py
@@ -5,11 +5,10 @@
 from ..cell import (
     AllotmentDrawn,
     AllotmentReturned,
-    Applied,
     CellState,
     allotted_total,
 )
-from ..platform import AppendState, PendingAppend
+from ..platform import AppendState, Applied, PendingAppend
 from ..utils import ZERO, Epoch, GroupName, MemberId, Resources, TeamName
 from ._ports import HolderPorts
 
--- a/pimentomill/holder/_holder.py
+++ b/pimentomill/holder/_holder.py
@@ -10,11 +10,11 @@
 from enum import Enum
 from functools import singledispatchmethod
 
-from ..cell import Applied, MemberRenewed
+from ..cell import MemberRenewed
 from ..exceptions import InvariantError, TransportError
 from ..ownership import LeaseGuard
 from ..placement import PlacementPass, Scheduler, TeamRoom
-from ..platform import AppendState, Instance, decode_envelope
+from ..platform import AppendState, Applied, Instance, decode_envelope
 from ..requests import RequestClaims, StoredAnswer
 from ..settings import LeaseSettings
 from ..utils import (
@@ -32,7 +32,6 @@
     TeamName,
 )
 from ..work import (
-    AppliedWork,
     HolderOpened,
     Job,
     JobAccepted,
@@ -255,7 +254,7 @@
                 self._react(applied)
         self._outbox.flush()
 
-    def _react(self, applied: AppliedWork) -> None:
+    def _react(self, applied: Applied) -> None:
         if self.fold_.state_.epoch > self.epoch:
             self.phase_ = HolderPhase.SUPERSEDED
         if not self.is_acting and self.phase_ is not HolderPhase.OPENING:
@@ -268,7 +267,7 @@
         if applied.writer == self.member:
             self._settle_claim(applied)
 
-    def _is_current(self, applied: AppliedWork) -> bool:
+    def _is_current(self, applied: Applied) -> bool:
         """Return whether a record is not a late one of an earlier holder."""
         return getattr(applied.record, "epoch", self.epoch) == self.epoch
 
@@ -712,7 +711,7 @@
         item = self.ports.append_work(self.group, record, INTENT_LINGER_MS)
         return self._claims.add(request, item)
 
-    def _settle_claim(self, applied: AppliedWork) -> None:
+    def _settle_claim(self, applied: Applied) -> None:
         record = applied.record
         if isinstance(record, RequestClaimed):
             stored = self.fold_.state_.requests.get(record.request)
--- a/pimentomill/platform/__init__.py
+++ b/pimentomill/platform/__init__.py
@@ -16,6 +16,7 @@
     StreamSlice,
 )
 from ._queue import AppendBatch, AppendQueue, AppendState, PendingAppend
+from ._replay import Applied, FoldedState, take_next
 from ._writer import LogWriter
 
 __all__ = [
@@ -24,7 +25,9 @@
     "AppendRequest",
     "AppendState",
     "Appended",
+    "Applied",
     "Envelope",
+    "FoldedState",
     "Instance",
     "InstanceKind",
     "InstanceList",
@@ -38,4 +41,5 @@
     "StreamSlice",
     "decode_envelope",
     "encode_envelope",
+    "take_next",
 ]
--- a/pimentomill/work/__init__.py
+++ b/pimentomill/work/__init__.py
@@ -1,6 +1,6 @@
 """Accepted work of one group, kept in the group's stream of the log."""
 
-from ._fold import AppliedWork, WorkFold
+from ._fold import WorkFold
 from ._records import (
     HolderOpened,
     JobAccepted,
@@ -38,7 +38,6 @@
 )
 
 __all__ = [
-    "AppliedWork",
     "BatchSpec",
     "GangSpec",
     "HolderOpened",
--- a/pimentomill/work/_fold.py
+++ b/pimentomill/work/_fold.py
@@ -4,9 +4,8 @@
 
 import msgspec
 
-from ..exceptions import InvariantError
-from ..platform import Envelope
-from ..utils import MemberId, Offset
+from ..platform import Applied, Envelope, take_next
+from ..utils import Offset
 from ._records import (
     HolderOpened,
     JobAccepted,
@@ -30,7 +29,7 @@
     WorkState,
 )
 
-__all__ = ["AppliedWork", "WorkFold"]
+__all__ = ["WorkFold"]
 
 OUTCOMES_KEPT_MS = 86_400_000
 _decoder = msgspec.msgpack.Decoder(
@@ -47,16 +46,6 @@
 FAILED_OUTCOMES = (TaskOutcome.FAILED, TaskOutcome.LOST)
 
 
-class AppliedWork(msgspec.Struct, frozen=True):
-    """What became of a record; see `pimentomill.cell.Applied`."""
-
-    offset: Offset
-    writer: MemberId
-    seq: int
-    record: WorkRecord
-    refusal: str
-
-
 class WorkFold:
     """Apply records in order.
 
@@ -75,7 +64,7 @@
         self.state = state
         self.state_ = WorkState() if state is None else state
 
-    def apply(self, offset: Offset, envelope: Envelope) -> AppliedWork | None:
+    def apply(self, offset: Offset, envelope: Envelope) -> Applied | None:
         """Apply one record.
 
         Parameters
@@ -87,7 +76,7 @@
 
         Returns
         -------
-        AppliedWork or None
+        Applied or None
             None for the repeat of a record that was applied before.
 
         Raises
@@ -95,19 +84,12 @@
         InvariantError
             If a record was skipped.
         """
-        state = self.state_
-        if offset != state.next_offset:
-            raise InvariantError(
-                f"offset must be {state.next_offset}, got {offset}: records skipped"
-            )
-        state.next_offset = Offset(offset + 1)
-        if envelope.seq <= state.last_seq.get(envelope.writer, 0):
+        if not take_next(self.state_, offset, envelope):
             return None
-        state.last_seq[envelope.writer] = envelope.seq
         record = _decoder.decode(envelope.body)
         refusal = self._refusal_by_epoch(record) or self._apply(record)
         self._forget_old(record.at)
-        return AppliedWork(offset, envelope.writer, envelope.seq, record, refusal)
+        return Applied(offset, envelope.writer, envelope.seq, record, refusal)
 
     def _refusal_by_epoch(self, record: WorkRecord) -> str:
         if isinstance(record, JobAccepted | JobCancelled | HolderOpened):
