--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -2,9 +2,13 @@
 
 import sys
 
-from benchmarks import slopes, whole_path
+from benchmarks import configuration, slopes, whole_path
 
-MODULES = {"slopes": slopes, "whole_path": whole_path}
+MODULES = {
+    "slopes": slopes,
+    "whole_path": whole_path,
+    "configuration": configuration,
+}
 
 
 def main() -> None:
--- a/pimentomill/entry/_caller_api.py
+++ b/pimentomill/entry/_caller_api.py
@@ -12,6 +12,7 @@
     UnauthorizedError,
     ValidationError,
 )
+from ..holder import JobAnswer
 from ..http import HttpRequest, HttpResponse, Router
 from ..query import parse_statement
 from ..requests import RequestResult
@@ -129,23 +130,25 @@
         return HttpResponse.json(ticket, HTTPStatus.ACCEPTED)
 
     def _find_job(self, req: HttpRequest, job: str) -> HttpResponse:
-        answer = self.jobs.find(JobId(job))
-        self._check_right(req, answer.team, f"there is no job {job}")
-        return HttpResponse.json(answer)
+        return HttpResponse.json(self._visible_job(req, job))
 
     def _cancel_job(self, req: HttpRequest, job: str) -> HttpResponse:
-        answer = self.jobs.find(JobId(job))
-        self._check_right(req, answer.team, f"there is no job {job}")
+        self._visible_job(req, job)
         self.jobs.cancel(JobId(job))
         return HttpResponse.json({"id": job}, HTTPStatus.ACCEPTED)
 
-    def _check_right(self, req: HttpRequest, team: TeamName, absent: str) -> None:
-        """Let the team and operators pass; others learn nothing."""
+    def _visible_job(self, req: HttpRequest, job: str) -> JobAnswer:
+        viewer = self._viewer(req)
+        answer = self.jobs.find(JobId(job))
+        _check_visible(viewer, answer.team, f"there is no job {job}")
+        return answer
+
+    def _viewer(self, req: HttpRequest) -> TeamName | None:
+        """Return the team of the caller's key, None for an operator's."""
         header = req.headers.get("authorization", "")
         if is_operator(self.cfg.operator_key_digests, header):
-            return
-        if self._team(req) != team:
-            raise NotFoundError(absent)
+            return None
+        return self._team(req)
 
     def _run_request(self, req: HttpRequest, service: str) -> HttpResponse:
         team = self._team(req)
@@ -167,8 +170,9 @@
         return _response_of(request, result)
 
     def _find_request(self, req: HttpRequest, request: str) -> HttpResponse:
+        viewer = self._viewer(req)
         answer = self.requests.find(RequestId(request))
-        self._check_right(req, answer.team, f"there is no request {request}")
+        _check_visible(viewer, answer.team, f"there is no request {request}")
         return HttpResponse.json(answer)
 
     def _command(self, req: HttpRequest) -> HttpResponse:
@@ -185,6 +189,12 @@
         return HttpResponse.json(answer)
 
 
+def _check_visible(viewer: TeamName | None, team: TeamName, absent: str) -> None:
+    """Let the team and operators pass; others learn nothing."""
+    if viewer is not None and viewer != team:
+        raise NotFoundError(absent)
+
+
 def _idempotency_key(req: HttpRequest) -> str:
     key = req.headers.get(KEY_HEADER, "")
     if not key or len(key) > MAX_KEY_LENGTH or not key.isprintable():
--- a/pimentomill/peers/_server.py
+++ b/pimentomill/peers/_server.py
@@ -46,6 +46,7 @@
         self.threads = threads
         self._socket = pynng.Rep0()
         self._contexts: list[pynng.Context] = []
+        self._is_stopping = False
         self._threads = [
             threading.Thread(target=self._serve, args=(i,), daemon=True)
             for i in range(threads)
@@ -60,9 +61,10 @@
 
     def stop(self) -> None:
         """Stop listening; questions that take longer than the bound are left."""
+        self._is_stopping = True
+        deadline = time.monotonic() + STOP_WITHIN_S
         for context in self._contexts:
             context.close()
-        deadline = time.monotonic() + STOP_WITHIN_S
         for thread in self._threads:
             thread.join(max(deadline - time.monotonic(), 0))
         self._socket.close()
@@ -73,6 +75,8 @@
             try:
                 payload = context.recv()
                 answer = self._answer(payload)
+                if self._is_stopping:
+                    return
                 context.send(answer)
                 self.meter.add(len(answer), len(payload))
             except pynng.Closed:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -84,6 +84,12 @@
         self.refused(self.cell.call("DELETE", path, self.other_key), 404, "not_found")
         self.assertEqual(self.cell.call("GET", path, OPERATOR_KEY).status, 200)
 
+    def test_wrong_key_learns_nothing_about_jobs_and_requests(self):
+        for path in ("/v1/jobs/none@g1", "/v1/requests/none@g1"):
+            response = self.cell.call("GET", path, self.key + "x")
+            self.refused(response, 401, "unauthorized")
+            self.refused(self.cell.call("GET", path, self.key), 404, "not_found")
+
     def test_operators_statement_points_at_the_wrong_token(self):
         answer = self.cell.operate("show teems")
         self.assertEqual((answer["status"], answer["column"]), (400, 6))
