Refuse a connection too many with a status instead of letting it wait

Cause: connections that found no free thread waited without bound. The queue has the length of the backlog now; more get 503. Test: one thread kept busy, twelve connections; the last is answered 503.

--- a/pimentomill/http/_server.py
+++ b/pimentomill/http/_server.py
@@ -11,6 +11,7 @@
 __all__ = ["HttpServer"]
 
 MAX_HEADER_BYTES = 16_384
+ACCEPT_WAIT_S = 0.1
 
 
 class HttpServer:
@@ -68,6 +69,8 @@
             self.router,
             numthreads=self.threads,
             request_queue_size=self.backlog,
+            accepted_queue_size=self.backlog,
+            accepted_queue_timeout=ACCEPT_WAIT_S,
             timeout=self.timeout_ms / 1000,
             shutdown_timeout=self.stop_by_ms / 1000,
             server_name="pimentomill",
--- a/pimentomill/http/tests/test_server.py
+++ b/pimentomill/http/tests/test_server.py
@@ -1,5 +1,6 @@
 import socket
 import tempfile
+import threading
 import unittest
 from pathlib import Path
 
@@ -83,3 +84,24 @@
         pool = urllib3.PoolManager(retries=False)
         with self.assertRaises(urllib3.exceptions.SSLError):
             pool.request("GET", self.url)
+
+
+class OverloadTest(unittest.TestCase):
+    def test_connection_too_many_gets_a_clear_status(self):
+        release = threading.Event()
+        router = Router()
+        router.add("GET", "/x", lambda req: release.wait() and HttpResponse.text("x"))
+        port = free_port()
+        server = HttpServer("127.0.0.1", port, router, threads=1, backlog=2)
+        server.start()
+        self.addCleanup(server.stop)
+        self.addCleanup(release.set)
+        request = b"GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        socks = []
+        for _ in range(12):
+            sock = socket.create_connection(("127.0.0.1", port))
+            self.addCleanup(sock.close)
+            sock.sendall(request)
+            socks.append(sock)
+        socks[-1].settimeout(20)
+        self.assertEqual(socks[-1].recv(12), b"HTTP/1.1 503")
