End the entry on a broken invariant, whoever's call notices it

Cause, found by reading: a broken invariant ended the entry only in calls that nobody waits for. In a call on behalf of a worker's report it came out as status 500 and the entry acted on. Also: one random key for a request without one, not two; an unused constant gone.

--- a/pimentomill/entry/_actor.py
+++ b/pimentomill/entry/_actor.py
@@ -6,6 +6,7 @@
 import msgspec
 import pykka
 
+from ..exceptions import InvariantError
 from ..telemetry import PartLog
 from ._core import EntryCore
 
@@ -34,7 +35,8 @@
     log : PartLog
         Where failures of told calls go.
     on_fatal : callable
-        Called with the exception of a told call.
+        Called with the exception of a told call, and with any broken
+        invariant.
     """
 
     use_daemon_thread = True
@@ -49,13 +51,15 @@
 
     def on_receive(self, message: Ask | Tell) -> Any:
         """Make the call that a message holds."""
-        if isinstance(message, Ask):
-            return message.call(self.core)
         try:
-            message.call(self.core)
+            return message.call(self.core)
         except Exception as exc:
+            if isinstance(message, Ask) and not isinstance(exc, InvariantError):
+                raise
             self.log.warning("A step of the core failed.", error=repr(exc))
             self.on_fatal(exc)
+            if isinstance(message, Ask):
+                raise
         return None
 
 
--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -223,7 +223,8 @@
                 self.log.warning("A periodic step failed.", error=repr(exc))
 
     def _tick(self) -> None:
-        self.core.ask(lambda core: core.health())
+        # Waits for the core, so that ticks do not pile up behind a slow step.
+        self.core.ask(lambda core: None)
         self.core.tell(lambda core: core.tick())
 
     def _poll_instances(self) -> None:
--- a/pimentomill/entry/_requests.py
+++ b/pimentomill/entry/_requests.py
@@ -132,8 +132,9 @@
         tuple of RequestId and RequestResult
             The id to ask about, and what became of the request.
         """
-        home = home_group(self._groups, team, key or new_id("r"))
-        request = make_request_id(home, team, service, key or new_id("r"))
+        key = key or new_id("r")
+        home = home_group(self._groups, team, key)
+        request = make_request_id(home, team, service, key)
         if is_idempotent:
             deadline = Instant(self.clock.now() + budget_ms)
             call = (request, team, service, body, headers)
--- /dev/null
+++ b/pimentomill/entry/tests/test_actor.py
@@ -0,0 +1,34 @@
+import unittest
+
+from pimentomill.entry._actor import CoreActor, CoreHandle
+from pimentomill.exceptions import InvariantError, NotFoundError
+from pimentomill.telemetry import PartLog
+
+
+class ActorTest(unittest.TestCase):
+    def setUp(self):
+        self.fatal = []
+        ref = CoreActor.start(object(), PartLog("test"), self.fatal.append)
+        self.core = CoreHandle(ref, 5_000)
+        self.addCleanup(self.core.stop)
+
+    def fail_with(self, exc):
+        def call(core):
+            raise exc
+
+        return call
+
+    def test_error_of_a_question_goes_back_to_who_asked(self):
+        with self.assertRaises(NotFoundError):
+            self.core.ask(self.fail_with(NotFoundError("x")))
+        self.assertEqual(self.fatal, [])
+
+    def test_broken_invariant_ends_the_entry_whoever_notices(self):
+        with self.assertRaises(InvariantError):
+            self.core.ask(self.fail_with(InvariantError("x")))
+        self.assertEqual(len(self.fatal), 1)
+
+    def test_any_error_of_a_told_call_ends_the_entry(self):
+        self.core.tell(self.fail_with(KeyError("x")))
+        self.core.ask(lambda core: None)
+        self.assertEqual(len(self.fatal), 1)
--- a/pimentomill/utils/_traffic.py
+++ b/pimentomill/utils/_traffic.py
@@ -6,7 +6,6 @@
 __all__ = ["TrafficMeter", "header_bytes"]
 
 LINE_OVERHEAD = 4
-STATUS_LINE_BYTES = 17
 
 
 def header_bytes(headers: Mapping[str, str]) -> int:
