Let the demonstration wait until the entry has heard of all groups

Cause: one demo in four failed: too large a task was taken, because the entry had not heard of the capacity of all groups yet. It is taken and shows why it waits then; the demonstration shows the refusal, so it waits for it.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -138,11 +138,21 @@
         say(f"order answered; the repeat at entry 2: {decoded(second)['message']}")
 
     def refuse_the_impossible(self) -> None:
-        """Hand in work that no worker could ever run."""
+        """Hand in work that no worker could ever run.
+
+        An entry refuses it once it has heard of all groups; before, it would
+        take the job and show why it waits.
+        """
         spec = {"kind": "batch", "resources": [900_000, 1000, 0]}
-        response = self.cell.submit(self.key, {"spec": spec}, "too-large")
-        check(response.status == 422, f"too large: {response.status}")
-        say(f"too large a task: {decoded(response)['message']}")
+        answers = []
+
+        def is_refused() -> bool:
+            name = f"too-large-{len(answers)}"
+            answers.append(self.cell.submit(self.key, {"spec": spec}, name))
+            return answers[-1].status == 422
+
+        self.cell.wait_for(is_refused, "a refusal of too large a task")
+        say(f"too large a task: {decoded(answers[-1])['message']}")
 
     def race_operators(self) -> None:
         """Let two operators change the same team."""
