Let a test wait until all new entries listen

Cause: after all entries were killed and started again the test asked the third as soon as the first knew the new holders; the third did not listen yet.

--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -201,7 +201,7 @@
         self.wait_for(self._platform_answers, "the platform")
         for process in [*self.workers, *self.backends, *self.entries]:
             process.start()
-        self.wait_for(self._entries_are_ready, "the entries")
+        self.wait_for(self.entries_are_ready, "the entries")
         self.wait_for(self._workers_are_live, "the workers")
 
     def close(self) -> None:
@@ -246,7 +246,8 @@
     def _platform_answers(self) -> bool:
         return self._status("GET", self.platform_url + "/v1/instances") == 200
 
-    def _entries_are_ready(self) -> bool:
+    def entries_are_ready(self) -> bool:
+        """Return whether all entries take requests."""
         return all(
             self._status("GET", self.url(i) + "/readyz") == 200
             for i in range(len(self.entries))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -167,6 +167,7 @@
             process.kill()
         for process in self.cell.entries:
             process.start()
+        self.cell.wait_for(self.cell.entries_are_ready, "the new entries")
         self.cell.wait_for(
             lambda: set(self.holders_or_none()) == {"g1", "g2"}, "new holders"
         )
