--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -254,7 +254,7 @@
         )
 
     def _workers_are_live(self) -> bool:
-        data = self.operate("show workers")["data"]
+        data = self.operate("show workers").get("data", {"workers": []})
         live = [w for w in data["workers"] if w["health"] == "live"]
         return len(live) == self.shape.workers
 
