--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -8,8 +8,8 @@
 
 from benchmarks.measure import percentile, report
 from pimentomill.cell import CellFold, MemberJoined, MemberRenewed
+from pimentomill.journal import decode_envelope, encode_envelope
 from pimentomill.placement import Scheduler, TeamRoom
-from pimentomill.platform import decode_envelope, encode_envelope
 from pimentomill.snapshots import SnapshotCollector, split_snapshot
 from pimentomill.utils import ZERO, Resources
 from pimentomill.work import (
--- a/pimentomill/cell/_fold.py
+++ b/pimentomill/cell/_fold.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..platform import Applied, Envelope, take_next
+from ..journal import Applied, Envelope, take_next
 from ..utils import Epoch, Offset
 from . import _escrow, _records
 from ._records import (
--- a/pimentomill/cell/tests/test_fold.py
+++ b/pimentomill/cell/tests/test_fold.py
@@ -19,7 +19,7 @@
     allotted_total,
 )
 from pimentomill.exceptions import InvariantError
-from pimentomill.platform import decode_envelope, encode_envelope
+from pimentomill.journal import decode_envelope, encode_envelope
 from pimentomill.utils import Resources
 
 LIMIT = Resources(10_000, 10_000, 2)
--- /dev/null
+++ b/pimentomill/control/_expiry.py
@@ -0,0 +1,37 @@
+"""Which finished jobs need not be kept any longer."""
+
+from ..jobs import JobTable, accepted_key, cancelled_key, progress_key
+
+__all__ = ["expired_keys"]
+
+MAX_JOBS = 200
+"""Jobs dropped at a time, so that one append stays small."""
+
+
+def expired_keys(table: JobTable, oldest_ms: int) -> list[str]:
+    """Return the keys of jobs that finished before a time of day.
+
+    Parameters
+    ----------
+    table : JobTable
+        All jobs.
+    oldest_ms : int
+        Milliseconds since 1970.
+    """
+    keys: list[str] = []
+    dropped = 0
+    for job_id, entry in table.entries_.items():
+        if entry.accepted_ is None or not entry.state.is_final:
+            continue
+        last = max(
+            record.at_ms
+            for record in (entry.accepted_, entry.progress_, entry.cancelled_)
+            if record is not None
+        )
+        if last >= oldest_ms:
+            continue
+        keys += [accepted_key(job_id), progress_key(job_id), cancelled_key(job_id)]
+        dropped += 1
+        if dropped >= MAX_JOBS:
+            break
+    return keys
--- /dev/null
+++ b/pimentomill/control/_holds.py
@@ -0,0 +1,137 @@
+"""Renews leases and reads what runs, one loop a worker."""
+
+import asyncio
+
+from ..exceptions import ConflictError, FencedError, TransportError
+from ..fleet import HoldOrder, Worker, WorkerPort
+from ..jobs import WorkerId
+from ..telemetry import PartLog
+from ..utils import Clock
+from ._book import CellBook
+from ._settings import ControlSettings
+
+__all__ = ["Holds"]
+
+DURABLE_WAIT_MS = 80
+"""Milliseconds to wait until ends are stored before the next hold."""
+OUTAGE_GAP_MS = 120
+"""Milliseconds between holds while ends can't be stored."""
+
+_log = PartLog("holds")
+
+
+class Holds:
+    """Keeps one hold open at each worker.
+
+    Parameters
+    ----------
+    book : CellBook
+        State.
+    port : WorkerPort
+        Calls to workers.
+    clock : Clock
+        Source of time.
+    cfg : ControlSettings
+        Settings.
+    durable : asyncio.Event
+        Set when ends have been stored.
+    changed : callable
+        Called after each report.
+    fenced : callable
+        Called when a worker has seen a higher token.
+    """
+
+    def __init__(
+        self,
+        book: CellBook,
+        port: WorkerPort,
+        clock: Clock,
+        cfg,
+        durable,
+        changed,
+        fenced,
+    ) -> None:
+        self.book = book
+        self.port = port
+        self.clock = clock
+        self.cfg: ControlSettings = cfg
+        self.durable: asyncio.Event = durable
+        self.changed = changed
+        self.fenced = fenced
+        self._loops: dict[WorkerId, asyncio.Task] = {}
+
+    def watch(self, worker: Worker) -> None:
+        """Hold a worker from now on."""
+        name = worker.info.worker
+        if name not in self._loops:
+            loop = asyncio.get_running_loop()
+            self._loops[name] = loop.create_task(self._run(worker))
+
+    def close(self) -> None:
+        """End all loops."""
+        for task in self._loops.values():
+            task.cancel()
+
+    async def _run(self, worker: Worker) -> None:
+        try:
+            while not self._is_gone(worker):
+                if await self._hold(worker):
+                    await self._pause(worker)
+                else:
+                    await asyncio.sleep(self.cfg.retry_ms / 1000)
+        finally:
+            self._loops.pop(worker.info.worker, None)
+        self.book.workers.pop(worker.info.worker, None)
+        _log.info("Worker forgotten", worker=worker.info.worker)
+
+    def _is_gone(self, worker: Worker) -> bool:
+        return (
+            not worker.is_listed
+            and not worker.is_reachable
+            and not worker.attempts
+            and self.clock.now() >= worker.lease_until
+        )
+
+    async def _hold(self, worker: Worker) -> bool:
+        now = self.clock.now()
+        lease_end = worker.lease_end(now, self.cfg.lease_ms)
+        wait = 0 if worker.has_open_ends or lease_end is None else self.cfg.hold_wait_ms
+        order = HoldOrder(self.book.epoch, worker.acknowledged, lease_end, wait)
+        try:
+            report = await self.port.hold(worker.info, order)
+        except FencedError as exc:
+            self.fenced(str(exc))
+            return False
+        except (TransportError, ConflictError) as exc:
+            self._note_failure(worker, exc)
+            return False
+        if not worker.is_reachable:
+            _log.info("Worker answers", worker=worker.info.worker)
+        self.book.take_report(worker, report, now)
+        self.changed()
+        return True
+
+    def _note_failure(self, worker: Worker, exc: Exception) -> None:
+        if worker.is_reachable:
+            _log.warning("Worker lost", worker=worker.info.worker, why=str(exc))
+        worker.is_reachable = False
+        if worker.attempts and self.clock.now() >= worker.lease_until:
+            self.book.lose_all(worker, "its lease has lapsed")
+            self.changed()
+
+    async def _pause(self, worker: Worker) -> None:
+        if worker.has_open_ends:
+            await self._wait_durable(worker)
+            if worker.has_open_ends:
+                await asyncio.sleep(OUTAGE_GAP_MS / 1000)
+            return
+        await asyncio.sleep(self.cfg.hold_gap_ms / 1000)
+
+    async def _wait_durable(self, worker: Worker) -> None:
+        try:
+            async with asyncio.timeout(DURABLE_WAIT_MS / 1000):
+                while worker.has_open_ends:
+                    self.durable.clear()
+                    await self.durable.wait()
+        except TimeoutError:
+            return
--- /dev/null
+++ b/pimentomill/control/_leader.py
@@ -0,0 +1,398 @@
+"""The leader of the cell: takes over, plans, orders, records."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from ..catalog import Catalog
+from ..dispatch import Planner, StepRun, order_key
+from ..exceptions import FencedError
+from ..fleet import Worker, WorkerInfo, WorkerPort
+from ..jobs import JobTable, KeyedRecord, WorkerId
+from ..replica import Follower, FollowerTiming, LeaderRecord, RecordStore
+from ..telemetry import PartLog
+from ..utils import Clock, Instant, JobId
+from ._advice import AdviceDesk
+from ._book import CellBook
+from ._expiry import expired_keys
+from ._holds import Holds
+from ._orders import Orders
+from ._pacing import Pacing
+from ._scribe import Scribe
+from ._settings import ControlSettings
+
+__all__ = ["FLEET_KEY", "WORKERS_STREAM", "Leader", "WorkerCodec"]
+
+WORKERS_STREAM = "workers"
+FLEET_KEY = "fleet"
+SURVEY_MS = 900
+"""Milliseconds in which workers should answer a new leader's first hold."""
+PLAN_GAP_MS = 4
+"""Milliseconds between two passes of the planner, so that events gather."""
+WORKER_PAUSE_MS = 250
+"""Milliseconds between two reads of the workers' own records."""
+EXPIRY_INTERVAL_MS = 5000
+"""Milliseconds between two searches for jobs that need not be kept."""
+RENEW_STEPS = 6
+"""Waiting steps whose tickets are renewed ahead of their turn."""
+RENEW_AHEAD_MS = 80
+"""Milliseconds of validity beyond the time of a question that are wanted."""
+
+WorkerCodec = Callable[[str, bytes], WorkerInfo | None]
+
+_log = PartLog("control")
+
+
+class Leader:
+    """Drives the cell for as long as it holds the highest fencing token.
+
+    Parameters
+    ----------
+    record : LeaderRecord
+        Sign of this leader.
+    sequence : int
+        Number of its first append.
+    store : RecordStore
+        Store.
+    table : JobTable
+        All jobs, as of the claim or later.
+    port : WorkerPort
+        Calls to workers.
+    desk : AdviceDesk
+        Questions to queues' policies.
+    read_worker : callable
+        Decodes what a worker registers.
+    clock : Clock
+        Source of time.
+    cfg : ControlSettings
+        Settings.
+    fleet : list of WorkerInfo
+        Workers that the leader before had in use.
+    """
+
+    def __init__(
+        self,
+        record: LeaderRecord,
+        sequence: int,
+        store: RecordStore,
+        table: JobTable,
+        port: WorkerPort,
+        desk: AdviceDesk,
+        read_worker: WorkerCodec,
+        clock: Clock,
+        cfg: ControlSettings,
+        fleet: list[WorkerInfo],
+    ) -> None:
+        self.record = record
+        self.store = store
+        self.table = table
+        self.desk = desk
+        self.read_worker = read_worker
+        self.clock = clock
+        self.cfg = cfg
+        self.fleet = fleet
+        self.book = CellBook(record.epoch, clock, table.find)
+        self.planner = Planner(self.book.quotas)
+        self.scribe = Scribe(store, self.book, record, sequence, clock, cfg)
+        self.orders = Orders(
+            self.book, port, clock, cfg, self.request_plan, self._note_fenced
+        )
+        self.holds = Holds(
+            self.book,
+            port,
+            clock,
+            cfg,
+            self.scribe.durable,
+            self.request_plan,
+            self._note_fenced,
+        )
+        self.pacing = Pacing(self.book, port, clock, cfg)
+        self.workers_follower = Follower(
+            store,
+            WORKERS_STREAM,
+            self._apply_worker,
+            self._unlist_all,
+            clock,
+            FollowerTiming(wait_ms=1000, pause_ms=WORKER_PAUSE_MS),
+            self.request_plan,
+        )
+        self._plan_wanted = asyncio.Event()
+        self._fence_reason: asyncio.Future = asyncio.get_running_loop().create_future()
+        self._questions: set[asyncio.Task] = set()
+        self._fleet_written: frozenset[WorkerId] = frozenset()
+        self._surveyed = False
+
+    # Events from outside
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Take in what operators have set."""
+        self.book.set_catalog(catalog)
+        self.request_plan()
+
+    def note_job(self, job: JobId) -> None:
+        """Take in a change of a job in the store."""
+        self.book.sync_job(job, self.table.find(job), inherited=False)
+        self.request_plan()
+
+    def request_plan(self) -> None:
+        """Plan soon, and write down what has changed."""
+        self._plan_wanted.set()
+        self.scribe.wake()
+
+    def _note_fenced(self, why: str) -> None:
+        if not self._fence_reason.done():
+            self._fence_reason.set_result(why)
+
+    # Life
+
+    async def run(self) -> str:
+        """Lead until another leader takes over.
+
+        Returns
+        -------
+        str
+            Why the leadership ended.
+        """
+        self._inherit()
+        tasks = [
+            asyncio.ensure_future(coro)
+            for coro in (
+                self.scribe.run(),
+                self.workers_follower.run(),
+                self._plan_loop(),
+                self._due_loop(),
+                self._expire_loop(),
+                self._watch_authority(),
+                self.pacing.run(),
+            )
+        ]
+        try:
+            done, _ = await asyncio.wait(
+                [*tasks, self._fence_reason], return_when=asyncio.FIRST_COMPLETED
+            )
+            return self._reason(done)
+        finally:
+            await self._close(tasks)
+
+    @staticmethod
+    def _reason(done: set[asyncio.Future]) -> str:
+        for item in done:
+            try:
+                return str(item.result())
+            except FencedError as exc:
+                return str(exc)
+        return "cancelled"
+
+    async def _close(self, tasks: list[asyncio.Task]) -> None:
+        self.orders.close()
+        self.holds.close()
+        for task in [*tasks, *self._questions]:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def resign(self) -> None:
+        """Write down everything and let a successor take over at once."""
+        try:
+            async with asyncio.timeout(self.cfg.retry_ms * 4 / 1000):
+                await self.scribe.flush(resign=True)
+        except (TimeoutError, FencedError) as exc:
+            _log.warning("Resignation not written", why=str(exc) or "no answer")
+
+    def _inherit(self) -> None:
+        """Take over all unfinished jobs and all workers that are known."""
+        for entry in list(self.table.accepted()):
+            self.book.sync_job(entry.accepted_.job, entry, inherited=True)
+        for info in self.fleet:
+            worker = self.book.sync_worker(info)
+            worker.is_listed = False
+            worker.lease_until = self._longest_lease()
+            self.holds.watch(worker)
+        self.book.withheld_until = Instant(self.clock.now() + SURVEY_MS)
+        _log.info(
+            "Leads",
+            epoch=self.record.epoch,
+            jobs=len(self.book.jobs),
+            workers=len(self.fleet),
+        )
+
+    def _longest_lease(self) -> Instant:
+        # The leader before may have renewed a lease just before it was shut out.
+        return Instant(self.clock.now() + round(self.cfg.lease_ms * 1.02) + 200)
+
+    # Workers
+
+    def _apply_worker(self, record: KeyedRecord) -> None:
+        info = self.read_worker(record.key, record.value) if record.value else None
+        worker = self.book.workers.get(WorkerId(record.key))
+        if info is None:
+            if worker is not None:
+                worker.is_listed = False
+            return
+        if worker is None:
+            worker = self.book.sync_worker(info)
+            worker.lease_until = self._longest_lease()
+            _log.info(
+                "Worker listed",
+                worker=info.worker,
+                service=info.service,
+                rack=info.rack,
+            )
+        else:
+            if info.is_draining and not worker.info.is_draining:
+                _log.info("Worker drains", worker=info.worker)
+            self.book.sync_worker(info)
+        self.holds.watch(worker)
+        self._record_fleet()
+
+    def _unlist_all(self) -> None:
+        for worker in self.book.workers.values():
+            worker.is_listed = False
+
+    def _record_fleet(self) -> None:
+        """Let a successor know the workers, also those no longer listed."""
+        names = frozenset(self.book.workers)
+        if names == self._fleet_written:
+            return
+        self._fleet_written = names
+        infos = [worker.info for worker in self.book.workers.values()]
+        value = msgspec.msgpack.encode(infos)
+        self.scribe.extra = [
+            record for record in self.scribe.extra if record.key != FLEET_KEY
+        ]
+        self.scribe.extra.append(KeyedRecord(FLEET_KEY, value))
+
+    def _check_survey(self) -> None:
+        """End the wait for workers once all have answered."""
+        if self._surveyed:
+            return
+        now = self.clock.now()
+        unknown = [w for w in self.book.workers.values() if not w.is_known]
+        listed_known = self.workers_follower.offset_ is not None
+        if listed_known and not unknown:
+            self._surveyed = True
+            self.book.withheld_until = now
+        elif now >= self.book.withheld_until:
+            if not listed_known:
+                self.book.withheld_until = Instant(now + SURVEY_MS)
+                return
+            self._surveyed = True
+            limit = max(worker.lease_until for worker in unknown)
+            self.book.withheld_until = max(now, limit)
+        else:
+            return
+        _log.info(
+            "Workers surveyed",
+            unknown=len(unknown),
+            withheld_ms=self.book.withheld_until - now,
+        )
+
+    # Planning
+
+    async def _plan_loop(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(0.2):
+                    await self._plan_wanted.wait()
+            except TimeoutError:
+                pass
+            self._plan_wanted.clear()
+            self._plan()
+            await asyncio.sleep(PLAN_GAP_MS / 1000)
+
+    def _plan(self) -> None:
+        self._check_survey()
+        self.orders.stop_all(self.book.take_stops())
+        now = self.clock.now()
+        steps = [step for step in self.book.ready_steps()]
+        steps.sort(key=lambda step: order_key(step, now))
+        for step in steps:
+            self._ask_first(step)
+        plan = self.planner.plan(now, steps, self.book.workers.values())
+        self.orders.start_all(plan.placements)
+        for step, names in plan.want_tickets:
+            self._ask(step, [self.book.workers[name] for name in names])
+        if self.desk.is_idle_enough():
+            self._renew(steps, now)
+        self.scribe.wake()
+
+    def _ask_first(self, step: StepRun) -> None:
+        """Ask about workers that could run a step and were not asked about."""
+        queue = step.job.queue
+        if queue.advice is None or step.question_open:
+            return
+        missing = [
+            worker
+            for worker in self.book.workers.values()
+            if worker.info.service == queue.service
+            and worker.is_listed
+            and worker.info.worker not in step.asked
+            and not worker.info.is_draining
+            and step.spec.reserved.fits_in(worker.info.capacity)
+        ]
+        if missing:
+            self._ask(step, missing)
+
+    def _renew(self, steps: list[StepRun], now: Instant) -> None:
+        """Renew tickets of the next steps, so that room is not left waiting."""
+        renewed = 0
+        for step in steps:
+            policy = step.job.queue.advice
+            if policy is None or not step.waiting or step.question_open:
+                continue
+            if renewed >= RENEW_STEPS:
+                return
+            renewed += 1
+            ahead = now + policy.duration_ms(len(step.allowed)) + RENEW_AHEAD_MS
+            stale = [
+                self.book.workers[name]
+                for name in step.allowed
+                if name in self.book.workers
+                and self.book.workers[name].can_start(now)
+                and (name not in step.tickets or step.tickets[name].valid_until < ahead)
+            ]
+            if stale:
+                self._ask(step, stale)
+
+    def _ask(self, step: StepRun, workers: list[Worker]) -> None:
+        if step.question_open or not workers:
+            return
+        step.question_open = True
+        task = asyncio.get_running_loop().create_task(self._ask_desk(step, workers))
+        self._questions.add(task)
+        task.add_done_callback(self._questions.discard)
+
+    async def _ask_desk(self, step: StepRun, workers: list[Worker]) -> None:
+        try:
+            if not await self.desk.ask(step, workers):
+                await asyncio.sleep(self.cfg.retry_ms / 1000)
+        finally:
+            step.question_open = False
+        self.request_plan()
+
+    # Time
+
+    async def _due_loop(self) -> None:
+        while True:
+            before = len(self.book.open_steps)
+            next_at = self.book.open_due()
+            if len(self.book.open_steps) != before:
+                self.request_plan()
+            wait = 100 if next_at is None else max(5, next_at - self.clock.now())
+            await asyncio.sleep(min(wait, 100) / 1000)
+
+    async def _expire_loop(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_MS / 1000)
+            oldest = self.clock.wall_ms() - self.cfg.keep_finished_ms
+            for key in expired_keys(self.table, oldest):
+                self.scribe.extra.append(KeyedRecord(key, b""))
+            self.scribe.wake()
+
+    async def _watch_authority(self) -> str:
+        """Give up once the store has not been reached for too long."""
+        while True:
+            await asyncio.sleep(self.cfg.beat_ms / 1000)
+            silent = self.clock.now() - self.scribe.written_at_
+            if silent > self.cfg.authority_ms:
+                return f"no append for {silent} ms"
--- /dev/null
+++ b/pimentomill/control/_scribe.py
@@ -0,0 +1,140 @@
+"""Writes what the leader knows into the store."""
+
+import asyncio
+
+import msgspec
+
+from ..exceptions import (
+    AppendUnknownError,
+    FencedError,
+    LogUnavailableError,
+    OutOfSequenceError,
+)
+from ..jobs import KeyedRecord, encode_record, progress_key
+from ..replica import LEADER_KEY, LeaderRecord, RecordStore, Writer
+from ..telemetry import PartLog
+from ..utils import Clock
+from ._book import CellBook
+from ._settings import ControlSettings
+
+__all__ = ["LEADER_WRITER", "WORK_STREAM", "Scribe"]
+
+WORK_STREAM = "work"
+LEADER_WRITER = "leader"
+GATHER_MS = 3
+"""Milliseconds in which changes gather into one append; an append takes about 10."""
+
+_log = PartLog("control")
+
+
+class Scribe:
+    """Appends progress in batches, each under the leader's fencing token.
+
+    Parameters
+    ----------
+    store : RecordStore
+        Store.
+    book : CellBook
+        Where changes come from.
+    record : LeaderRecord
+        Sign of this leader.
+    sequence : int
+        Number of its first append.
+    clock : Clock
+        Source of time.
+    cfg : ControlSettings
+        Settings.
+
+    Attributes
+    ----------
+    written_at_ : Instant
+        When the last append was answered.
+    durable : asyncio.Event
+        Set each time ends have become durable.
+    """
+
+    def __init__(
+        self,
+        store: RecordStore,
+        book: CellBook,
+        record: LeaderRecord,
+        sequence: int,
+        clock: Clock,
+        cfg: ControlSettings,
+    ) -> None:
+        self.store = store
+        self.book = book
+        self.record = record
+        self.sequence = sequence
+        self.clock = clock
+        self.cfg = cfg
+        self.written_at_ = clock.now()
+        self.durable = asyncio.Event()
+        self.extra: list[KeyedRecord] = []
+        self._wake = asyncio.Event()
+
+    def wake(self) -> None:
+        """Write soon what has changed."""
+        if self.book.dirty or self.book.marks or self.extra:
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Write until cancelled.
+
+        Raises
+        ------
+        FencedError
+            If another leader has taken over.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(self.cfg.beat_ms / 1000):
+                    await self._wake.wait()
+                    await asyncio.sleep(GATHER_MS / 1000)
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            await self.flush()
+
+    async def flush(self, resign: bool = False) -> None:
+        """Write all changes now.
+
+        Parameters
+        ----------
+        resign : bool
+            Whether a successor may take over at once.
+        """
+        progress, marks = self.book.take_dirty()
+        extra, self.extra = self.extra, []
+        records = [
+            KeyedRecord(progress_key(item.job), encode_record(item))
+            for item in progress
+        ]
+        records += extra
+        if resign:
+            self.record = msgspec.structs.replace(self.record, resigned=True)
+        beat_due = self.clock.now() - self.written_at_ >= self.cfg.beat_ms
+        if records or beat_due or resign:
+            value = msgspec.msgpack.encode(self.record)
+            await self._append([*records, KeyedRecord(LEADER_KEY, value)])
+        for mark in marks:
+            mark.worker.mark_durable(mark.born_ms, mark.number)
+        if marks:
+            self.durable.set()
+
+    async def _append(self, records: list[KeyedRecord]) -> None:
+        """Append one batch, repeating it until its fate is known."""
+        writer = Writer(LEADER_WRITER, self.record.epoch, self.sequence)
+        while True:
+            try:
+                await self.store.append(WORK_STREAM, records, writer)
+                break
+            except OutOfSequenceError as exc:
+                if exc.expected != self.sequence + 1:
+                    raise FencedError(f"another leader writes: {exc}") from exc
+                break
+            except (LogUnavailableError, AppendUnknownError) as exc:
+                _log.warning("Append repeated", sequence=self.sequence, why=str(exc))
+                await asyncio.sleep(self.cfg.retry_ms / 1000)
+        self.sequence += 1
+        self.written_at_ = self.clock.now()
--- /dev/null
+++ b/pimentomill/dispatch/_planner.py
@@ -0,0 +1,304 @@
+"""Which waiting task starts on which worker."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ..fleet import Worker
+from ..jobs import WorkerId
+from ..utils import ZERO, Instant, Resources
+from ._quota import QuotaBook
+from ._state import StepRun
+
+__all__ = ["Placement", "Plan", "Planner"]
+
+WIDE_SHARE = 0.5
+"""A task that takes more of a worker is hard to place once the worker is shared."""
+MAX_RESERVED = 2
+"""Workers kept free for one step; more would idle more room than the step needs."""
+
+
+class Placement(NamedTuple):
+    """A task of a step is to start on a worker.
+
+    The ticket is empty if the queue has no policy of its own.
+    """
+
+    step: StepRun
+    index: int
+    worker: Worker
+    ticket: str
+
+
+class Plan:
+    """Result of one pass.
+
+    Attributes
+    ----------
+    placements : list of Placement
+        What to start; members of a gang follow one another.
+    want_tickets : list of tuple of StepRun and list of WorkerId
+        Steps that would have room on workers for which a ticket is missing.
+    """
+
+    def __init__(self) -> None:
+        self.placements: list[Placement] = []
+        self.want_tickets: list[tuple[StepRun, list[WorkerId]]] = []
+
+
+class _Room:
+    """Capacity of a worker that the pass has not given away."""
+
+    __slots__ = ("acc", "cpu", "id", "mem", "per_step", "worker")
+
+    def __init__(self, worker: Worker) -> None:
+        free = worker.free
+        self.worker = worker
+        self.id = worker.info.worker
+        self.cpu = free.cpu_milli
+        self.mem = free.memory_mb
+        self.acc = free.accelerators
+        self.per_step: dict = {}
+
+    def fits(self, need: Resources) -> bool:
+        return (
+            need.cpu_milli <= self.cpu
+            and need.memory_mb <= self.mem
+            and need.accelerators <= self.acc
+        )
+
+    def take(self, need: Resources) -> None:
+        self.cpu -= need.cpu_milli
+        self.mem -= need.memory_mb
+        self.acc -= need.accelerators
+
+    def give(self, need: Resources) -> None:
+        self.cpu += need.cpu_milli
+        self.mem += need.memory_mb
+        self.acc += need.accelerators
+
+
+class Planner:
+    """Places waiting tasks where capacity exists.
+
+    Parameters
+    ----------
+    quotas : QuotaBook
+        Limits of teams.
+    """
+
+    def __init__(self, quotas: QuotaBook) -> None:
+        self.quotas = quotas
+
+    def plan(
+        self, now: Instant, steps: Iterable[StepRun], workers: Iterable[Worker]
+    ) -> Plan:
+        """Return what to start now.
+
+        Parameters
+        ----------
+        now : Instant
+            Time.
+        steps : iterable of StepRun
+            Steps with waiting tasks, the most urgent first.
+        workers : iterable of Worker
+            All workers.
+
+        Returns
+        -------
+        Plan
+            Placements that together respect capacity and limits.
+        """
+        return _Pass(self.quotas, now, workers).run(steps)
+
+
+class _Pass:
+    def __init__(self, quotas: QuotaBook, now: Instant, workers) -> None:
+        self.quotas = quotas
+        self.now = now
+        self.rooms: dict[str, list[_Room]] = {}
+        for worker in workers:
+            if worker.can_start(now):
+                room = _Room(worker)
+                self.rooms.setdefault(worker.info.service, []).append(room)
+        self.reserved: set[WorkerId] = set()
+        self.planned: dict[str, Resources] = {}
+        self.out = Plan()
+
+    def run(self, steps: Iterable[StepRun]) -> Plan:
+        for step in steps:
+            rooms = self.rooms.get(step.job.queue.service)
+            if rooms:
+                self._place_step(step, rooms)
+        return self.out
+
+    def _place_step(self, step: StepRun, rooms: list[_Room]) -> None:
+        rooms = [room for room in rooms if self._suits(step, room)]
+        if step.spec.gang:
+            blocked = self._place_gang(step, rooms)
+        else:
+            blocked = self._place_tasks(step, rooms)
+        if blocked:
+            self._reserve(step, rooms, blocked)
+
+    def _suits(self, step: StepRun, room: _Room) -> bool:
+        spec = step.spec
+        if spec.required_label and spec.required_label not in room.worker.info.labels:
+            return False
+        if room.id in self.reserved:
+            return False
+        return step.job.queue.advice is None or room.id in step.allowed
+
+    def _place_tasks(self, step: StepRun, rooms: list[_Room]) -> int:
+        """Place what fits and return how many tasks are left for want of room."""
+        need = step.spec.reserved
+        left = 0
+        lacking: set[WorkerId] = set()
+        for index in sorted(step.waiting):
+            if not self._within_limit(step):
+                break
+            room = self._best(step, rooms, step.last_workers.get(index))
+            if room is None:
+                left += 1
+                break
+            ticket = self._ticket(step, room.id)
+            if ticket is None:
+                lacking.add(room.id)
+                self._occupy(step, room, need)
+                continue
+            self._occupy(step, room, need)
+            self.out.placements.append(Placement(step, index, room.worker, ticket))
+        if lacking:
+            self.out.want_tickets.append((step, sorted(lacking)))
+        return left
+
+    def _place_gang(self, step: StepRun, rooms: list[_Room]) -> int:
+        """Place all tasks or none and return how many lack room."""
+        if not step.waiting or step.active:
+            return 0
+        need = step.spec.reserved
+        groups = [rooms]
+        if step.spec.rack_sensitive:
+            racks: dict[str, list[_Room]] = {}
+            for room in rooms:
+                racks.setdefault(room.worker.info.rack, []).append(room)
+            groups = [*racks.values(), rooms]
+        for group in groups:
+            chosen = self._fit_gang(step, group, need)
+            if chosen is not None:
+                self._start_gang(step, chosen)
+                return 0
+        return step.spec.count
+
+    def _fit_gang(self, step: StepRun, rooms: list[_Room], need: Resources):
+        chosen: list[_Room] = []
+        before = self.planned.get(step.job.accepted.team, ZERO)
+        for _ in range(step.spec.count):
+            room = self._best(step, rooms, None) if self._within_limit(step) else None
+            if room is None:
+                for taken in chosen:
+                    taken.give(need)
+                    taken.per_step[step.key] -= 1
+                self.planned[step.job.accepted.team] = before
+                return None
+            self._occupy(step, room, need)
+            chosen.append(room)
+        return chosen
+
+    def _start_gang(self, step: StepRun, chosen: list[_Room]) -> None:
+        tickets = [self._ticket(step, room.id) for room in chosen]
+        lacking = {
+            room.id for room, ticket in zip(chosen, tickets, strict=True) if not ticket
+        }
+        if step.job.queue.advice is not None and lacking:
+            wanted = sorted({room.id for room in chosen})
+            self.out.want_tickets.append((step, wanted))
+            return
+        for index, (room, ticket) in enumerate(zip(chosen, tickets, strict=True)):
+            placement = Placement(step, index, room.worker, ticket or "")
+            self.out.placements.append(placement)
+
+    def _best(self, step: StepRun, rooms: list[_Room], last: WorkerId | None):
+        """Return the room that the task fits into most tightly."""
+        spec = step.spec
+        need = spec.reserved
+        best = None
+        best_score = None
+        for room in rooms:
+            if not room.fits(need):
+                continue
+            if spec.max_per_worker and (self._count(step, room) >= spec.max_per_worker):
+                continue
+            score = self._score(step, room, last)
+            if best_score is None or score < best_score:
+                best, best_score = room, score
+        return best
+
+    def _score(self, step: StepRun, room: _Room, last: WorkerId | None) -> tuple:
+        spec = step.spec
+        info = room.worker.info
+        far = bool(spec.data_rack) and info.rack != spec.data_rack
+        # A task that failed on a worker is better tried on another one.
+        again = room.id == last
+        suspect = min(room.worker.failures_in_row, 3)
+        if spec.fills:
+            return (suspect, again, far, self._tail_tasks(room), -room.cpu)
+        capacity = info.capacity
+        left = (room.cpu - spec.need.cpu_milli) / max(1, capacity.cpu_milli)
+        left += (room.mem - spec.need.memory_mb) / max(1, capacity.memory_mb)
+        if capacity.accelerators:
+            left += (room.acc - spec.need.accelerators) / capacity.accelerators
+        ticketless = (
+            step.job.queue.advice is not None and self._ticket(step, room.id) is None
+        )
+        return (suspect, again, far, ticketless, left)
+
+    @staticmethod
+    def _tail_tasks(room: _Room) -> int:
+        return sum(attempt.load > 0 for attempt in room.worker.attempts.values())
+
+    def _count(self, step: StepRun, room: _Room) -> int:
+        count = room.per_step.get(step.key)
+        if count is None:
+            count = sum(task.step_key == step.key for task in room.worker.attempts)
+            room.per_step[step.key] = count
+        return count
+
+    def _occupy(self, step: StepRun, room: _Room, need: Resources) -> None:
+        room.take(need)
+        room.per_step[step.key] = self._count(step, room) + 1
+        team = step.job.accepted.team
+        self.planned[team] = self.planned.get(team, ZERO) + step.spec.need
+
+    def _within_limit(self, step: StepRun) -> bool:
+        team = step.job.accepted.team
+        planned = self.planned.get(team, ZERO)
+        return self.quotas.allows(team, step.spec.need, planned)
+
+    def _ticket(self, step: StepRun, worker: WorkerId) -> str | None:
+        if step.job.queue.advice is None:
+            return ""
+        ticket = step.tickets.get(worker)
+        if ticket is None or ticket.valid_until <= self.now:
+            return None
+        return ticket.text
+
+    def _reserve(self, step: StepRun, rooms: list[_Room], blocked: int) -> None:
+        """Keep workers free of later steps for tasks that take most of one."""
+        if step.job.over_share:
+            return
+        need = step.spec.reserved
+        wide = []
+        for room in rooms:
+            capacity = room.worker.info.capacity
+            if need.fits_in(capacity) and _share(need, capacity) > WIDE_SHARE:
+                wide.append(room)
+        wide.sort(key=lambda room: (-room.acc, -room.cpu))
+        for room in wide[: min(blocked, MAX_RESERVED)]:
+            self.reserved.add(room.id)
+
+
+def _share(need: Resources, capacity: Resources) -> float:
+    share = need.cpu_milli / max(1, capacity.cpu_milli)
+    if capacity.accelerators:
+        share = max(share, need.accelerators / capacity.accelerators)
+    return max(share, need.memory_mb / max(1, capacity.memory_mb))
--- /dev/null
+++ b/pimentomill/dispatch/_quota.py
@@ -0,0 +1,84 @@
+"""Upper limits of teams, and how fast each hands work in."""
+
+from ..catalog import Team
+from ..utils import ZERO, Instant, Resources
+
+__all__ = ["QuotaBook", "ShareMeter"]
+
+BURST_S = 2.0
+"""Seconds of a team's share that it may hand in at once: the quota window is 5 s."""
+MS_PER_S = 1000
+
+
+class QuotaBook:
+    """What each team has running, against its limit.
+
+    Examples
+    --------
+    >>> book = QuotaBook()
+    >>> book.teams = {"a": Team("a", 1.0, Resources(cpu_milli=1000))}
+    >>> book.allows("a", Resources(800, 10, 0))
+    True
+    >>> book.add("a", Resources(800, 10, 0))
+    >>> book.allows("a", Resources(800, 10, 0))
+    False
+    """
+
+    def __init__(self) -> None:
+        self.teams: dict[str, Team] = {}
+        self.used: dict[str, Resources] = {}
+
+    def allows(self, team: str, need: Resources, planned: Resources = ZERO) -> bool:
+        """Return whether a team may have so much more running.
+
+        Parameters
+        ----------
+        team : str
+            Team, empty for work without a team.
+        need : Resources
+            What is to be added.
+        planned : Resources
+            What has been planned for the team but is not in the book yet.
+        """
+        rights = self.teams.get(team)
+        if rights is None or rights.limit.is_zero():
+            return True
+        total = self.used.get(team, ZERO) + planned + need
+        limit = rights.limit
+        return (
+            (not limit.cpu_milli or total.cpu_milli <= limit.cpu_milli)
+            and (not limit.memory_mb or total.memory_mb <= limit.memory_mb)
+            and (not limit.accelerators or total.accelerators <= limit.accelerators)
+        )
+
+    def add(self, team: str, need: Resources) -> None:
+        """Count work of a team as running."""
+        if team:
+            self.used[team] = self.used.get(team, ZERO) + need
+
+    def remove(self, team: str, need: Resources) -> None:
+        """Count work of a team as ended."""
+        if team:
+            self.used[team] = self.used.get(team, ZERO) - need
+
+
+class ShareMeter:
+    """Tells which jobs lie beyond a team's share of hand-ins.
+
+    A team's weight is the number of jobs a second that it is entitled to; a
+    bucket of that rate holds `BURST_S` seconds of it.
+    """
+
+    def __init__(self) -> None:
+        self._level: dict[str, tuple[float, Instant]] = {}
+
+    def is_over(self, team: Team | None, now: Instant) -> bool:
+        """Count a job and return whether it lies beyond the team's share."""
+        if team is None or team.weight <= 0:
+            return False
+        size = max(1.0, team.weight * BURST_S)
+        level, at = self._level.get(team.name, (size, now))
+        level = min(size, level + (now - at) * team.weight / MS_PER_S)
+        over = level < 1.0
+        self._level[team.name] = (level if over else level - 1.0, now)
+        return over
--- a/pimentomill/entry/_core.py
+++ b/pimentomill/entry/_core.py
@@ -17,14 +17,7 @@
 )
 from ..exceptions import NotHolderError, TransportError
 from ..holder import GroupHolder, GroupSummary, HolderPhase
-from ..ownership import (
-    LeaseGuard,
-    Witness,
-    choose_claims,
-    choose_evictions,
-    choose_releases,
-)
-from ..platform import (
+from ..journal import (
     AppendState,
     Applied,
     Instance,
@@ -33,6 +26,13 @@
     StreamSlice,
     decode_envelope,
 )
+from ..ownership import (
+    LeaseGuard,
+    Witness,
+    choose_claims,
+    choose_evictions,
+    choose_releases,
+)
 from ..settings import EntrySettings
 from ..snapshots import SnapshotPart, SnapshotSchedule, SnapshotWriter
 from ..utils import (
--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -9,6 +9,7 @@
 from ..cell import CellState
 from ..exceptions import LogUnavailableError, PimentomillError
 from ..http import HttpServer
+from ..journal import LogWriter, PendingAppend, PlatformClient
 from ..peers import (
     AskJob,
     AskJobs,
@@ -22,7 +23,6 @@
     SummaryList,
     WorkerList,
 )
-from ..platform import LogWriter, PendingAppend, PlatformClient
 from ..requests import AskStored, ClaimCall, DispatchCall, Dispatcher, RetryBudget
 from ..settings import EntrySettings
 from ..telemetry import Metrics, PartLog
--- a/pimentomill/entry/_effects.py
+++ b/pimentomill/entry/_effects.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Protocol
 
-from ..platform import PendingAppend
+from ..journal import PendingAppend
 from ..utils import GroupName, StreamName
 from ..workers import CommandBatch, WorkerView
 
--- a/pimentomill/entry/_io.py
+++ b/pimentomill/entry/_io.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from ..exceptions import LogUnavailableError, TransportError
+from ..journal import PlatformClient, ReadRequest, StreamSlice
 from ..ownership import LeaseGuard
-from ..platform import PlatformClient, ReadRequest, StreamSlice
 from ..snapshots import load_latest
 from ..utils import GroupName, InstanceId, Offset, StreamName
 from ..workers import CommandAnswer, CommandBatch, WorkerClient
--- a/pimentomill/entry/_jobs.py
+++ b/pimentomill/entry/_jobs.py
@@ -13,7 +13,7 @@
     TransportError,
 )
 from ..holder import JobAnswer, describe_job
-from ..platform import PlatformClient, ReadRequest, decode_envelope
+from ..journal import PlatformClient, ReadRequest, decode_envelope
 from ..settings import EntrySettings
 from ..utils import Clock, GroupName, JobId, Offset, TeamName
 from ..work import (
--- a/pimentomill/entry/_requests.py
+++ b/pimentomill/entry/_requests.py
@@ -13,8 +13,8 @@
     TransportError,
 )
 from ..holder import GroupSummary
+from ..journal import Instance
 from ..peers import PeerClient
-from ..platform import Instance
 from ..requests import (
     AskStored,
     BackendPool,
--- a/pimentomill/entry/_waiters.py
+++ b/pimentomill/entry/_waiters.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..exceptions import AppendUnknownError, ConflictError, LogUnavailableError
-from ..platform import AppendState, Applied, PendingAppend
+from ..journal import AppendState, Applied, PendingAppend
 
 __all__ = ["AppendWaiters", "FoldWaiters"]
 
--- a/pimentomill/entry/tests/test_core.py
+++ b/pimentomill/entry/tests/test_core.py
@@ -3,7 +3,7 @@
 from pimentomill.cell import MemberJoined, MemberRenewed, TeamSet
 from pimentomill.entry import CELL_STREAM, EntryCore
 from pimentomill.exceptions import ConflictError, LogUnavailableError
-from pimentomill.platform import (
+from pimentomill.journal import (
     AppendState,
     PendingAppend,
     StreamSlice,
--- a/pimentomill/exceptions.py
+++ b/pimentomill/exceptions.py
@@ -9,10 +9,12 @@
     "AppendUnknownError",
     "CapacityError",
     "ConflictError",
+    "FencedError",
     "InvariantError",
     "LogUnavailableError",
     "NotFoundError",
     "NotHolderError",
+    "OutOfSequenceError",
     "PimentomillError",
     "QuerySyntaxError",
     "RecordsForgottenError",
@@ -111,6 +113,26 @@
     """An append may or may not have taken effect."""
 
 
+class FencedError(PimentomillError):
+    """A holder of a higher fencing token has taken over."""
+
+
+class OutOfSequenceError(PimentomillError):
+    """An append does not follow the last one of its writer.
+
+    Parameters
+    ----------
+    message : str
+        What was refused.
+    expected : int
+        Sequence number that the log expects.
+    """
+
+    def __init__(self, message: str, expected: int) -> None:
+        super().__init__(message)
+        self.expected = expected
+
+
 class RecordsForgottenError(PimentomillError):
     """The log no longer keeps the records that were asked for."""
 
--- /dev/null
+++ b/pimentomill/fleet/__init__.py
@@ -0,0 +1,31 @@
+"""Workers: what they are asked, what they answer, what is known of them."""
+
+from ._messages import (
+    EndKind,
+    HoldOrder,
+    RunEnd,
+    RunStatus,
+    StartAnswer,
+    StartOrder,
+    StartOutcome,
+    WorkerInfo,
+    WorkerPort,
+    WorkerReport,
+)
+from ._worker import Attempt, AttemptPhase, Worker
+
+__all__ = [
+    "Attempt",
+    "AttemptPhase",
+    "EndKind",
+    "HoldOrder",
+    "RunEnd",
+    "RunStatus",
+    "StartAnswer",
+    "StartOrder",
+    "StartOutcome",
+    "Worker",
+    "WorkerInfo",
+    "WorkerPort",
+    "WorkerReport",
+]
--- /dev/null
+++ b/pimentomill/fleet/_worker.py
@@ -0,0 +1,225 @@
+"""What the leader knows about one worker."""
+
+from collections import deque
+from enum import Enum
+
+from ..jobs import TaskKey
+from ..utils import ZERO, Instant, Resources
+from ._messages import WorkerInfo
+
+__all__ = ["Attempt", "AttemptPhase", "Worker"]
+
+CLOCK_DRIFT = 0.02
+"""Share by which a worker's clock may be slow, by the platform's contract."""
+LAPSE_MARGIN_MS = 150
+"""Milliseconds added before a lease counts as lapsed: one slow round trip."""
+
+
+class AttemptPhase(Enum):
+    """How far an attempt has come."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    UNCERTAIN = "uncertain"
+    STOPPING = "stopping"
+
+
+class Attempt:
+    """One run of a task on a worker.
+
+    Parameters
+    ----------
+    task : TaskKey
+        Task.
+    run : int
+        Number of the run.
+    worker : Worker
+        Where it runs.
+    reserved : Resources
+        What it takes from the worker's capacity.
+    now : Instant
+        When it was decided.
+
+    Attributes
+    ----------
+    phase : AttemptPhase
+        How far it has come.
+    settled_at : Instant
+        Time of the last answered order about it; only reports asked for later
+        tell whether it is there.
+    percent, advanced_at, saved, load
+        Newest progress, when it last grew, checkpoint and load.
+    pace : int
+        Share of its speed that it was told to work at, in percent.
+    in_doubt : bool
+        Whether the order to start it had no answer.
+    """
+
+    __slots__ = (
+        "advanced_at",
+        "began_at",
+        "in_doubt",
+        "load",
+        "pace",
+        "percent",
+        "phase",
+        "reserved",
+        "run",
+        "saved",
+        "settled_at",
+        "task",
+        "why_stopped",
+        "worker",
+    )
+
+    def __init__(
+        self, task: TaskKey, run: int, worker: "Worker", reserved: Resources, now
+    ) -> None:
+        self.task = task
+        self.run = run
+        self.worker = worker
+        self.reserved = reserved
+        self.phase = AttemptPhase.STARTING
+        self.began_at = now
+        self.settled_at: Instant = now
+        self.advanced_at = now
+        self.percent = -1
+        self.saved = ""
+        self.load = 0
+        self.pace = 100
+        self.why_stopped = ""
+        self.in_doubt = False
+
+
+class Worker:
+    """A worker with its attempts, its lease and its ends.
+
+    Parameters
+    ----------
+    info : WorkerInfo
+        How it registers itself.
+    now : Instant
+        When it was first seen.
+
+    Attributes
+    ----------
+    attempts : dict of TaskKey to Attempt
+        Attempts that may take capacity.
+    used : Resources
+        Capacity that they take.
+    is_listed : bool
+        Whether the platform lists it.
+    is_reachable : bool
+        Whether its last hold was answered.
+    lease_until : Instant
+        Upper bound of the end of the lease, on this process' clock.
+    """
+
+    def __init__(self, info: WorkerInfo, now: Instant) -> None:
+        self.info = info
+        self.attempts: dict[TaskKey, Attempt] = {}
+        self.used = ZERO
+        self.is_listed = True
+        self.is_reachable = False
+        self.is_known = False
+        self.born_ms = 0
+        self.lease_until = now
+        self.heard_at: Instant | None = None
+        self.failures_in_row = 0
+        self.avoid_until = now
+        self._clock_ms = 0
+        self._clock_at = now
+        self._has_clock = False
+        self.processed = 0
+        self._durable: set[int] = set()
+        self._open_ends: deque[int] = deque()
+        self.acknowledged = 0
+
+    @property
+    def free(self) -> Resources:
+        """Capacity that no attempt takes."""
+        return self.info.capacity - self.used
+
+    def can_start(self, now: Instant) -> bool:
+        """Return whether new runs may be placed here."""
+        return (
+            self.is_listed
+            and self.is_reachable
+            and not self.info.is_draining
+            and now >= self.avoid_until
+        )
+
+    def add(self, attempt: Attempt) -> None:
+        """Take capacity for an attempt."""
+        self.attempts[attempt.task] = attempt
+        self.used = self.used + attempt.reserved
+
+    def remove(self, attempt: Attempt) -> bool:
+        """Free the capacity of an attempt, once."""
+        if self.attempts.get(attempt.task) is not attempt:
+            return False
+        del self.attempts[attempt.task]
+        self.used = self.used - attempt.reserved
+        return True
+
+    def note_clock(self, clock_ms: int, now: Instant) -> None:
+        """Take in a reading of the worker's clock."""
+        self._clock_ms = clock_ms
+        self._clock_at = now
+        self._has_clock = True
+
+    def lease_end(self, now: Instant, term_ms: int) -> int | None:
+        """Return the end of a lease from now on the worker's clock.
+
+        The bound on this process' clock is moved along: an order without an
+        answer may have been carried out.
+
+        Parameters
+        ----------
+        now : Instant
+            Time at which the order is sent.
+        term_ms : int
+            Length of the lease in milliseconds.
+
+        Returns
+        -------
+        int or None
+            Milliseconds on the worker's clock; None if that is not known yet.
+        """
+        if not self._has_clock:
+            return None
+        bound = now + round(term_ms * (1 + CLOCK_DRIFT)) + LAPSE_MARGIN_MS
+        self.lease_until = Instant(max(self.lease_until, bound))
+        return self._clock_ms + (now - self._clock_at) + term_ms
+
+    def begin_life(self, born_ms: int) -> None:
+        """Forget what belongs to an earlier life."""
+        self.born_ms = born_ms
+        self._has_clock = False
+        self.processed = 0
+        self.acknowledged = 0
+        self._durable.clear()
+        self._open_ends.clear()
+        self.failures_in_row = 0
+
+    def note_end(self, number: int) -> bool:
+        """Return whether an end is new, and remember it."""
+        if number <= self.processed:
+            return False
+        self.processed = number
+        self._open_ends.append(number)
+        return True
+
+    def mark_durable(self, born_ms: int, number: int) -> None:
+        """Note that an end is in the store, and advance the acknowledgement."""
+        if born_ms != self.born_ms:
+            return
+        self._durable.add(number)
+        while self._open_ends and self._open_ends[0] in self._durable:
+            self.acknowledged = self._open_ends.popleft()
+            self._durable.discard(self.acknowledged)
+
+    @property
+    def has_open_ends(self) -> bool:
+        """Whether ends wait to be stored."""
+        return bool(self._open_ends)
--- a/pimentomill/holder/_allotments.py
+++ b/pimentomill/holder/_allotments.py
@@ -8,7 +8,7 @@
     CellState,
     allotted_total,
 )
-from ..platform import AppendState, Applied, PendingAppend
+from ..journal import AppendState, Applied, PendingAppend
 from ..utils import ZERO, Epoch, GroupName, MemberId, Resources, TeamName
 from ._ports import HolderPorts
 
--- a/pimentomill/holder/_appends.py
+++ b/pimentomill/holder/_appends.py
@@ -1,6 +1,6 @@
 """Records that have to be kept sooner or later."""
 
-from ..platform import AppendState, PendingAppend
+from ..journal import AppendState, PendingAppend
 from ..utils import GroupName
 from ..work import WorkRecord
 from ._ports import HolderPorts
--- a/pimentomill/holder/_flight.py
+++ b/pimentomill/holder/_flight.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..platform import PendingAppend
+from ..journal import PendingAppend
 from ..utils import InstanceId, Resources, TeamName
 from ..work import TaskRef
 from ..workers import WorkerClock
--- a/pimentomill/holder/_holder.py
+++ b/pimentomill/holder/_holder.py
@@ -12,9 +12,9 @@
 
 from ..cell import MemberRenewed
 from ..exceptions import InvariantError, TransportError
+from ..journal import AppendState, Applied, Instance, decode_envelope
 from ..ownership import LeaseGuard
 from ..placement import PlacementPass, Scheduler, TeamRoom
-from ..platform import AppendState, Applied, Instance, decode_envelope
 from ..requests import RequestClaims, StoredAnswer
 from ..settings import LeaseSettings
 from ..utils import (
--- a/pimentomill/holder/_moves.py
+++ b/pimentomill/holder/_moves.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from ..journal import AppendState, PendingAppend
 from ..placement import Scheduler, WaitCode
-from ..platform import AppendState, PendingAppend
 from ..utils import Clock, Epoch, GroupName, JobId, Resources
 from ..work import (
     Job,
--- a/pimentomill/holder/_ports.py
+++ b/pimentomill/holder/_ports.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from ..cell import CellRecord, CellState
-from ..platform import PendingAppend
+from ..journal import PendingAppend
 from ..utils import GroupName
 from ..work import WorkRecord
 from ..workers import CommandBatch, WorkerView
--- a/pimentomill/holder/_watch.py
+++ b/pimentomill/holder/_watch.py
@@ -1,6 +1,6 @@
 """The workers of a group: who there is, and who is silent."""
 
-from ..platform import Instance, InstanceState
+from ..journal import Instance, InstanceState
 from ..settings import LeaseSettings
 from ..utils import Clock, Instant
 from ..workers import WorkerHealth, WorkerView
--- /dev/null
+++ b/pimentomill/intake/_intake.py
@@ -0,0 +1,156 @@
+"""Callers' requests about jobs, answered at any entry."""
+
+import asyncio
+from enum import Enum
+
+from ..catalog import Queue
+from ..exceptions import AppendUnknownError, LogUnavailableError
+from ..jobs import (
+    Accepted,
+    Cancelled,
+    JobEntry,
+    JobSpec,
+    JobState,
+    JobTable,
+    KeyedRecord,
+    accepted_key,
+    cancelled_key,
+    encode_record,
+)
+from ..replica import Follower, RecordStore
+from ..telemetry import PartLog
+from ..utils import Clock, Instant, JobId
+
+__all__ = ["Intake", "Kept", "Unavailable"]
+
+OUTAGE_AGE_MS = 1200
+"""Age of the state above which the store counts as out of reach."""
+FRESH_WAIT_MS = 1000
+"""Longest wait for the newest state; callers wait 3 s for an answer."""
+
+_log = PartLog("intake")
+
+
+class Kept(Enum):
+    """What became of a request that changes something."""
+
+    KEPT = "kept"
+    NOT_KEPT = "not kept"
+    UNKNOWN = "unknown"
+    NO_SUCH_JOB = "no such job"
+
+
+class Unavailable(Exception):  # noqa: N818
+    """The newest state can't be read now."""
+
+
+class Intake:
+    """Accepts, cancels and shows jobs.
+
+    Parameters
+    ----------
+    store : RecordStore
+        Store.
+    stream : str
+        Stream of the jobs' records.
+    table : JobTable
+        All jobs by replay.
+    follower : Follower
+        Keeps the table up to date.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        store: RecordStore,
+        stream: str,
+        table: JobTable,
+        follower: Follower,
+        clock: Clock,
+    ) -> None:
+        self.store = store
+        self.stream = stream
+        self.table = table
+        self.follower = follower
+        self.clock = clock
+
+    def is_store_lost(self) -> bool:
+        """Return whether the store is out of reach."""
+        return not self.follower.is_reachable_ or self.follower.age_ms() > OUTAGE_AGE_MS
+
+    async def submit(self, queue: Queue, team: str, job: JobId, spec: JobSpec) -> Kept:
+        """Accept a job, once.
+
+        Returns
+        -------
+        Kept
+            `NOT_KEPT` only if the job certainly never runs by this request.
+        """
+        if self.table.find(job) is not None:
+            return Kept.KEPT
+        if self.is_store_lost():
+            return Kept.NOT_KEPT
+        record = Accepted(job, queue, team, spec, self.clock.wall_ms())
+        return await self._append(accepted_key(job), encode_record(record))
+
+    async def cancel(self, queue: Queue, team: str, job: JobId) -> Kept:
+        """Cancel a job."""
+        entry = await self._find(queue, team, job)
+        if entry is None:
+            return Kept.NO_SUCH_JOB
+        if entry.state.is_final:
+            return Kept.KEPT
+        record = Cancelled(job, self.clock.wall_ms())
+        return await self._append(cancelled_key(job), encode_record(record))
+
+    async def state(self, queue: Queue, team: str, job: JobId) -> JobState | None:
+        """Return a job's state, None if there is no such job.
+
+        Raises
+        ------
+        Unavailable
+            If that can't be told now.
+        """
+        entry = await self._find(queue, team, job)
+        return entry.state if entry is not None else None
+
+    def waiting(self, queue: Queue) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return sum(
+            entry.state is JobState.QUEUED and entry.accepted_.queue.name == queue.name
+            for entry in self.table.accepted()
+        )
+
+    async def _find(self, queue: Queue, team: str, job: JobId) -> JobEntry | None:
+        entry = self.table.find(job)
+        if entry is None:
+            # The job may have been accepted elsewhere a moment ago.
+            deadline = Instant(self.clock.now() + FRESH_WAIT_MS)
+            if self.is_store_lost() or not await self.follower.wait_current(deadline):
+                raise Unavailable("the newest state can't be read")
+            entry = self.table.find(job)
+        if entry is None or not self._may_see(entry, queue, team):
+            return None
+        return entry
+
+    @staticmethod
+    def _may_see(entry: JobEntry, queue: Queue, team: str) -> bool:
+        accepted = entry.accepted_
+        if accepted.queue.name != queue.name:
+            return False
+        return not (accepted.team and team) or accepted.team == team
+
+    async def _append(self, key: str, value: bytes) -> Kept:
+        try:
+            await self.store.append(self.stream, [KeyedRecord(key, value)])
+        except LogUnavailableError as exc:
+            _log.warning("Not kept", key=key, why=str(exc))
+            return Kept.NOT_KEPT
+        except AppendUnknownError as exc:
+            _log.warning("Outcome unknown", key=key, why=str(exc))
+            return Kept.UNKNOWN
+        except asyncio.CancelledError:
+            _log.warning("Outcome unknown", key=key, why="caller has gone")
+            raise
+        return Kept.KEPT
--- /dev/null
+++ b/pimentomill/jobs/__init__.py
@@ -0,0 +1,50 @@
+"""Jobs: their parts, their records in the store, their state by replay."""
+
+from ._model import (
+    JobSpec,
+    JobState,
+    StepKey,
+    StepSpec,
+    TaskKey,
+    WorkerId,
+    task_sort_key,
+)
+from ._records import (
+    Accepted,
+    Cancelled,
+    JobRecord,
+    KeyedRecord,
+    Progress,
+    StepProgress,
+    accepted_key,
+    cancelled_key,
+    decode_job_record,
+    encode_record,
+    job_of_key,
+    progress_key,
+)
+from ._table import JobEntry, JobTable
+
+__all__ = [
+    "Accepted",
+    "Cancelled",
+    "JobEntry",
+    "JobRecord",
+    "JobSpec",
+    "JobState",
+    "JobTable",
+    "KeyedRecord",
+    "Progress",
+    "StepKey",
+    "StepProgress",
+    "StepSpec",
+    "TaskKey",
+    "WorkerId",
+    "accepted_key",
+    "cancelled_key",
+    "decode_job_record",
+    "encode_record",
+    "job_of_key",
+    "progress_key",
+    "task_sort_key",
+]
--- /dev/null
+++ b/pimentomill/jobs/_table.py
@@ -0,0 +1,131 @@
+"""State of all jobs by replay of the store's records."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from ..telemetry import PartLog
+from ..utils import JobId
+from ._model import JobState
+from ._records import (
+    Accepted,
+    Cancelled,
+    Progress,
+    decode_job_record,
+    job_of_key,
+)
+
+__all__ = ["JobEntry", "JobTable"]
+
+_log = PartLog("jobs")
+
+
+class JobEntry:
+    """What the store says about one job.
+
+    Attributes
+    ----------
+    accepted_ : Accepted or None
+        Acceptance; None until it is read.
+    progress_ : Progress or None
+        Newest progress.
+    cancelled_ : Cancelled or None
+        Cancellation.
+    """
+
+    __slots__ = ("accepted_", "cancelled_", "progress_")
+
+    def __init__(self) -> None:
+        self.accepted_: Accepted | None = None
+        self.progress_: Progress | None = None
+        self.cancelled_: Cancelled | None = None
+
+    @property
+    def state(self) -> JobState:
+        """State shown to callers."""
+        progress = self.progress_
+        if progress is not None and progress.state.is_final:
+            return progress.state
+        if self.cancelled_ is not None:
+            return JobState.CANCELLED
+        return progress.state if progress is not None else JobState.QUEUED
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is left to keep."""
+        return not (self.accepted_ or self.progress_ or self.cancelled_)
+
+
+class JobTable:
+    """All jobs that the store knows.
+
+    Attributes
+    ----------
+    entries_ : dict of JobId to JobEntry
+        Jobs by name.
+    """
+
+    def __init__(self) -> None:
+        self.entries_: dict[JobId, JobEntry] = {}
+
+    def find(self, job: JobId) -> JobEntry | None:
+        """Return an accepted job, None if there is none."""
+        entry = self.entries_.get(job)
+        return entry if entry is not None and entry.accepted_ is not None else None
+
+    def accepted(self) -> Iterator[JobEntry]:
+        """Yield all accepted jobs."""
+        return (entry for entry in self.entries_.values() if entry.accepted_)
+
+    def apply(self, key: str, value: bytes) -> JobId | None:
+        """Take in one record.
+
+        Parameters
+        ----------
+        key : str
+            Key of the record.
+        value : bytes
+            Value, empty if the key was dropped.
+
+        Returns
+        -------
+        JobId or None
+            Job that the record is about, None for other keys.
+        """
+        job = job_of_key(key)
+        if job is None:
+            return None
+        if not value:
+            self._drop(job, key)
+            return job
+        try:
+            record = decode_job_record(value)
+        except msgspec.DecodeError as exc:
+            _log.warning("Record ignored", key=key, reason=str(exc))
+            return None
+        self._store(self.entries_.setdefault(job, JobEntry()), record)
+        return job
+
+    @staticmethod
+    def _store(entry: JobEntry, record: Accepted | Cancelled | Progress) -> None:
+        if isinstance(record, Accepted):
+            # A repeat of the hand-in through another entry changes nothing.
+            entry.accepted_ = entry.accepted_ or record
+        elif isinstance(record, Cancelled):
+            entry.cancelled_ = entry.cancelled_ or record
+        elif not (entry.progress_ and entry.progress_.state.is_final):
+            entry.progress_ = record
+
+    def _drop(self, job: JobId, key: str) -> None:
+        entry = self.entries_.get(job)
+        if entry is None:
+            return
+        prefix = key[0]
+        if prefix == "j":
+            entry.accepted_ = None
+        elif prefix == "p":
+            entry.progress_ = None
+        else:
+            entry.cancelled_ = None
+        if entry.is_empty:
+            del self.entries_[job]
--- /dev/null
+++ b/pimentomill/journal/__init__.py
@@ -0,0 +1,45 @@
+"""The log service and instance list of the product's own interface."""
+
+from ._client import PlatformClient
+from ._codec import decode_envelope, encode_envelope
+from ._messages import (
+    Appended,
+    AppendRequest,
+    Envelope,
+    Instance,
+    InstanceKind,
+    InstanceList,
+    InstanceState,
+    LogService,
+    ReadRequest,
+    ReadResult,
+    StreamSlice,
+)
+from ._queue import AppendBatch, AppendQueue, AppendState, PendingAppend
+from ._replay import Applied, FoldedState, take_next
+from ._writer import LogWriter
+
+__all__ = [
+    "AppendBatch",
+    "AppendQueue",
+    "AppendRequest",
+    "AppendState",
+    "Appended",
+    "Applied",
+    "Envelope",
+    "FoldedState",
+    "Instance",
+    "InstanceKind",
+    "InstanceList",
+    "InstanceState",
+    "LogService",
+    "LogWriter",
+    "PendingAppend",
+    "PlatformClient",
+    "ReadRequest",
+    "ReadResult",
+    "StreamSlice",
+    "decode_envelope",
+    "encode_envelope",
+    "take_next",
+]
--- a/pimentomill/platform/tests/test_queue.py
+++ b/pimentomill/journal/tests/test_queue.py
@@ -1,6 +1,6 @@
 import unittest
 
-from pimentomill.platform import (
+from pimentomill.journal import (
     AppendQueue,
     AppendState,
     PendingAppend,
--- /dev/null
+++ b/pimentomill/node/_node.py
@@ -0,0 +1,342 @@
+"""One entry of the cell: follows the store, stands for election, leads."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from ..catalog import Catalog
+from ..control import (
+    FLEET_KEY,
+    LEADER_WRITER,
+    WORK_STREAM,
+    AdviceDesk,
+    AdvicePort,
+    ControlSettings,
+    Leader,
+)
+from ..exceptions import (
+    AppendUnknownError,
+    FencedError,
+    LogUnavailableError,
+    OutOfSequenceError,
+)
+from ..fleet import WorkerInfo, WorkerPort
+from ..intake import Intake
+from ..jobs import JobTable, KeyedRecord
+from ..links import RemoteAdvisor
+from ..replica import (
+    LEADER_KEY,
+    ElectionTiming,
+    Follower,
+    FollowerTiming,
+    LeaderRecord,
+    LeaderWatch,
+    RecordStore,
+    Writer,
+)
+from ..telemetry import PartLog
+from ..utils import Clock, Epoch, Instant
+from ._records import MEMBER_PREFIX, MemberRecord, member_key
+
+__all__ = ["CellNode", "NodeSettings"]
+
+RULES_STREAM = "rules"
+RULES_KEY = "config"
+FIRST_SEQUENCE_SPAN = 1 << 30
+"""Range of a claim's first sequence number: two claims must not look alike."""
+MEMBER_INTERVAL_MS = 5000
+"""Milliseconds between two signs of an entry."""
+MEMBER_TERM_MS = 12000
+"""Milliseconds without a sign after which an entry is not asked any more."""
+ELECTION_TICK_MS = 60
+"""Milliseconds between two looks at the leader."""
+CLAIM_WAIT_MS = 1500
+"""Milliseconds to wait until a claim shows in the replay."""
+
+_log = PartLog("node")
+
+
+class NodeSettings(msgspec.Struct, frozen=True):
+    """Settings of an entry.
+
+    Parameters
+    ----------
+    node : str
+        Name.
+    address : str
+        IP address and port for other entries.
+    key_term_ms : int
+        Milliseconds after the last proof of the operators' settings for which
+        keys are honoured.
+    ready_age_ms : int
+        Age of the state up to which the entry takes new callers.
+    silence_ms : int
+        Milliseconds without a sign after which the leader is replaced.
+    stagger_ms : int
+        Milliseconds between two candidates.
+    """
+
+    node: str
+    address: str
+    key_term_ms: int
+    ready_age_ms: int = 1500
+    silence_ms: int = 1300
+    stagger_ms: int = 120
+
+
+class CellNode:
+    """Holds an entry's state and runs its duties.
+
+    Parameters
+    ----------
+    cfg : NodeSettings
+        Settings of the entry.
+    control : ControlSettings
+        Settings of the leader.
+    store : RecordStore
+        Store.
+    workers : WorkerPort
+        Calls to workers.
+    advisor : AdvicePort
+        How this entry asks queues' policies.
+    read_rules, read_worker : callable
+        Decode what operators and workers write.
+    session : aiohttp.ClientSession
+        Connections to other entries.
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    catalog_ : Catalog or None
+        What operators have set; None until it has been read.
+    leader_ : Leader or None
+        The leader's duties while this entry leads.
+    """
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        control: ControlSettings,
+        store: RecordStore,
+        workers: WorkerPort,
+        advisor: AdvicePort,
+        read_rules: Callable[[bytes], Catalog | None],
+        read_worker: Callable[[str, bytes], WorkerInfo | None],
+        session: aiohttp.ClientSession,
+        clock: Clock,
+    ) -> None:
+        self.cfg = cfg
+        self.control = control
+        self.store = store
+        self.workers = workers
+        self.advisor = advisor
+        self.read_rules = read_rules
+        self.read_worker = read_worker
+        self.session = session
+        self.clock = clock
+        self.incarnation = secrets.token_hex(6)
+        self.catalog_: Catalog | None = None
+        self.leader_: Leader | None = None
+        self.is_stopping_ = False
+        self.table = JobTable()
+        timing = ElectionTiming(cfg.silence_ms, cfg.stagger_ms)
+        self.watch = LeaderWatch(self.incarnation, clock, timing)
+        self.members: dict[str, tuple[MemberRecord, Instant]] = {}
+        self._fleet: list[WorkerInfo] = []
+        self._claims: dict[int, int] = {}
+        self._led_epoch = 0
+        self.rules = Follower(
+            store,
+            RULES_STREAM,
+            self._apply_rule,
+            lambda: None,
+            clock,
+            FollowerTiming(wait_ms=800, pause_ms=0),
+        )
+        self.work = Follower(
+            store,
+            WORK_STREAM,
+            self._apply_work,
+            lambda: None,
+            clock,
+            FollowerTiming(wait_ms=800, pause_ms=40),
+        )
+        self.intake = Intake(store, WORK_STREAM, self.table, self.work, clock)
+
+    # State
+
+    def is_ready(self) -> bool:
+        """Return whether new callers should come here."""
+        limit = self.cfg.ready_age_ms
+        return (
+            not self.is_stopping_
+            and self.catalog_ is not None
+            and self.rules.age_ms() < limit
+            and self.work.age_ms() < limit
+        )
+
+    def keys_hold(self) -> bool:
+        """Return whether the known keys can be trusted now."""
+        return self.rules.age_ms() < self.cfg.key_term_ms
+
+    def _apply_rule(self, record: KeyedRecord) -> None:
+        if record.key != RULES_KEY or not record.value:
+            return
+        catalog = self.read_rules(record.value)
+        if catalog is None:
+            return
+        known = self.catalog_
+        if known is not None and catalog.version <= known.version:
+            return
+        self.catalog_ = catalog
+        _log.info("Settings of operators in force", version=catalog.version)
+        if self.leader_ is not None:
+            self.leader_.set_catalog(catalog)
+
+    def _apply_work(self, record: KeyedRecord) -> None:
+        if record.key == LEADER_KEY:
+            self.watch.apply(record.value)
+            if self.leader_ is not None and not self.watch.is_led_by_me():
+                self.leader_._note_fenced("a later leader is on record")
+            return
+        if record.key == FLEET_KEY:
+            self._apply_fleet(record.value)
+            return
+        if record.key.startswith(MEMBER_PREFIX):
+            self._apply_member(record)
+            return
+        job = self.table.apply(record.key, record.value)
+        if job is not None and self.leader_ is not None:
+            self.leader_.note_job(job)
+
+    def _apply_fleet(self, value: bytes) -> None:
+        try:
+            self._fleet = msgspec.msgpack.decode(value, type=list[WorkerInfo])
+        except msgspec.DecodeError as exc:
+            _log.warning("Record ignored", key=FLEET_KEY, why=str(exc))
+
+    def _apply_member(self, record: KeyedRecord) -> None:
+        name = record.key[len(MEMBER_PREFIX) :]
+        if not record.value:
+            self.members.pop(name, None)
+        else:
+            try:
+                member = msgspec.msgpack.decode(record.value, type=MemberRecord)
+            except msgspec.DecodeError as exc:
+                _log.warning("Record ignored", key=record.key, why=str(exc))
+                return
+            self.members[name] = (member, self.clock.now())
+        if self.leader_ is not None:
+            self._set_ports(self.leader_.desk)
+
+    def _set_ports(self, desk: AdviceDesk) -> None:
+        """Let the leader ask through all entries that live."""
+        oldest = self.clock.now() - MEMBER_TERM_MS
+        ports: dict[str, AdvicePort] = {self.cfg.node: self.advisor}
+        for name, (member, seen_at) in self.members.items():
+            if name == self.cfg.node or seen_at < oldest:
+                continue
+            known = desk.ports.get(name)
+            if isinstance(known, RemoteAdvisor) and known.address == member.address:
+                ports[name] = known
+            else:
+                ports[name] = RemoteAdvisor(name, member.address, self.session)
+        desk.ports = ports
+
+    # Duties
+
+    async def run(self) -> None:
+        """Follow, stand for election and lead until cancelled."""
+        await asyncio.gather(
+            self.rules.run(), self.work.run(), self._announce(), self._elect()
+        )
+
+    async def stop(self) -> None:
+        """Hand the leadership over; callers are still answered."""
+        self.is_stopping_ = True
+        leader = self.leader_
+        if leader is not None:
+            await leader.resign()
+            leader._note_fenced("planned stop")
+
+    async def _announce(self) -> None:
+        member = MemberRecord(self.cfg.node, self.cfg.address, self.incarnation)
+        value = msgspec.msgpack.encode(member)
+        while not self.is_stopping_:
+            try:
+                record = KeyedRecord(member_key(self.cfg.node), value)
+                await self.store.append(WORK_STREAM, [record])
+            except (LogUnavailableError, AppendUnknownError) as exc:
+                _log.warning("Sign not written", why=str(exc))
+            await asyncio.sleep(MEMBER_INTERVAL_MS / 1000)
+
+    async def _elect(self) -> None:
+        while True:
+            await asyncio.sleep(ELECTION_TICK_MS / 1000)
+            if self.work.offset_ is None or self.catalog_ is None or self.is_stopping_:
+                continue
+            epoch = self.watch.epoch
+            if self.watch.is_led_by_me() and epoch > self._led_epoch:
+                await self._lead(epoch)
+            elif self.watch.claim_due(self.work.proven_at_, 0.0):
+                await self._claim(Epoch(epoch + 1))
+
+    async def _claim(self, epoch: Epoch) -> None:
+        """Try to become the leader of an epoch."""
+        sequence = secrets.randbelow(FIRST_SEQUENCE_SPAN)
+        record = LeaderRecord(epoch, self.cfg.node, self.incarnation)
+        self._claims[epoch] = sequence
+        _log.info("Claims", epoch=epoch, silent_ms=self._silent_ms())
+        try:
+            await self.store.append(
+                WORK_STREAM,
+                [KeyedRecord(LEADER_KEY, msgspec.msgpack.encode(record))],
+                Writer(LEADER_WRITER, epoch, sequence),
+            )
+        except (FencedError, OutOfSequenceError) as exc:
+            _log.info("Claim lost", epoch=epoch, why=str(exc))
+        except LogUnavailableError as exc:
+            _log.warning("Claim not made", epoch=epoch, why=str(exc))
+            return
+        except AppendUnknownError as exc:
+            _log.warning("Claim in doubt", epoch=epoch, why=str(exc))
+        deadline = Instant(self.clock.now() + CLAIM_WAIT_MS)
+        await self.work.wait_current(deadline)
+
+    def _silent_ms(self) -> int:
+        return self.clock.now() - self.watch.seen_at_
+
+    async def _lead(self, epoch: Epoch) -> None:
+        self._led_epoch = epoch
+        sequence = self._claims.get(epoch)
+        if sequence is None:
+            return
+        desk = AdviceDesk(self.clock, self.control.advice_margin_ms)
+        self._set_ports(desk)
+        leader = Leader(
+            LeaderRecord(epoch, self.cfg.node, self.incarnation),
+            sequence + 1,
+            self.store,
+            self.table,
+            self.workers,
+            desk,
+            self.read_worker,
+            self.clock,
+            self.control,
+            self._fleet,
+        )
+        if self.catalog_ is not None:
+            leader.set_catalog(self.catalog_)
+        self.leader_ = leader
+        # The leader reads the stream without a pause: each record may be work.
+        pause, self.work.timing.pause_ms = self.work.timing.pause_ms, 0
+        try:
+            why = await leader.run()
+            _log.info("Leads no more", epoch=epoch, why=why)
+        finally:
+            self.leader_ = None
+            self.work.timing.pause_ms = pause
--- a/pimentomill/platform/__init__.py
+++ b/pimentomill/platform/__init__.py
@@ -1,45 +1,6 @@
-"""The platform's log service and instance list, as seen by the system."""
+"""Adapter to the users' platform: its wire names stand only here."""
 
-from ._client import PlatformClient
-from ._codec import decode_envelope, encode_envelope
-from ._messages import (
-    Appended,
-    AppendRequest,
-    Envelope,
-    Instance,
-    InstanceKind,
-    InstanceList,
-    InstanceState,
-    LogService,
-    ReadRequest,
-    ReadResult,
-    StreamSlice,
-)
-from ._queue import AppendBatch, AppendQueue, AppendState, PendingAppend
-from ._replay import Applied, FoldedState, take_next
-from ._writer import LogWriter
+from ._daemon import main, serve
+from ._settings import NodeFile, load_node_file
 
-__all__ = [
-    "AppendBatch",
-    "AppendQueue",
-    "AppendRequest",
-    "AppendState",
-    "Appended",
-    "Applied",
-    "Envelope",
-    "FoldedState",
-    "Instance",
-    "InstanceKind",
-    "InstanceList",
-    "InstanceState",
-    "LogService",
-    "LogWriter",
-    "PendingAppend",
-    "PlatformClient",
-    "ReadRequest",
-    "ReadResult",
-    "StreamSlice",
-    "decode_envelope",
-    "encode_envelope",
-    "take_next",
-]
+__all__ = ["NodeFile", "load_node_file", "main", "serve"]
--- /dev/null
+++ b/pimentomill/platform/__main__.py
@@ -0,0 +1,8 @@
+"""Entry point of the process on the platform."""
+
+import sys
+
+from ._daemon import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pimentomill/platform/_daemon.py
@@ -0,0 +1,122 @@
+"""The process that runs on the platform."""
+
+import asyncio
+import os
+import signal
+
+from ..control import ControlSettings
+from ..links import LinkServer
+from ..node import CellNode, NodeSettings
+from ..telemetry import PartLog, log_to_stdout
+from ..utils import SystemClock
+from ._advice import PlatformAdvisor
+from ._front import Front
+from ._http import HttpCaller
+from ._rules import decode_rules
+from ._settings import NODE_FILE_VARIABLE, NodeFile, load_node_file
+from ._store import PlatformStore
+from ._workers import PlatformWorkers, decode_worker
+
+__all__ = ["main", "serve"]
+
+KEY_MARGIN_MS = 500
+"""Milliseconds before the bound on withdrawn keys at which keys stop counting."""
+LEASE_SHARE = 0.85
+"""Share of the longest lease that is used."""
+MIN_DRAIN_S = 2.5
+"""Seconds until the platform has seen that the entry takes no new callers."""
+DRAIN_MARGIN_S = 1.0
+"""Seconds left of the grace period when the process ends by itself."""
+WORKER_CONNECTIONS = 12
+"""Connections to one worker, of the 64 that it takes from all entries."""
+STORE_CONNECTIONS = 24
+"""Connections to the store: a few reads that wait, and appends."""
+DRAIN_POLL_S = 0.05
+"""Seconds between two looks at requests in flight."""
+
+_log = PartLog("daemon")
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+async def serve(cfg: NodeFile) -> None:
+    """Run an entry until it is told to stop."""
+    clock = SystemClock()
+    control = ControlSettings(
+        lease_ms=round(cfg.bounds.longest_lease_ms * LEASE_SHARE),
+        keep_finished_ms=round(cfg.bounds.state_kept_s * 1000) + 30_000,
+    )
+    store_http = HttpCaller(STORE_CONNECTIONS)
+    worker_http = HttpCaller(WORKER_CONNECTIONS)
+    advisor = PlatformAdvisor(cfg.node, cfg.policy_address, HttpCaller(2))
+    node = CellNode(
+        NodeSettings(
+            cfg.node, cfg.listen.entries, cfg.bounds.key_withdrawal_ms - KEY_MARGIN_MS
+        ),
+        control,
+        PlatformStore(cfg.store.address, store_http),
+        PlatformWorkers(worker_http, control.start_timeout_ms, control.hold_timeout_ms),
+        advisor,
+        decode_rules,
+        decode_worker,
+        store_http.session,
+        clock,
+    )
+    front = Front(node)
+    links = LinkServer(advisor)
+    await front.start(
+        split_address(cfg.listen.callers), split_address(cfg.listen.readiness)
+    )
+    await links.start(*split_address(cfg.listen.entries))
+    _log.info("Started", node=cfg.node, zone=cfg.zone, incarnation=node.incarnation)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload)
+    duties = asyncio.ensure_future(node.run())
+    await _until(stop, duties)
+    _log.info("Stops", node=cfg.node, in_flight=front.in_flight_)
+    await node.stop()
+    await _drain(front, cfg.bounds.grace_s)
+    duties.cancel()
+    await links.stop()
+    await front.stop()
+    _log.info("Stopped", node=cfg.node, in_flight=front.in_flight_)
+
+
+async def _until(stop: asyncio.Event, duties: asyncio.Future) -> None:
+    waiter = asyncio.ensure_future(stop.wait())
+    await asyncio.wait([waiter, duties], return_when=asyncio.FIRST_COMPLETED)
+    if duties.done():
+        duties.result()
+    waiter.cancel()
+
+
+async def _drain(front: Front, grace_s: float) -> None:
+    """Answer what is in flight, and whoever still comes on an open connection."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    last = began + grace_s - DRAIN_MARGIN_S
+    while loop.time() < last:
+        if loop.time() - began >= MIN_DRAIN_S and front.in_flight_ == 0:
+            return
+        await asyncio.sleep(DRAIN_POLL_S)
+
+
+def _reload() -> None:
+    # Nothing in the file may change while the process runs, except what the
+    # operators publish in the store.
+    _log.info("Settings file has changed", path=os.environ.get(NODE_FILE_VARIABLE, ""))
+
+
+def main() -> int:
+    """Read the settings file and run."""
+    log_to_stdout()
+    cfg = load_node_file(os.environ.get(NODE_FILE_VARIABLE, ""))
+    asyncio.run(serve(cfg))
+    return 0
--- /dev/null
+++ b/pimentomill/platform/_http.py
@@ -0,0 +1,83 @@
+"""HTTP calls to the platform and to workers."""
+
+from typing import NamedTuple
+
+import aiohttp
+
+from ..exceptions import TransportError
+
+__all__ = ["HttpCaller", "HttpReply"]
+
+CONNECT_S = 0.5
+"""Seconds to connect; a lost opening packet is sent again after about 1 s."""
+IDLE_S = 60.0
+"""Seconds for which a connection is kept: each new one costs a round trip."""
+
+
+class HttpReply(NamedTuple):
+    """Status, body and headers of an answer."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+class HttpCaller:
+    """Sends requests over kept connections.
+
+    Parameters
+    ----------
+    connections_per_host : int
+        Most connections to one address.
+    """
+
+    def __init__(self, connections_per_host: int) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            limit_per_host=connections_per_host,
+            keepalive_timeout=IDLE_S,
+            use_dns_cache=False,
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        timeout_ms: float,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpReply:
+        """Send a request and return the whole answer.
+
+        Raises
+        ------
+        TransportError
+            If no whole answer came; `sent` tells whether the request may have
+            been carried out.
+        """
+        limit = aiohttp.ClientTimeout(total=timeout_ms / 1000, sock_connect=CONNECT_S)
+        try:
+            async with self.session.request(
+                method, url, data=body, headers=headers, timeout=limit
+            ) as resp:
+                content = await resp.read()
+                return HttpReply(resp.status, content, dict(resp.headers))
+        except aiohttp.ConnectionTimeoutError as exc:
+            raise TransportError("connecting took too long", sent=False) from exc
+        except aiohttp.ClientConnectorError as exc:
+            raise TransportError(f"can't connect: {exc.os_error}", sent=False) from exc
+        except TimeoutError as exc:
+            why = f"no answer within {timeout_ms:.0f} ms"
+            raise TransportError(why, sent=True) from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            why = str(exc) or type(exc).__name__
+            raise TransportError(why, sent=True) from exc
--- /dev/null
+++ b/pimentomill/platform/_jobs.py
@@ -0,0 +1,134 @@
+"""Jobs as callers hand them in."""
+
+import msgspec
+
+from ..exceptions import ValidationError
+from ..jobs import JobSpec, JobState, StepSpec
+from ..utils import Resources
+
+__all__ = ["STATE_NAMES", "decode_job", "encode_state", "encode_waiting"]
+
+MAX_PAYLOAD = 4000
+"""Bytes of a job's text, by the platform's contract."""
+MAX_STEPS = 256
+"""Steps of a job; far above what callers use."""
+MAX_TASKS = 10_000
+"""Tasks of a step; far above what callers use."""
+STATE_NAMES = {state: state.value for state in JobState}
+
+
+class WireStep(msgspec.Struct):
+    """A step of a job."""
+
+    count: int = msgspec.field(name="Count", default=1)
+    cpu_milli: int = msgspec.field(name="Cpu", default=0)
+    memory_mb: int = msgspec.field(name="MemMb", default=0)
+    accelerators: int = msgspec.field(name="Gpu", default=0)
+    estimate_ms: int = msgspec.field(name="EstimateMs", default=0)
+    depends_on: list[int] = msgspec.field(name="DependsOn", default_factory=list)
+    checkpointed: bool = msgspec.field(name="Checkpointed", default=False)
+    gang: bool = msgspec.field(name="Gang", default=False)
+    rack_sensitive: bool = msgspec.field(name="RackSensitive", default=False)
+    # A label that the worker must carry.
+    required_label: str = msgspec.field(name="Requires", default="")
+    # The rack that holds the data; other racks may run the step, but slower.
+    data_rack: str = msgspec.field(name="Affinity", default="")
+    # Most tasks of the step on one worker, not a rule about other steps.
+    max_per_worker: int = msgspec.field(name="AntiAffinity", default=0)
+    speculative: bool = msgspec.field(name="Speculative", default=False)
+    long_running: bool = msgspec.field(name="LongRunning", default=False)
+    image: str = msgspec.field(name="Image", default="")
+    # Bound on the tail of the response times that the task's own users see.
+    tail_target_ms: int = msgspec.field(name="TargetMs", default=0)
+    fills: bool = msgspec.field(name="Fills", default=False)
+    max_unavailable: int = msgspec.field(name="MayMiss", default=0)
+
+    def spec(self) -> StepSpec:
+        """Return the product's form."""
+        return StepSpec(
+            self.count,
+            Resources(self.cpu_milli, self.memory_mb, self.accelerators),
+            self.estimate_ms,
+            tuple(self.depends_on),
+            self.checkpointed,
+            self.gang,
+            self.rack_sensitive,
+            self.required_label,
+            self.data_rack,
+            self.max_per_worker,
+            self.speculative,
+            self.long_running,
+            self.image,
+            self.tail_target_ms,
+            self.fills,
+            self.max_unavailable,
+        )
+
+
+class WireJob(msgspec.Struct):
+    """A job."""
+
+    payload: str = msgspec.field(name="Spec", default="")
+    steps: list[WireStep] = msgspec.field(name="Steps", default_factory=list)
+    occurrences: int = msgspec.field(name="Times", default=0)
+    # Milliseconds since 1970.
+    first_due_ms: int = msgspec.field(name="StartAtMs", default=0)
+    interval_ms: int = msgspec.field(name="IntervalMs", default=0)
+
+
+class WireState(msgspec.Struct):
+    """Answer about one job."""
+
+    state: str = msgspec.field(name="State")
+
+
+class WireWaiting(msgspec.Struct):
+    """Answer about a queue: jobs of which no task has started."""
+
+    waiting: int = msgspec.field(name="Waiting")
+
+
+_job_decoder = msgspec.json.Decoder(WireJob)
+
+
+def decode_job(body: bytes) -> JobSpec:
+    """Return the job in a caller's body.
+
+    Raises
+    ------
+    ValidationError
+        If the body can't be read or breaks a rule; the message names the field.
+    """
+    try:
+        wire = _job_decoder.decode(body)
+    except msgspec.DecodeError as exc:
+        raise ValidationError(f"body: {exc}") from exc
+    if len(wire.payload.encode()) > MAX_PAYLOAD:
+        raise ValidationError(f"Spec: more than {MAX_PAYLOAD} bytes")
+    if not 1 <= len(wire.steps) <= MAX_STEPS:
+        raise ValidationError(f"Steps: {len(wire.steps)} is not 1 to {MAX_STEPS}")
+    for number, step in enumerate(wire.steps):
+        _check_step(number, step)
+    steps = tuple(step.spec() for step in wire.steps)
+    return JobSpec(
+        wire.payload, steps, wire.occurrences, wire.first_due_ms, wire.interval_ms
+    )
+
+
+def _check_step(number: int, step: WireStep) -> None:
+    if not 1 <= step.count <= MAX_TASKS:
+        raise ValidationError(f"Steps[{number}].Count: {step.count} is out of range")
+    if min(step.cpu_milli, step.memory_mb, step.accelerators) < 0:
+        raise ValidationError(f"Steps[{number}]: a negative amount")
+    if any(not 0 <= earlier < number for earlier in step.depends_on):
+        raise ValidationError(f"Steps[{number}].DependsOn: {step.depends_on}")
+
+
+def encode_state(state: JobState) -> bytes:
+    """Return the answer about a job."""
+    return msgspec.json.encode(WireState(STATE_NAMES[state]))
+
+
+def encode_waiting(count: int) -> bytes:
+    """Return the answer about a queue."""
+    return msgspec.json.encode(WireWaiting(count))
--- /dev/null
+++ b/pimentomill/platform/_rules.py
@@ -0,0 +1,126 @@
+"""What operators publish, in the platform's form."""
+
+import msgspec
+
+from ..catalog import AdvicePolicy, Catalog, Queue, RequestLimits, Team
+from ..telemetry import PartLog
+from ._workers import WireCapacity
+
+__all__ = ["decode_rules"]
+
+_log = PartLog("rules")
+
+
+class WireAdvice(msgspec.Struct):
+    """How long a question to the queue's policy takes."""
+
+    decide_ms: float = msgspec.field(name="DecideMs", default=0.0)
+    per_worker_ms: float = msgspec.field(name="EachMs", default=0.0)
+    valid_ms: int = msgspec.field(name="ValidMs", default=1000)
+
+
+class WireRoute(msgspec.Struct):
+    """A route, which is a queue."""
+
+    name: str = msgspec.field(name="Name")
+    host: str = msgspec.field(name="Host")
+    path_prefix: str = msgspec.field(name="PathPrefix")
+    service: str = msgspec.field(name="Service")
+    priority: int = msgspec.field(name="Priority", default=0)
+    max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
+    stretch: float = msgspec.field(name="Stretch", default=1.0)
+    # Added to the stretched chain of work; not a bound on one answer.
+    target_ms: int = msgspec.field(name="TargetLatencyMs", default=1000)
+    timeout_ms: int = msgspec.field(name="TimeoutMs", default=3000)
+    public: bool = msgspec.field(name="Public", default=False)
+    advice: WireAdvice | None = msgspec.field(name="Advice", default=None)
+
+    def queue(self) -> Queue:
+        """Return the product's form."""
+        advice = self.advice
+        policy = (
+            AdvicePolicy(advice.decide_ms, advice.per_worker_ms, advice.valid_ms)
+            if advice is not None
+            else None
+        )
+        return Queue(
+            self.name,
+            self.host.lower(),
+            self.path_prefix,
+            self.service,
+            self.priority,
+            self.max_attempts,
+            self.stretch,
+            self.target_ms,
+            self.timeout_ms,
+            self.public,
+            policy,
+        )
+
+
+class WireTenant(msgspec.Struct):
+    """A tenant, which is a team."""
+
+    name: str = msgspec.field(name="Name")
+    keys: list[str] = msgspec.field(name="ApiKeys", default_factory=list)
+    # Jobs a second that the team is entitled to when the cell is full.
+    weight: float = msgspec.field(name="Weight", default=1.0)
+    # Amounts that may run, not a number of tasks.
+    limit: WireCapacity = msgspec.field(
+        name="MaxCount", default_factory=lambda: WireCapacity()
+    )
+
+
+class WireService(msgspec.Struct):
+    """A pool of workers."""
+
+    name: str = msgspec.field(name="Name")
+
+
+class WireLimits(msgspec.Struct):
+    """Bounds on callers' requests."""
+
+    header_bytes: int = msgspec.field(name="HeaderBytes", default=16384)
+    body_bytes: int = msgspec.field(name="MaxBodyBytes", default=262144)
+    header_timeout_ms: int = msgspec.field(name="HeaderTimeoutMs", default=3000)
+    idle_timeout_ms: int = msgspec.field(name="IdleTimeoutMs", default=15000)
+
+
+class WireConfig(msgspec.Struct):
+    """All that operators have set."""
+
+    version: int = msgspec.field(name="Version")
+    routes: list[WireRoute] = msgspec.field(name="Routes", default_factory=list)
+    services: list[WireService] = msgspec.field(name="Services", default_factory=list)
+    tenants: list[WireTenant] = msgspec.field(name="Tenants", default_factory=list)
+    limits: WireLimits = msgspec.field(
+        name="Limits", default_factory=lambda: WireLimits()
+    )
+
+
+def decode_rules(value: bytes) -> Catalog | None:
+    """Return the catalog in a published configuration, None if unreadable."""
+    try:
+        wire = msgspec.json.decode(value, type=WireConfig)
+    except msgspec.DecodeError as exc:
+        _log.warning("Configuration ignored", why=str(exc))
+        return None
+    teams = [
+        Team(tenant.name, tenant.weight, tenant.limit.resources())
+        for tenant in wire.tenants
+    ]
+    keys = {key: tenant.name for tenant in wire.tenants for key in tenant.keys}
+    limits = RequestLimits(
+        wire.limits.header_bytes,
+        wire.limits.body_bytes,
+        wire.limits.header_timeout_ms,
+        wire.limits.idle_timeout_ms,
+    )
+    return Catalog(
+        wire.version,
+        [route.queue() for route in wire.routes],
+        teams,
+        keys,
+        [service.name for service in wire.services],
+        limits,
+    )
--- /dev/null
+++ b/pimentomill/platform/_settings.py
@@ -0,0 +1,113 @@
+"""The settings file that the platform writes for each process."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from ..exceptions import SettingsError
+
+__all__ = ["NODE_FILE_VARIABLE", "NodeFile", "load_node_file"]
+
+NODE_FILE_VARIABLE = "PIMENTOMILL_NODE_FILE"
+
+
+class ListenAddresses(msgspec.Struct, frozen=True):
+    """Where a process listens.
+
+    Parameters
+    ----------
+    callers : str
+        Address for callers.
+    readiness : str
+        Address at which the platform asks whether new callers may come.
+    entries : str
+        Address for the system's other entries.
+    """
+
+    callers: str = msgspec.field(name="Front", default="")
+    readiness: str = msgspec.field(name="Ready", default="")
+    entries: str = msgspec.field(name="Control", default="")
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Bounds of the contract that the system needs, in the unit of each name."""
+
+    grace_s: float = msgspec.field(name="GraceS", default=6)
+    key_withdrawal_ms: int = msgspec.field(name="RevokeMs", default=5000)
+    longest_lease_ms: int = msgspec.field(name="HoldMaxMs", default=6000)
+    longest_stop_ms: int = msgspec.field(name="StopMs", default=1000)
+    state_kept_s: float = msgspec.field(name="status_s", default=120)
+
+
+class StoreSettings(msgspec.Struct, frozen=True):
+    """The platform's store: its address, and the most bytes of one append."""
+
+    address: str = msgspec.field(name="Address")
+    append_bytes: int = msgspec.field(name="CallBytes", default=2_097_152)
+
+
+class MachineApi(msgspec.Struct, frozen=True):
+    """Where instances can be listed, moved and serviced."""
+
+    address: str = msgspec.field(name="Address", default="")
+
+
+class NodeFile(msgspec.Struct, frozen=True):
+    """What a process learns from its settings file.
+
+    Parameters
+    ----------
+    node : str
+        Name of the instance.
+    zone : str
+        Data centre.
+    listen : ListenAddresses
+        Where to listen.
+    bounds : Bounds
+        Bounds of the contract.
+    store : StoreSettings
+        The platform's store.
+    policy_address : str
+        Service that knows which workers a queue's policy allows.
+    machines : MachineApi
+        Interface to instances.
+    """
+
+    node: str = msgspec.field(name="NodeName")
+    zone: str = msgspec.field(name="Zone")
+    listen: ListenAddresses = msgspec.field(name="ListenAddrs")
+    store: StoreSettings = msgspec.field(name="platform")
+    bounds: Bounds = msgspec.field(name="Bounds", default=Bounds())
+    policy_address: str = msgspec.field(name="Advice", default="")
+    machines: MachineApi = msgspec.field(name="CloudApi", default=MachineApi())
+
+
+def load_node_file(path: str | Path) -> NodeFile:
+    """Read and check the settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        Path of the file.
+
+    Returns
+    -------
+    NodeFile
+        Settings.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read, or a field is missing or of another type; the
+        message holds the path of the field.
+    """
+    try:
+        raw = tomllib.loads(Path(path).read_text())
+        return msgspec.convert(raw, NodeFile)
+    except OSError as exc:
+        raise SettingsError(f"{path}: can't be read: {exc.strerror}") from exc
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"{path}: is not TOML: {exc}") from exc
+    except msgspec.ValidationError as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
--- /dev/null
+++ b/pimentomill/replica/__init__.py
@@ -0,0 +1,19 @@
+"""Copies of the store's streams, and who leads by them."""
+
+from ._follower import Follower, FollowerTiming
+from ._leases import LEADER_KEY, ElectionTiming, LeaderRecord, LeaderWatch
+from ._ports import Appended, NewestPage, RecordStore, Slice, Writer
+
+__all__ = [
+    "LEADER_KEY",
+    "Appended",
+    "ElectionTiming",
+    "Follower",
+    "FollowerTiming",
+    "LeaderRecord",
+    "LeaderWatch",
+    "NewestPage",
+    "RecordStore",
+    "Slice",
+    "Writer",
+]
--- /dev/null
+++ b/pimentomill/replica/_follower.py
@@ -0,0 +1,202 @@
+"""A copy of a stream's newest records, kept up to date."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..exceptions import LogUnavailableError, RecordsForgottenError
+from ..jobs import KeyedRecord
+from ..telemetry import PartLog
+from ..utils import Clock, Instant
+from ._ports import RecordStore
+
+__all__ = ["Follower", "FollowerTiming"]
+
+NEVER = Instant(-(10**12))
+
+_log = PartLog("replica")
+
+
+class FollowerTiming:
+    """How a follower reads.
+
+    Parameters
+    ----------
+    wait_ms : int
+        Milliseconds that the store may hold a read back for the next record.
+    pause_ms : int
+        Milliseconds between two reads, so that records come in batches.
+    retry_ms : int
+        Milliseconds to wait after a read that failed.
+    """
+
+    def __init__(self, wait_ms: int, pause_ms: int, retry_ms: int = 100) -> None:
+        self.wait_ms = wait_ms
+        self.pause_ms = pause_ms
+        self.retry_ms = retry_ms
+
+
+class Follower:
+    """Replays one stream into a state that is handed in.
+
+    Parameters
+    ----------
+    store : RecordStore
+        Where the stream lies.
+    stream : str
+        Name of the stream.
+    apply : callable
+        Called with each record and whether it is the newest state at loading.
+    reload : callable
+        Called before all keys are read anew.
+    clock : Clock
+        Source of time.
+    timing : FollowerTiming
+        How to read.
+    changed : callable
+        Called after each batch of records.
+
+    Attributes
+    ----------
+    proven_at_ : Instant
+        The state held is at least as new as the stream was at this time.
+    offset_ : int or None
+        Offset up to which records have been applied; None before the first load.
+    read_ms_ : float
+        Smoothed time of a read that did not wait, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        store: RecordStore,
+        stream: str,
+        apply: Callable[[KeyedRecord], None],
+        reload: Callable[[], None],
+        clock: Clock,
+        timing: FollowerTiming,
+        changed: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.store = store
+        self.stream = stream
+        self.apply = apply
+        self.reload = reload
+        self.clock = clock
+        self.timing = timing
+        self.changed = changed
+        self.proven_at_ = NEVER
+        self.offset_: int | None = None
+        self.is_reachable_ = False
+        self._wake = asyncio.Event()
+        self._progress = asyncio.Condition()
+        self._fresh_wanted = False
+
+    def age_ms(self) -> int:
+        """Return for how long the state has not been proven current."""
+        return self.clock.now() - self.proven_at_
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        while True:
+            try:
+                await self._step()
+                self._note_reachable(True, "")
+            except RecordsForgottenError as exc:
+                _log.warning("Records were dropped", stream=self.stream, why=str(exc))
+                self.offset_ = None
+            except LogUnavailableError as exc:
+                self._note_reachable(False, str(exc))
+                await asyncio.sleep(self.timing.retry_ms / 1000)
+
+    def _note_reachable(self, reachable: bool, why: str) -> None:
+        if reachable == self.is_reachable_:
+            return
+        self.is_reachable_ = reachable
+        if reachable:
+            _log.info("Store regained", stream=self.stream, offset=self.offset_)
+        else:
+            _log.warning("Store lost", stream=self.stream, why=why)
+
+    async def _step(self) -> None:
+        if self.offset_ is None:
+            await self._load()
+            return
+        wait_ms = 0 if self._fresh_wanted else self.timing.wait_ms
+        self._fresh_wanted = False
+        began = self.clock.now()
+        part = await self.store.read(self.stream, self.offset_, wait_ms)
+        for record in part.records:
+            self.apply(record)
+        self.offset_ = part.next_offset
+        if self.offset_ >= part.end:
+            self.proven_at_ = began
+        await self._announce(bool(part.records))
+        if self.offset_ >= part.end and part.records:
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Let records gather, unless somebody waits for the newest state."""
+        if self.timing.pause_ms <= 0 or self._fresh_wanted:
+            return
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(self.timing.pause_ms / 1000):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _load(self) -> None:
+        """Read the newest record of every key."""
+        began = self.clock.now()
+        page = await self.store.newest(self.stream, None)
+        self.reload()
+        start = page.end
+        while True:
+            for record in page.records:
+                self.apply(record)
+            if page.more_after is None:
+                break
+            page = await self.store.newest(self.stream, page.more_after)
+        self.offset_ = start
+        # Pages are no snapshot: the state is current only once the records that
+        # came while they were read have been replayed.
+        if start >= page.end:
+            self.proven_at_ = began
+        _log.info("Stream loaded", stream=self.stream, offset=start)
+        await self._announce(True)
+
+    async def _announce(self, changed: bool) -> None:
+        if changed:
+            self.changed()
+        async with self._progress:
+            self._progress.notify_all()
+
+    async def wait_current(self, deadline: Instant) -> bool:
+        """Wait until the state is at least as new as the stream is now.
+
+        Parameters
+        ----------
+        deadline : Instant
+            When to give up.
+
+        Returns
+        -------
+        bool
+            Whether the state is current.
+        """
+        asked = self.clock.now()
+        while self.proven_at_ < asked:
+            remaining = deadline - self.clock.now()
+            if remaining <= 0:
+                return False
+            self._fresh_wanted = True
+            self._wake.set()
+            if not await self._wait_progress(remaining):
+                return False
+        return True
+
+    async def _wait_progress(self, limit_ms: int) -> bool:
+        try:
+            async with asyncio.timeout(limit_ms / 1000), self._progress:
+                await self._progress.wait()
+        except TimeoutError:
+            return False
+        return True
--- /dev/null
+++ b/pimentomill/replica/_leases.py
@@ -0,0 +1,138 @@
+"""Who leads the cell, by replay of the store's records."""
+
+import msgspec
+
+from ..telemetry import PartLog
+from ..utils import Clock, Epoch, Instant, stable_hash
+
+__all__ = ["LEADER_KEY", "ElectionTiming", "LeaderRecord", "LeaderWatch"]
+
+LEADER_KEY = "leader"
+CANDIDATE_SLOTS = 8
+
+_log = PartLog("election")
+
+
+class LeaderRecord(msgspec.Struct, frozen=True):
+    """A leader shows that it lives, or that it resigns.
+
+    Parameters
+    ----------
+    epoch : Epoch
+        Fencing token of the leader, higher than all before.
+    node : str
+        Name of the leading process.
+    incarnation : str
+        Life of that process.
+    resigned : bool
+        Whether a successor may take over at once.
+    """
+
+    epoch: Epoch
+    node: str
+    incarnation: str
+    resigned: bool = False
+
+
+class ElectionTiming:
+    """When a candidate takes over.
+
+    Parameters
+    ----------
+    silence_ms : int
+        Milliseconds without a sign of the leader after which it is replaced.
+    stagger_ms : int
+        Milliseconds between two candidates, so that one is ahead of the others.
+    """
+
+    def __init__(self, silence_ms: int, stagger_ms: int) -> None:
+        self.silence_ms = silence_ms
+        self.stagger_ms = stagger_ms
+
+
+class LeaderWatch:
+    """Follows the signs of the leader and says when to replace it.
+
+    Parameters
+    ----------
+    incarnation : str
+        Life of this process.
+    clock : Clock
+        Source of time.
+    timing : ElectionTiming
+        When to take over.
+
+    Attributes
+    ----------
+    record_ : LeaderRecord or None
+        Newest sign of a leader.
+    seen_at_ : Instant
+        When it was read.
+    """
+
+    def __init__(self, incarnation: str, clock: Clock, timing: ElectionTiming) -> None:
+        self.incarnation = incarnation
+        self.clock = clock
+        self.timing = timing
+        self.record_: LeaderRecord | None = None
+        self.seen_at_ = clock.now()
+
+    @property
+    def epoch(self) -> Epoch:
+        """Highest fencing token that was seen."""
+        return self.record_.epoch if self.record_ else Epoch(0)
+
+    def apply(self, value: bytes) -> None:
+        """Take in a record of the leader's key."""
+        try:
+            record = msgspec.msgpack.decode(value, type=LeaderRecord)
+        except msgspec.DecodeError as exc:
+            _log.warning("Record ignored", reason=str(exc))
+            return
+        if record.epoch < self.epoch:
+            return
+        known = self.record_
+        if known is not None and record.epoch == known.epoch:
+            if record.incarnation != known.incarnation:
+                return
+        elif record.epoch > self.epoch:
+            _log.info(
+                "Leader changed",
+                epoch=record.epoch,
+                leader=record.node,
+                before=known.node if known else "",
+            )
+        self.record_ = record
+        self.seen_at_ = self.clock.now()
+
+    def is_led_by_me(self) -> bool:
+        """Return whether this process is the leader by the records."""
+        record = self.record_
+        return (
+            record is not None
+            and record.incarnation == self.incarnation
+            and not record.resigned
+        )
+
+    def claim_due(self, proven_at: Instant, read_ms: float) -> bool:
+        """Return whether this process should try to take over now.
+
+        Parameters
+        ----------
+        proven_at : Instant
+            Time up to which the records are known to be complete.
+        read_ms : float
+            Milliseconds that a read of the store takes at present; a slow store
+            delays the leader's signs too.
+        """
+        if self.is_led_by_me():
+            return False
+        wait = self._rank() * self.timing.stagger_ms
+        if self.record_ is not None and not self.record_.resigned:
+            wait += self.timing.silence_ms + 3 * int(read_ms)
+        return proven_at - self.seen_at_ >= wait
+
+    def _rank(self) -> int:
+        # The order differs from epoch to epoch, so that a candidate that always
+        # fails is not always the first.
+        return stable_hash(f"{self.incarnation}/{self.epoch}") % CANDIDATE_SLOTS
--- a/pimentomill/requests/_backends.py
+++ b/pimentomill/requests/_backends.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..platform import Instance, InstanceKind, InstanceState
+from ..journal import Instance, InstanceKind, InstanceState
 from ..utils import InstanceId, ServiceName
 
 __all__ = ["BackendPool", "BackendSlot"]
--- a/pimentomill/requests/_claims.py
+++ b/pimentomill/requests/_claims.py
@@ -3,7 +3,7 @@
 from concurrent.futures import Future
 
 from ..exceptions import NotFoundError
-from ..platform import PendingAppend
+from ..journal import PendingAppend
 from ..utils import RequestId
 from ..work import (
     RequestClaimed,
--- a/pimentomill/snapshots/_loader.py
+++ b/pimentomill/snapshots/_loader.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..platform import StreamSlice, decode_envelope
+from ..journal import StreamSlice, decode_envelope
 from ..utils import Offset, StreamName
 from ._parts import SnapshotCollector, SnapshotPart, snapshot_stream
 
--- a/pimentomill/snapshots/_writer.py
+++ b/pimentomill/snapshots/_writer.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..platform import AppendState, PendingAppend
+from ..journal import AppendState, PendingAppend
 from ..utils import Instant, Offset, StreamName
 from ._parts import SnapshotPart, snapshot_stream, split_snapshot
 from ._schedule import SnapshotSchedule
--- a/pimentomill/snapshots/tests/test_snapshots.py
+++ b/pimentomill/snapshots/tests/test_snapshots.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from pimentomill.cell import CellState
-from pimentomill.platform import AppendState, PendingAppend, encode_envelope
+from pimentomill.journal import AppendState, PendingAppend, encode_envelope
 from pimentomill.snapshots import (
     SnapshotCollector,
     SnapshotSchedule,
--- a/pimentomill/standins/_backend.py
+++ b/pimentomill/standins/_backend.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 
 from ..http import HttpRequest, HttpResponse, HttpServer, Router
-from ..platform import Instance, InstanceKind, InstanceState
+from ..journal import Instance, InstanceKind, InstanceState
 from ..settings import BackendSettings
 from ..utils import InstanceId
 from ._register import Registrar
--- a/pimentomill/standins/_platform.py
+++ b/pimentomill/standins/_platform.py
@@ -9,7 +9,7 @@
 
 from ..exceptions import LogUnavailableError
 from ..http import HttpRequest, HttpResponse, HttpServer, Router
-from ..platform import (
+from ..journal import (
     Appended,
     AppendRequest,
     Instance,
--- a/pimentomill/standins/_register.py
+++ b/pimentomill/standins/_register.py
@@ -5,7 +5,7 @@
 import msgspec
 import urllib3
 
-from ..platform import Instance
+from ..journal import Instance
 
 __all__ = ["Registrar"]
 
--- a/pimentomill/standins/_worker.py
+++ b/pimentomill/standins/_worker.py
@@ -7,7 +7,7 @@
 import urllib3
 
 from ..http import HttpRequest, HttpResponse, HttpServer, Router
-from ..platform import Instance, InstanceKind, InstanceState
+from ..journal import Instance, InstanceKind, InstanceState
 from ..settings import WorkerSettings
 from ..utils import ZERO, Clock, Epoch, InstanceId, Instant, Resources
 from ..work import TaskRef
--- a/pimentomill/telemetry/__init__.py
+++ b/pimentomill/telemetry/__init__.py
@@ -1,6 +1,6 @@
 """Logs and metrics."""
 
-from ._logging import PartLog, start_logging
+from ._logging import NonBlockingSink, PartLog, log_to_stdout, start_logging
 from ._metrics import Metrics
 
-__all__ = ["Metrics", "PartLog", "start_logging"]
+__all__ = ["Metrics", "NonBlockingSink", "PartLog", "log_to_stdout", "start_logging"]
--- a/pimentomill/telemetry/_logging.py
+++ b/pimentomill/telemetry/_logging.py
@@ -1,11 +1,13 @@
 """Structured logs, one JSON object a line."""
 
+import json
+import os
 import sys
 from typing import Any, TextIO
 
 import eliot
 
-__all__ = ["PartLog", "start_logging"]
+__all__ = ["NonBlockingSink", "PartLog", "log_to_stdout", "start_logging"]
 
 
 def start_logging(stream: TextIO | None = None) -> None:
@@ -56,3 +58,57 @@
             **self.fields,
             **fields,
         )
+
+
+class NonBlockingSink:
+    """Writes lines to a file descriptor and never waits for its reader.
+
+    Lines that the reader is too slow for are dropped and counted; the count is
+    written with the next line that gets through.
+
+    Parameters
+    ----------
+    fd : int
+        File descriptor, set to non-blocking.
+
+    Attributes
+    ----------
+    dropped_ : int
+        Lines dropped since the last report.
+    """
+
+    def __init__(self, fd: int) -> None:
+        self.fd = fd
+        self.dropped_ = 0
+        self._rest = b""
+        os.set_blocking(fd, False)
+
+    def write(self, text: bytes | str) -> int:
+        """Write a line, or drop it if it can't be taken at once."""
+        data = text.encode() if isinstance(text, str) else text
+        if self.dropped_:
+            notice = {"text": "log: Lines dropped", "count": self.dropped_}
+            data = json.dumps(notice).encode() + b"\n" + data
+        if not self._send(self._rest):
+            self.dropped_ += 1
+            return len(text)
+        self.dropped_ = 0
+        self._send(data)
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: lines are handed on at once."""
+
+    def _send(self, data: bytes) -> bool:
+        """Write as much as possible and keep the rest of a line that was begun."""
+        try:
+            sent = os.write(self.fd, data) if data else 0
+        except BlockingIOError:
+            sent = 0
+        self._rest = data[sent:]
+        return not self._rest
+
+
+def log_to_stdout() -> None:
+    """Send logs to standard output without ever waiting for its reader."""
+    eliot.to_file(NonBlockingSink(sys.stdout.fileno()))
--- a/pimentomill/utils/_clock.py
+++ b/pimentomill/utils/_clock.py
@@ -22,11 +22,17 @@
 
 
 class SystemClock:
-    """Clock of the operating system."""
+    """Clock of the operating system.
+
+    Notes
+    -----
+    The reading goes on while the machine is suspended, so that a deadline set
+    before a suspension has passed after it.
+    """
 
     def now(self) -> Instant:
         """Return the monotonic time in milliseconds."""
-        return Instant(time.monotonic_ns() // NANOSECONDS_PER_MS)
+        return Instant(time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NANOSECONDS_PER_MS)
 
     def wall_ms(self) -> int:
         """Return the time of day in milliseconds since 1970, for display."""
--- a/pimentomill/work/_fold.py
+++ b/pimentomill/work/_fold.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..platform import Applied, Envelope, take_next
+from ..journal import Applied, Envelope, take_next
 from ..utils import Offset
 from ._records import (
     HolderOpened,
--- a/pimentomill/work/tests/test_fold.py
+++ b/pimentomill/work/tests/test_fold.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from pimentomill.platform import decode_envelope, encode_envelope
+from pimentomill.journal import decode_envelope, encode_envelope
 from pimentomill.utils import Resources
 from pimentomill.work import (
     BatchSpec,
--- a/proofs/histories.py
+++ b/proofs/histories.py
@@ -9,7 +9,7 @@
 from pimentomill.admission import make_key, resolve_team
 from pimentomill.cell import CellFold, KeyGiven, KeyWithdrawn, TeamSet
 from pimentomill.exceptions import InvariantError, UnauthorizedError
-from pimentomill.platform import (
+from pimentomill.journal import (
     Instance,
     InstanceKind,
     InstanceState,
--- a/proofs/invariants.py
+++ b/proofs/invariants.py
@@ -6,7 +6,7 @@
 from pimentomill.entry import CELL_STREAM, group_stream
 from pimentomill.exceptions import InvariantError
 from pimentomill.holder import HolderPhase
-from pimentomill.platform import decode_envelope
+from pimentomill.journal import decode_envelope
 from pimentomill.utils import ZERO, GroupName, JobId, Resources, TeamName
 from pimentomill.work import BatchSpec, TaskEnded, TaskOutcome, TaskRef, WorkFold
 
--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -6,8 +6,8 @@
 from pimentomill.cell import CellFold
 from pimentomill.entry import EntryCore
 from pimentomill.holder import WorkerWatch
+from pimentomill.journal import InstanceState
 from pimentomill.ownership import LeaseGuard
-from pimentomill.platform import InstanceState
 from pimentomill.requests import BackendPool, Dispatcher, RequestResult
 from pimentomill.utils import Instant, Resources
 from pimentomill.work import RequestOutcome, WorkFold
--- a/proofs/sim_entry.py
+++ b/proofs/sim_entry.py
@@ -6,7 +6,7 @@
 from pimentomill.cell import CellState
 from pimentomill.entry import CELL_STREAM, EntryCore, stream_group
 from pimentomill.exceptions import InvariantError, NotHolderError, TransportError
-from pimentomill.platform import (
+from pimentomill.journal import (
     AppendBatch,
     AppendQueue,
     PendingAppend,
--- a/proofs/world.py
+++ b/proofs/world.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pimentomill.platform import Instance, InstanceKind, InstanceState
+from pimentomill.journal import Instance, InstanceKind, InstanceState
 from pimentomill.settings import (
     AddressSettings,
     CallerSettings,
