--- a/pimentomill/control/_holds.py
+++ b/pimentomill/control/_holds.py
@@ -94,7 +94,11 @@
 
     async def _hold(self, worker: Worker) -> bool:
         now = self.clock.now()
-        lease_end = worker.lease_end(now, self.cfg.lease_ms)
+        # A worker that does not answer is asked without a renewal: each renewal
+        # would put off the moment at which its lease has certainly lapsed.
+        lease_end = None
+        if worker.is_reachable:
+            lease_end = worker.lease_end(now, self.cfg.lease_ms)
         wait = 0 if worker.has_open_ends or lease_end is None else self.cfg.hold_wait_ms
         order = HoldOrder(self.book.epoch, worker.acknowledged, lease_end, wait)
         try:
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -15,6 +15,7 @@
 from ..utils import Clock, Instant, JobId
 from ._advice import AdviceDesk
 from ._book import CellBook
+from ._diagnosis import why_waiting
 from ._expiry import expired_keys
 from ._holds import Holds
 from ._orders import Orders
@@ -39,6 +40,11 @@
 RENEW_AHEAD_MS = 80
 """Milliseconds of validity beyond the time of a question that are wanted."""
 
+DIAGNOSIS_INTERVAL_MS = 2000
+"""Milliseconds between two reports on waiting steps."""
+DIAGNOSED_STEPS = 6
+"""Steps in one report, so that the log stays small when the cell is full."""
+
 WorkerCodec = Callable[[str, bytes], WorkerInfo | None]
 
 _log = PartLog("control")
@@ -163,6 +169,7 @@
                 self._plan_loop(),
                 self._due_loop(),
                 self._expire_loop(),
+                self._diagnose_loop(),
                 self._watch_authority(),
                 self.pacing.run(),
             )
@@ -370,6 +377,26 @@
             step.question_open = False
         self.request_plan()
 
+    async def _diagnose_loop(self) -> None:
+        """Tell in the log why the longest waiting steps wait."""
+        while True:
+            await asyncio.sleep(DIAGNOSIS_INTERVAL_MS / 1000)
+            now = self.clock.now()
+            workers = list(self.book.workers.values())
+            oldest = now - DIAGNOSIS_INTERVAL_MS
+            steps = [step for step in self.book.ready_steps() if step.ready_at < oldest]
+            steps.sort(key=lambda step: step.ready_at)
+            for step in steps[:DIAGNOSED_STEPS]:
+                _log.info(
+                    "Step waits",
+                    step=step.key,
+                    tasks=len(step.waiting),
+                    waited_ms=now - step.ready_at,
+                    need=step.spec.need.describe(),
+                    asking=step.question_open,
+                    workers=why_waiting(step, workers, self.book.quotas, now),
+                )
+
     # Time
 
     async def _due_loop(self) -> None:
--- a/pimentomill/control/_scribe.py
+++ b/pimentomill/control/_scribe.py
@@ -72,6 +72,7 @@
         self.durable = asyncio.Event()
         self.extra: list[KeyedRecord] = []
         self._wake = asyncio.Event()
+        self._turn = asyncio.Lock()
 
     def wake(self) -> None:
         """Write soon what has changed."""
@@ -104,6 +105,12 @@
         resign : bool
             Whether a successor may take over at once.
         """
+        # Two appends under one sequence number would look like a repeat, and the
+        # second batch would be dropped without an error.
+        async with self._turn:
+            await self._flush(resign)
+
+    async def _flush(self, resign: bool) -> None:
         progress, marks = self.book.take_dirty()
         extra, self.extra = self.extra, []
         records = [
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -284,7 +284,7 @@
 
     def _reserve(self, step: StepRun, rooms: list[_Room], blocked: int) -> None:
         """Keep workers free of later steps for tasks that take most of one."""
-        if step.job.over_share:
+        if step.job.over_share or not _could_fit(step, rooms):
             return
         need = step.spec.reserved
         wide = []
@@ -297,6 +297,31 @@
             self.reserved.add(room.id)
 
 
+def _could_fit(step: StepRun, rooms: list[_Room]) -> bool:
+    """Return whether the step could be placed if the workers were empty.
+
+    A step that fits nowhere would keep its workers idle for good.
+    """
+    wanted = step.spec.count if step.spec.gang else 1
+    for room in rooms:
+        wanted -= _copies(step, room.worker.info.capacity)
+        if wanted <= 0:
+            return True
+    return False
+
+
+def _copies(step: StepRun, capacity: Resources) -> int:
+    need = step.spec.reserved
+    pairs = (
+        (need.cpu_milli, capacity.cpu_milli),
+        (need.memory_mb, capacity.memory_mb),
+        (need.accelerators, capacity.accelerators),
+    )
+    copies = min((have // want for want, have in pairs if want), default=1)
+    limit = step.spec.max_per_worker
+    return min(copies, limit) if limit else copies
+
+
 def _share(need: Resources, capacity: Resources) -> float:
     share = need.cpu_milli / max(1, capacity.cpu_milli)
     if capacity.accelerators:
