--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..catalog import Catalog
-from ..dispatch import Planner, StepRun, order_key
+from ..dispatch import Plan, Planner, StepRun, order_key
 from ..exceptions import FencedError
 from ..fleet import Worker, WorkerInfo, WorkerPort
 from ..jobs import JobTable, KeyedRecord, WorkerId
@@ -15,7 +15,7 @@
 from ..utils import Clock, Instant, JobId
 from ._advice import AdviceDesk
 from ._book import CellBook
-from ._diagnosis import why_waiting
+from ._diagnosis import NOT_ALLOWED, why_waiting
 from ._expiry import expired_keys
 from ._holds import Holds
 from ._orders import Orders
@@ -128,6 +128,7 @@
         self._questions: set[asyncio.Task] = set()
         self._fleet_written: frozenset[WorkerId] = frozenset()
         self._surveyed = False
+        self._last_plan = Plan()
 
     # Events from outside
 
@@ -316,6 +317,7 @@
         for step in steps:
             self._ask_first(step)
         plan = self.planner.plan(now, steps, self.book.workers.values())
+        self._last_plan = plan
         self.orders.start_all(plan.placements)
         for step, names in plan.want_tickets:
             self._ask(step, [self.book.workers[name] for name in names])
@@ -386,7 +388,16 @@
             oldest = now - DIAGNOSIS_INTERVAL_MS
             steps = [step for step in self.book.ready_steps() if step.ready_at < oldest]
             steps.sort(key=lambda step: step.ready_at)
-            for step in steps[:DIAGNOSED_STEPS]:
+            told = 0
+            for step in steps:
+                causes = why_waiting(
+                    step, workers, self.book.quotas, self._last_plan, now
+                )
+                if told >= DIAGNOSED_STEPS:
+                    break
+                if set(causes) == {NOT_ALLOWED}:
+                    continue
+                told += 1
                 _log.info(
                     "Step waits",
                     step=step.key,
@@ -394,7 +405,7 @@
                     waited_ms=now - step.ready_at,
                     need=step.spec.need.describe(),
                     asking=step.question_open,
-                    workers=why_waiting(step, workers, self.book.quotas, now),
+                    workers=causes,
                 )
 
     # Time
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from ..fleet import Worker
-from ..jobs import WorkerId
+from ..jobs import StepKey, WorkerId
 from ..utils import ZERO, Instant, Resources
 from ._quota import QuotaBook
 from ._state import StepRun
@@ -38,17 +38,20 @@
         What to start; members of a gang follow one another.
     want_tickets : list of tuple of StepRun and list of WorkerId
         Steps that would have room on workers for which a ticket is missing.
+    kept_for : dict of WorkerId to StepKey
+        Workers that are kept free, and for which step.
     """
 
     def __init__(self) -> None:
         self.placements: list[Placement] = []
         self.want_tickets: list[tuple[StepRun, list[WorkerId]]] = []
+        self.kept_for: dict[WorkerId, StepKey] = {}
 
 
 class _Room:
     """Capacity of a worker that the pass has not given away."""
 
-    __slots__ = ("acc", "cpu", "id", "mem", "per_step", "worker")
+    __slots__ = ("acc", "cpu", "id", "kept_for", "mem", "others", "per_step", "worker")
 
     def __init__(self, worker: Worker) -> None:
         free = worker.free
@@ -58,20 +61,37 @@
         self.mem = free.memory_mb
         self.acc = free.accelerators
         self.per_step: dict = {}
+        self.kept_for: StepKey | None = None
+        self.others = ZERO
 
-    def fits(self, need: Resources) -> bool:
+    def fits(self, step: StepRun) -> bool:
+        need = step.spec.reserved
+        if self.kept_for not in (None, step.key) and not need.fits_in(self.others):
+            return False
         return (
             need.cpu_milli <= self.cpu
             and need.memory_mb <= self.mem
             and need.accelerators <= self.acc
         )
 
-    def take(self, need: Resources) -> None:
+    def keep(self, step: StepRun) -> None:
+        """Let other steps use only what the step leaves of the empty worker."""
+        own = sum(task.step_key == step.key for task in self.worker.attempts)
+        others = self.worker.used - step.spec.reserved * own
+        capacity = self.worker.info.capacity
+        self.others = capacity - step.spec.reserved - others
+        self.kept_for = step.key
+
+    def take(self, need: Resources, step: StepRun) -> None:
+        if self.kept_for not in (None, step.key):
+            self.others = self.others - need
         self.cpu -= need.cpu_milli
         self.mem -= need.memory_mb
         self.acc -= need.accelerators
 
-    def give(self, need: Resources) -> None:
+    def give(self, need: Resources, step: StepRun) -> None:
+        if self.kept_for not in (None, step.key):
+            self.others = self.others + need
         self.cpu += need.cpu_milli
         self.mem += need.memory_mb
         self.acc += need.accelerators
@@ -120,7 +140,6 @@
             if worker.can_start(now):
                 room = _Room(worker)
                 self.rooms.setdefault(worker.info.service, []).append(room)
-        self.reserved: set[WorkerId] = set()
         self.planned: dict[str, Resources] = {}
         self.out = Plan()
 
@@ -144,8 +163,6 @@
         spec = step.spec
         if spec.required_label and spec.required_label not in room.worker.info.labels:
             return False
-        if room.id in self.reserved:
-            return False
         return step.job.queue.advice is None or room.id in step.allowed
 
     def _place_tasks(self, step: StepRun, rooms: list[_Room]) -> int:
@@ -196,7 +213,7 @@
             room = self._best(step, rooms, None) if self._within_limit(step) else None
             if room is None:
                 for taken in chosen:
-                    taken.give(need)
+                    taken.give(need, step)
                     taken.per_step[step.key] -= 1
                 self.planned[step.job.accepted.team] = before
                 return None
@@ -220,11 +237,10 @@
     def _best(self, step: StepRun, rooms: list[_Room], last: WorkerId | None):
         """Return the room that the task fits into most tightly."""
         spec = step.spec
-        need = spec.reserved
         best = None
         best_score = None
         for room in rooms:
-            if not room.fits(need):
+            if not room.fits(step):
                 continue
             if spec.max_per_worker and (self._count(step, room) >= spec.max_per_worker):
                 continue
@@ -264,7 +280,7 @@
         return count
 
     def _occupy(self, step: StepRun, room: _Room, need: Resources) -> None:
-        room.take(need)
+        room.take(need, step)
         room.per_step[step.key] = self._count(step, room) + 1
         team = step.job.accepted.team
         self.planned[team] = self.planned.get(team, ZERO) + step.spec.need
@@ -290,11 +306,14 @@
         wide = []
         for room in rooms:
             capacity = room.worker.info.capacity
+            if room.kept_for is not None:
+                continue
             if need.fits_in(capacity) and _share(need, capacity) > WIDE_SHARE:
                 wide.append(room)
         wide.sort(key=lambda room: (-room.acc, -room.cpu))
         for room in wide[: min(blocked, MAX_RESERVED)]:
-            self.reserved.add(room.id)
+            room.keep(step)
+            self.out.kept_for[room.id] = step.key
 
 
 def _could_fit(step: StepRun, rooms: list[_Room]) -> bool:
