--- /dev/null
+++ b/pimentomill/control/tests/test_leader.py
@@ -0,0 +1,165 @@
+import asyncio
+import unittest
+
+from pimentomill.catalog import Catalog, RequestLimits
+from pimentomill.control import AdviceDesk, ControlSettings, Leader
+from pimentomill.dispatch.tests.samples import accepted, info, queue, step
+from pimentomill.fleet import EndKind
+from pimentomill.jobs import (
+    JobState,
+    JobTable,
+    KeyedRecord,
+    TaskKey,
+    accepted_key,
+    encode_record,
+)
+from pimentomill.replica import LeaderRecord
+from pimentomill.standins import MemoryStore, MemoryWorkers
+from pimentomill.utils import SystemClock
+
+JOB = "a" * 16
+WAIT_S = 3.0
+
+
+class LeaderCase(unittest.IsolatedAsyncioTestCase):
+    """Leaders over a store and workers in memory; each test waits for events."""
+
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        self.workers = MemoryWorkers()
+        self.clock = SystemClock()
+        self.table = JobTable()
+        self.infos = {}
+        self.tasks = []
+        for name in ("w1", "w2"):
+            await self.list_worker(name)
+
+    async def asyncTearDown(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def list_worker(self, name, **changes):
+        if name not in self.workers.workers:
+            self.workers.add(name)
+        self.infos[name] = info(name, **changes)
+        await self.store.append("workers", [KeyedRecord(name, b"listed")])
+
+    def lead(self, epoch, fleet=(), **settings):
+        cfg = ControlSettings(
+            hold_wait_ms=50, hold_gap_ms=1, retry_ms=10, beat_ms=50, **settings
+        )
+        leader = Leader(
+            LeaderRecord(epoch, f"n{epoch}", f"i{epoch}"),
+            1,
+            self.store,
+            self.table,
+            self.workers,
+            AdviceDesk(self.clock, 100),
+            lambda key, value: self.infos.get(key),
+            self.clock,
+            cfg,
+            list(fleet),
+        )
+        catalog = Catalog(1, [queue()], [], {}, ["planting"], RequestLimits())
+        leader.set_catalog(catalog)
+        self.tasks.append(asyncio.ensure_future(leader.run()))
+        return leader
+
+    def hand_in(self, leader, steps, job=JOB):
+        record = accepted(job, steps, at_ms=self.clock.wall_ms())
+        self.table.apply(accepted_key(job), encode_record(record))
+        if leader is not None:
+            leader.note_job(job)
+
+    async def until(self, condition):
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    def started(self, index=0):
+        return [who for who, task, _ in self.workers.started if task.index == index]
+
+
+class TestLeader(LeaderCase):
+    async def test_a_job_runs_once_and_its_end_is_stored_before_it_is_dropped(self):
+        leader = self.lead(1)
+        self.hand_in(leader, [step()])
+        await self.until(lambda: self.workers.started)
+        worker, task, _ = self.workers.started[0]
+        self.workers.end(worker, task, EndKind.DONE)
+        await self.until(lambda: not self.workers.workers[worker].ended)
+        for record in self.store.records("work"):
+            self.table.apply(record.key, record.value)
+        self.assertEqual(self.table.find(JOB).state, JobState.COMPLETED)
+        self.assertEqual(len(self.workers.started), 1)
+
+    async def test_an_end_is_not_acknowledged_while_the_store_is_down(self):
+        leader = self.lead(1)
+        self.hand_in(leader, [step()])
+        await self.until(lambda: self.workers.started)
+        self.store.is_down = True
+        worker, task, _ = self.workers.started[0]
+        self.workers.end(worker, task, EndKind.DONE)
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(self.workers.workers[worker].ended), 1)
+        self.store.is_down = False
+        await self.until(lambda: not self.workers.workers[worker].ended)
+
+    async def test_accepted_work_starts_while_the_store_is_down(self):
+        leader = self.lead(1)
+        await self.until(lambda: leader.book.workers and leader._surveyed)
+        self.store.is_down = True
+        self.hand_in(leader, [step()])
+        await self.until(lambda: self.workers.started)
+
+    async def test_a_start_without_an_answer_is_made_impossible_first(self):
+        leader = self.lead(1)
+        self.workers.lose_starts = 1
+        self.hand_in(leader, [step()])
+        await self.until(lambda: len(self.workers.started) == 2)
+        first, second = self.workers.started
+        running = [
+            name
+            for name, state in self.workers.workers.items()
+            if TaskKey(JOB, 0, 0, 0) in state.running
+        ]
+        self.assertEqual(running, [second[0]])
+        self.assertGreater(second[2], first[2])
+
+    async def test_a_silent_worker_s_task_waits_for_the_end_of_its_lease(self):
+        leader = self.lead(1, lease_ms=600)
+        self.hand_in(leader, [step()])
+        await self.until(lambda: self.workers.started)
+        await self.until(lambda: leader.book.workers["w1"].heard_at is not None)
+        worker, _, _ = self.workers.started[0]
+        lost_at = self.clock.now()
+        self.workers.silent.add(worker)
+        await self.until(lambda: len(self.workers.started) == 2)
+        # The last renewal lies at most one hold before the silence.
+        self.assertGreaterEqual(self.clock.now() - lost_at, 600 - 2 * 50)
+        self.assertNotEqual(self.workers.started[1][0], worker)
+
+    async def test_a_successor_shuts_the_leader_before_out(self):
+        first = self.lead(1)
+        self.hand_in(first, [step(count=2)])
+        await self.until(lambda: len(self.workers.started) == 2)
+        self.lead(2, fleet=self.infos.values())
+        why = await asyncio.wait_for(self.tasks[0], WAIT_S)
+        self.assertIn("higher", why)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.workers.started), 2)
+
+    async def test_a_successor_waits_for_a_silent_worker_with_inherited_work(self):
+        first = self.lead(1)
+        self.hand_in(first, [step()])
+        await self.until(lambda: self.workers.started)
+        worker, _, _ = self.workers.started[0]
+        self.tasks[0].cancel()
+        self.workers.silent.add(worker)
+        second = self.lead(2, fleet=self.infos.values(), lease_ms=400)
+        self.hand_in(second, [step()], job="b" * 16)
+        await self.until(lambda: len(self.workers.started) == 2)
+        self.assertEqual(self.workers.started[1][1].job, "b" * 16)
+        await self.until(lambda: len(self.workers.started) == 3)
+        self.assertNotEqual(self.workers.started[2][0], worker)
--- /dev/null
+++ b/pimentomill/control/tests/test_scribe.py
@@ -0,0 +1,52 @@
+import asyncio
+import unittest
+
+from pimentomill.control import CellBook
+from pimentomill.control._scribe import Scribe
+from pimentomill.control._settings import ControlSettings
+from pimentomill.exceptions import FencedError
+from pimentomill.jobs import KeyedRecord
+from pimentomill.replica import LeaderRecord, Writer
+from pimentomill.standins import MemoryStore
+from pimentomill.utils import ManualClock
+
+
+class TestScribe(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+        self.clock = ManualClock()
+        self.book = CellBook(1, self.clock)
+        self.scribe = Scribe(
+            self.store,
+            self.book,
+            LeaderRecord(1, "n", "i"),
+            5,
+            self.clock,
+            ControlSettings(retry_ms=1),
+        )
+
+    def keys(self):
+        return [record.key for record in self.store.records("work")]
+
+    async def test_two_flushes_at_once_keep_both_batches(self):
+        self.store.append_delay_s = 0.01
+        self.scribe.extra = [KeyedRecord("x", b"1")]
+        first = asyncio.ensure_future(self.scribe.flush())
+        await asyncio.sleep(0)
+        self.scribe.extra = [KeyedRecord("y", b"2")]
+        await asyncio.gather(first, self.scribe.flush(resign=True))
+        self.assertIn("x", self.keys())
+        self.assertIn("y", self.keys())
+
+    async def test_a_lost_answer_appends_once(self):
+        self.store.lose_answers = 2
+        self.scribe.extra = [KeyedRecord("x", b"1")]
+        await self.scribe.flush()
+        self.assertEqual(self.keys().count("x"), 1)
+
+    async def test_a_leader_that_was_replaced_writes_nothing(self):
+        await self.store.append("work", [], Writer("leader", 2, 9))
+        self.scribe.extra = [KeyedRecord("x", b"1")]
+        with self.assertRaises(FencedError):
+            await self.scribe.flush()
+        self.assertNotIn("x", self.keys())
--- /dev/null
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -0,0 +1,162 @@
+import unittest
+
+from pimentomill.catalog import AdvicePolicy, Team
+from pimentomill.dispatch import Planner, QuotaBook, Ticket, order_key
+from pimentomill.fleet import Attempt
+from pimentomill.jobs import TaskKey
+from pimentomill.utils import Resources
+
+from .samples import first_step, job_run, queue, step, worker
+
+
+def placed(plan):
+    return [(item.index, item.worker.info.worker) for item in plan.placements]
+
+
+class TestPlanner(unittest.TestCase):
+    def setUp(self):
+        self.quotas = QuotaBook()
+        self.planner = Planner(self.quotas)
+
+    def plan(self, steps, workers, now=0):
+        return self.planner.plan(now, steps, workers)
+
+    def test_no_worker_gets_more_than_its_capacity(self):
+        wide = first_step(steps=[step(count=5, cpu=6000)])
+        plan = self.plan([wide], [worker("w1"), worker("w2")])
+        self.assertEqual(len(plan.placements), 4)
+        for name in ("w1", "w2"):
+            self.assertEqual(sum(who == name for _, who in placed(plan)), 2)
+
+    def test_what_is_being_stopped_still_counts(self):
+        busy = worker("w1")
+        busy.add(Attempt(TaskKey("x", 0, 0, 0), 1, busy, Resources(14000, 0, 0), 0))
+        plan = self.plan([first_step(steps=[step(cpu=4000)])], [busy])
+        self.assertEqual(placed(plan), [])
+
+    def test_most_tasks_of_a_step_on_one_worker(self):
+        spread = first_step(steps=[step(count=4, max_per_worker=1)])
+        plan = self.plan([spread], [worker("w1"), worker("w2")])
+        self.assertEqual({who for _, who in placed(plan)}, {"w1", "w2"})
+        self.assertEqual(len(plan.placements), 2)
+
+    def test_a_gang_starts_whole_or_not_at_all(self):
+        gang = first_step(steps=[step(count=3, cpu=9000, gang=True)])
+        self.assertEqual(placed(self.plan([gang], [worker("w1"), worker("w2")])), [])
+        three = [worker("w1"), worker("w2"), worker("w3")]
+        self.assertEqual(len(self.plan([gang], three).placements), 3)
+
+    def test_a_gang_that_does_not_fit_leaves_room_for_others(self):
+        gang = first_step("a" * 16, [step(count=3, cpu=9000, gang=True)])
+        other = first_step("b" * 16, [step(count=2, cpu=16000)])
+        plan = self.plan([gang, other], [worker("w1"), worker("w2")])
+        self.assertEqual(len(plan.placements), 2)
+
+    def test_a_team_never_passes_its_limit(self):
+        self.quotas.teams = {"t": Team("t", 1.0, Resources(cpu_milli=2500))}
+        steps = [first_step(letter * 16, [step(count=2)]) for letter in "ab"]
+        plan = self.plan(steps, [worker("w1")])
+        self.assertEqual(len(plan.placements), 2)
+
+    def test_required_label(self):
+        labelled = first_step(steps=[step(required_label="b")])
+        self.assertEqual(placed(self.plan([labelled], [worker("w1")])), [])
+
+    def test_leaving_and_silent_workers_get_nothing(self):
+        leaving = worker("w1", is_draining=True)
+        silent = worker("w2")
+        silent.is_reachable = False
+        unlisted = worker("w3")
+        unlisted.is_listed = False
+        plan = self.plan([first_step(steps=[step()])], [leaving, silent, unlisted])
+        self.assertEqual(placed(plan), [])
+
+    def test_a_task_that_failed_is_tried_elsewhere(self):
+        again = first_step(steps=[step()])
+        again.last_workers[0] = "w1"
+        plan = self.plan([again], [worker("w1"), worker("w2")])
+        self.assertEqual(placed(plan), [(0, "w2")])
+
+    def test_filling_work_takes_no_processor_but_memory(self):
+        filling = first_step(steps=[step(count=3, cpu=16000, memory=16000, fills=True)])
+        plan = self.plan([filling], [worker("w1")])
+        self.assertEqual(len(plan.placements), 2)
+
+
+class TestTickets(unittest.TestCase):
+    def setUp(self):
+        self.planner = Planner(QuotaBook())
+        policy = AdvicePolicy(10.0, 1.0, 2000)
+        self.step = first_step(steps=[step()], of=queue(advice=policy))
+        self.step.allowed = {"w2"}
+
+    def test_only_allowed_workers_and_only_with_a_valid_ticket(self):
+        workers = [worker("w1"), worker("w2")]
+        plan = self.planner.plan(0, [self.step], workers)
+        self.assertEqual(placed(plan), [])
+        self.assertEqual(plan.want_tickets, [(self.step, ["w2"])])
+        self.step.tickets["w2"] = Ticket("secret", 100)
+        plan = self.planner.plan(99, [self.step], workers)
+        self.assertEqual(plan.placements[0].ticket, "secret")
+        self.assertEqual(placed(self.planner.plan(100, [self.step], workers)), [])
+
+    def test_room_waits_while_a_ticket_is_asked_for(self):
+        later = first_step("b" * 16, [step(cpu=16000)])
+        plan = self.planner.plan(0, [self.step, later], [worker("w2")])
+        self.assertEqual(placed(plan), [])
+
+
+class TestKeptWorkers(unittest.TestCase):
+    """A large task beside a stream of small ones that would starve it."""
+
+    def setUp(self):
+        self.planner = Planner(QuotaBook())
+        self.worker = worker("w1", cpu=16000)
+        small = Attempt(
+            TaskKey("c" * 16, 0, 0, 0), 1, self.worker, Resources(6000, 100, 0), 0
+        )
+        self.worker.add(small)
+        self.large = first_step("a" * 16, [step(cpu=12000)], of=queue(priority=0))
+
+    def test_small_tasks_do_not_starve_a_large_one(self):
+        small = first_step("b" * 16, [step(cpu=6000)])
+        plan = self.planner.plan(0, [self.large, small], [self.worker])
+        self.assertEqual(placed(plan), [])
+        self.assertEqual(plan.kept_for, {"w1": self.large.key})
+
+    def test_others_use_what_the_large_one_leaves(self):
+        self.worker.remove(next(iter(self.worker.attempts.values())))
+        own = Attempt(
+            TaskKey("a" * 16, 0, 0, 1), 1, self.worker, Resources(12000, 100, 0), 0
+        )
+        self.worker.add(own)
+        small = first_step("b" * 16, [step(count=2, cpu=3000)])
+        plan = self.planner.plan(0, [self.large, small], [self.worker])
+        self.assertEqual(placed(plan), [(0, "w1")])
+
+    def test_what_fits_nowhere_keeps_no_worker(self):
+        never = first_step(
+            "a" * 16, [step(count=2, cpu=12000, gang=True)], of=queue(priority=0)
+        )
+        small = first_step("b" * 16, [step(cpu=6000)])
+        plan = self.planner.plan(0, [never, small], [self.worker])
+        self.assertEqual(placed(plan), [(0, "w1")])
+
+
+class TestOrder(unittest.TestCase):
+    def test_priority_then_what_can_still_be_in_time_then_the_nearest_objective(self):
+        spec = [step(estimate_ms=1000)]
+        urgent = first_step("a" * 16, spec, of=queue("p0", 0), seen_at=900)
+        late = first_step("b" * 16, spec, of=queue("p1", 1), seen_at=-5000)
+        soon = first_step("c" * 16, spec, of=queue("p1", 1), seen_at=0)
+        fresh = first_step("d" * 16, spec, of=queue("p1", 1), seen_at=900)
+        steps = sorted([fresh, late, soon, urgent], key=lambda s: order_key(s, 1000))
+        self.assertEqual([s.key.job[0] for s in steps], ["a", "c", "d", "b"])
+
+    def test_work_beyond_a_team_s_share_comes_last(self):
+        hot = job_run("a" * 16, [step()], of=queue("p0", 0))
+        hot.over_share = True
+        usual = first_step("b" * 16, [step()], of=queue("p2", 2))
+        steps = [next(iter(hot.steps.values())), usual]
+        steps.sort(key=lambda s: order_key(s, 0))
+        self.assertIs(steps[0], usual)
--- /dev/null
+++ b/pimentomill/intake/tests/test_intake.py
@@ -0,0 +1,90 @@
+import asyncio
+import unittest
+
+from pimentomill.dispatch.tests.samples import accepted, queue, step
+from pimentomill.intake import Intake, Kept, Unavailable
+from pimentomill.jobs import JobState, JobTable, KeyedRecord
+from pimentomill.replica import Follower, FollowerTiming
+from pimentomill.standins import MemoryStore
+from pimentomill.utils import SystemClock
+
+JOB = "a" * 16
+
+
+class TestIntake(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        clock = SystemClock()
+        table = JobTable()
+        self.follower = Follower(
+            self.store,
+            "work",
+            lambda record: table.apply(record.key, record.value),
+            lambda: None,
+            clock,
+            FollowerTiming(wait_ms=30, pause_ms=1, retry_ms=5),
+        )
+        self.intake = Intake(self.store, "work", table, self.follower, clock)
+        self.queue = queue()
+        self.spec = accepted(steps=[step()]).spec
+        self.task = asyncio.ensure_future(self.follower.run())
+        await asyncio.sleep(0.02)
+
+    async def asyncTearDown(self):
+        self.task.cancel()
+
+    async def submit(self, job=JOB):
+        return await self.intake.submit(self.queue, "t", job, self.spec)
+
+    async def state(self, team="t", job=JOB):
+        return await self.intake.state(self.queue, team, job)
+
+    async def test_a_job_that_was_kept_is_shown_at_once(self):
+        self.assertIs(await self.submit(), Kept.KEPT)
+        self.assertIs(await self.state(), JobState.QUEUED)
+
+    async def test_a_repeat_is_the_same_job(self):
+        await self.submit()
+        await self.state()
+        calls = len(self.store.records("work"))
+        self.assertIs(await self.submit(), Kept.KEPT)
+        self.assertEqual(len(self.store.records("work")), calls)
+
+    async def test_refused_only_if_nothing_was_kept(self):
+        self.store.is_down = True
+        self.assertIs(await self.submit(), Kept.NOT_KEPT)
+        self.assertEqual(self.store.records("work"), [])
+
+    async def test_a_lost_answer_is_not_called_a_refusal(self):
+        self.store.lose_answers = 1
+        self.assertIs(await self.submit(), Kept.UNKNOWN)
+
+    async def test_an_unknown_job_is_denied_only_by_the_newest_state(self):
+        self.assertIsNone(await self.state())
+        self.store.is_down = True
+        await asyncio.sleep(0.05)
+        with self.assertRaises(Unavailable):
+            await self.state()
+
+    async def test_a_job_of_another_team_is_not_shown_or_cancelled(self):
+        await self.submit()
+        self.assertIsNone(await self.state(team="u"))
+        kept = await self.intake.cancel(self.queue, "u", JOB)
+        self.assertIs(kept, Kept.NO_SUCH_JOB)
+
+    async def test_a_cancelled_job_stays_cancelled(self):
+        await self.submit()
+        self.assertIs(await self.intake.cancel(self.queue, "t", JOB), Kept.KEPT)
+        await asyncio.sleep(0.05)
+        self.assertIs(await self.state(), JobState.CANCELLED)
+
+    async def test_jobs_that_have_not_begun_are_counted_by_queue(self):
+        await self.submit()
+        await self.state()
+        self.assertEqual(self.intake.waiting(self.queue), 1)
+        self.assertEqual(self.intake.waiting(queue(name="other")), 0)
+
+    async def test_unreadable_records_are_passed_over(self):
+        await self.store.append("work", [KeyedRecord("j:" + JOB, b"\xc1")])
+        await self.submit()
+        self.assertIs(await self.state(), JobState.QUEUED)
--- /dev/null
+++ b/pimentomill/replica/tests/test_leases.py
@@ -0,0 +1,52 @@
+import unittest
+
+import msgspec
+
+from pimentomill.replica import ElectionTiming, LeaderRecord, LeaderWatch
+from pimentomill.utils import ManualClock
+
+
+class TestLeaderWatch(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(1000)
+        self.watch = LeaderWatch("me", self.clock, ElectionTiming(1000, 10))
+
+    def sign(self, epoch, incarnation, resigned=False):
+        record = LeaderRecord(epoch, "node", incarnation, resigned)
+        self.watch.apply(msgspec.msgpack.encode(record))
+
+    def due(self):
+        return self.watch.claim_due(self.clock.now(), 0.0)
+
+    def test_a_silent_leader_is_replaced(self):
+        self.sign(1, "other")
+        self.clock.advance(900)
+        self.assertFalse(self.due())
+        self.clock.advance(200)
+        self.assertTrue(self.due())
+
+    def test_silence_is_no_sign_while_the_store_can_t_be_read(self):
+        self.sign(1, "other")
+        read_until = self.clock.now()
+        self.clock.advance(5000)
+        self.assertFalse(self.watch.claim_due(read_until, 0.0))
+
+    def test_a_leader_that_resigned_is_replaced_at_once(self):
+        self.sign(1, "other", resigned=True)
+        self.clock.advance(80)
+        self.assertTrue(self.due())
+
+    def test_a_later_sign_of_an_earlier_epoch_changes_nothing(self):
+        self.sign(2, "other")
+        self.sign(1, "me")
+        self.assertFalse(self.watch.is_led_by_me())
+        self.assertEqual(self.watch.epoch, 2)
+
+    def test_the_first_claim_of_an_epoch_wins(self):
+        self.sign(2, "other")
+        self.sign(2, "me")
+        self.assertFalse(self.watch.is_led_by_me())
+
+    def test_an_unreadable_sign_is_ignored(self):
+        self.watch.apply(b"\xff\x00")
+        self.assertIsNone(self.watch.record_)
--- a/pimentomill/standins/__init__.py
+++ b/pimentomill/standins/__init__.py
@@ -5,7 +5,9 @@
 """
 
 from ._backend import BackendModel, BackendStandIn
+from ._memory_worker import MemoryWorkers
 from ._platform import LogFaults, LogModel, PlatformStandIn
+from ._records import MemoryStore
 from ._worker import WorkerModel, WorkerStandIn
 
 __all__ = [
@@ -13,6 +15,8 @@
     "BackendStandIn",
     "LogFaults",
     "LogModel",
+    "MemoryStore",
+    "MemoryWorkers",
     "PlatformStandIn",
     "WorkerModel",
     "WorkerStandIn",
--- /dev/null
+++ b/pimentomill/standins/_records.py
@@ -0,0 +1,127 @@
+"""Stand-in of the record store, in memory."""
+
+import asyncio
+
+from ..exceptions import (
+    AppendUnknownError,
+    FencedError,
+    LogUnavailableError,
+    OutOfSequenceError,
+    RecordsForgottenError,
+)
+from ..jobs import KeyedRecord
+from ..replica import Appended, NewestPage, Slice, Writer
+
+__all__ = ["MemoryStore"]
+
+
+class MemoryStore:
+    """Keyed streams with fenced writers.
+
+    Parameters
+    ----------
+    page_size : int, default=500
+        Keys on one page of newest records.
+
+    Attributes
+    ----------
+    is_down : bool
+        Whether every call is refused.
+    lose_answers : int
+        Appends to come that are kept but not answered.
+    """
+
+    def __init__(self, page_size: int = 500) -> None:
+        self.page_size = page_size
+        self.is_down = False
+        self.lose_answers = 0
+        self.append_delay_s = 0.0
+        self.calls = 0
+        self._streams: dict[str, list[KeyedRecord]] = {}
+        self._first: dict[str, int] = {}
+        self._writers: dict[tuple[str, str], tuple[int, int, Appended]] = {}
+        self._grown = asyncio.Event()
+
+    def records(self, stream: str) -> list[KeyedRecord]:
+        """Return all records of a stream, forgotten ones included."""
+        return self._streams.setdefault(stream, [])
+
+    def forget(self, stream: str) -> None:
+        """Drop the history of a stream; the newest record of each key stays."""
+        self._first[stream] = len(self.records(stream))
+
+    async def append(
+        self, stream: str, records: list[KeyedRecord], writer: Writer | None = None
+    ) -> Appended:
+        """Add records, all or none; see `RecordStore`."""
+        self.calls += 1
+        if self.append_delay_s:
+            await asyncio.sleep(self.append_delay_s)
+        if self.is_down:
+            raise LogUnavailableError("the store is down")
+        known = self._check(stream, writer)
+        if known is None:
+            known = self._keep(stream, records, writer)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise AppendUnknownError("the answer was lost")
+        return known
+
+    def _check(self, stream: str, writer: Writer | None) -> Appended | None:
+        """Return the first answer if the append is a repeat."""
+        if writer is None:
+            return None
+        known = self._writers.get((stream, writer.name))
+        if known is None or writer.epoch > known[0]:
+            return None
+        epoch, sequence, answer = known
+        if writer.epoch < epoch:
+            raise FencedError(f"epoch {epoch} writes")
+        if writer.sequence == sequence:
+            return answer
+        if writer.sequence != sequence + 1:
+            raise OutOfSequenceError("sequence refused", sequence + 1)
+        return None
+
+    def _keep(self, stream, records, writer: Writer | None) -> Appended:
+        kept = self.records(stream)
+        answer = Appended(len(kept), len(kept) + len(records))
+        kept.extend(records)
+        if writer is not None:
+            state = (writer.epoch, writer.sequence, answer)
+            self._writers[(stream, writer.name)] = state
+        self._grown.set()
+        self._grown = asyncio.Event()
+        return answer
+
+    async def read(self, stream: str, offset: int, wait_ms: int) -> Slice:
+        """Return records from an offset on; see `RecordStore`."""
+        self.calls += 1
+        if self.is_down:
+            raise LogUnavailableError("the store is down")
+        kept = self.records(stream)
+        if offset >= len(kept) and wait_ms:
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await self._grown.wait()
+            except TimeoutError:
+                pass
+        if offset < self._first.get(stream, 0):
+            raise RecordsForgottenError(f"records at {offset} are gone")
+        part = kept[offset:]
+        return Slice(part, offset + len(part), len(kept))
+
+    async def newest(self, stream: str, after: str | None) -> NewestPage:
+        """Return a page of newest records; see `RecordStore`."""
+        self.calls += 1
+        if self.is_down:
+            raise LogUnavailableError("the store is down")
+        newest = {record.key: record for record in self.records(stream)}
+        keys = sorted(key for key, record in newest.items() if record.value)
+        if after is not None:
+            keys = [key for key in keys if key > after]
+        page = keys[: self.page_size]
+        more = page[-1] if len(keys) > len(page) else None
+        return NewestPage(
+            [newest[key] for key in page], more, len(self.records(stream))
+        )
