--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -18,6 +18,7 @@
 from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
 from ..telemetry import PartLog
 from ..utils import Clock, Epoch, Instant, JobId
+from ._relocation import is_straggler, must_leave
 
 __all__ = ["CellBook", "EndMark", "StopOrder"]
 
@@ -31,6 +32,8 @@
 """First pause of a worker that fails what it starts; it doubles with each failure."""
 AVOID_MAX_MS = 4000
 """Longest such pause, so that a sound worker is found again within seconds."""
+SLOW_PAUSE_MS = 2000
+"""Pause of a worker on which a run went slowly; others are tried meanwhile."""
 STUCK_MS = 1700
 """Milliseconds without a percent of progress after which a run counts as stuck: the
 longest tasks gain a percent each 140 ms, on a worker that is eight times slower each
@@ -239,6 +242,7 @@
         key = step.key
         task = TaskKey(key.job, key.occurrence, key.step, index)
         attempt = Attempt(task, run, worker, step.spec.reserved, self.clock.now())
+        attempt.resumed = bool(self.saved_for(step, index))
         step.withdraw(index)
         self._occupy(step, attempt)
         if step.job.state is JobState.QUEUED:
@@ -322,6 +326,10 @@
             self.workers[info.worker] = worker
         worker.info = info
         worker.is_listed = True
+        if not info.is_draining:
+            worker.leaves_at = None
+        elif worker.leaves_at is None:
+            worker.leaves_at = Instant(self.clock.now() + info.stays_ms)
         return worker
 
     def note_life(self, worker: Worker, born_ms: int) -> None:
@@ -399,14 +407,22 @@
         if status.saved:
             attempt.saved = status.saved
         attempt.load = status.load
-        if status.percent != attempt.percent:
-            attempt.percent = status.percent
-            attempt.advanced_at = now
+        if attempt.note_percent(status.percent, now):
+            self._check_straggler(attempt, now)
         elif self._is_stuck(attempt, now):
             worker.failures_in_row += 1
             self._avoid(worker)
             self.order_stop(attempt, "no progress")
 
+    def _check_straggler(self, attempt: Attempt, now: Instant) -> None:
+        """Stop a run that would be done sooner if it began anew elsewhere."""
+        step = self.step_of(attempt.task)
+        if step is None or not is_straggler(attempt, step, now):
+            return
+        worker = attempt.worker
+        worker.avoid_until = Instant(max(worker.avoid_until, now + SLOW_PAUSE_MS))
+        self.order_stop(attempt, "slow here")
+
     def _is_stuck(self, attempt: Attempt, now: Instant) -> bool:
         step = self.step_of(attempt.task)
         if step is None or attempt.phase is not AttemptPhase.RUNNING:
@@ -438,6 +454,7 @@
             task, status.run, worker, step.spec.reserved, self.clock.now()
         )
         attempt.phase = AttemptPhase.RUNNING
+        attempt.resumed = True
         step.withdraw(task.index)
         self._occupy(step, attempt)
         if step.job.state is JobState.QUEUED:
@@ -464,6 +481,17 @@
         stray.phase = AttemptPhase.STOPPING
         worker.add(stray)
 
+    def evacuate(self) -> None:
+        """Stop runs on leaving workers that would not be done in time."""
+        now = self.clock.now()
+        for worker in self.workers.values():
+            if worker.leaves_at is None:
+                continue
+            for attempt in list(worker.attempts.values()):
+                step = self.step_of(attempt.task)
+                if step is not None and must_leave(attempt, step, now):
+                    self.order_stop(attempt, "the worker leaves")
+
     # Ends
 
     def _take_end(self, worker: Worker, end: RunEnd) -> None:
@@ -491,6 +519,8 @@
 
     def _take_done(self, worker, step: StepRun | None, attempt, end: RunEnd) -> None:
         worker.failures_in_row = 0
+        if step is not None and attempt is not None and not attempt.resumed:
+            step.durations.append(self.clock.now() - attempt.began_at)
         lasts = step is not None and step.spec.long_running
         if attempt is not None:
             self.release(attempt, put_back=lasts)
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -310,6 +310,7 @@
 
     def _plan(self) -> None:
         self._check_survey()
+        self.book.evacuate()
         self.orders.stop_all(self.book.take_stops())
         now = self.clock.now()
         steps = [step for step in self.book.ready_steps()]
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -70,6 +70,8 @@
         Workers that the queue's policy was asked about, and those it allows.
     tickets : dict of WorkerId to Ticket
         Tickets.
+    durations : list of int
+        Milliseconds that tasks without a checkpoint took from order to end.
     """
 
     def __init__(self, job: "JobRun", key: StepKey, spec: StepSpec, first_run: int):
@@ -88,6 +90,7 @@
         self.allowed: set[WorkerId] = set()
         self.tickets: dict[WorkerId, Ticket] = {}
         self.question_open = False
+        self.durations: list[int] = []
         self.last_workers: dict[int, WorkerId] = {}
 
     @property
--- a/pimentomill/fleet/_messages.py
+++ b/pimentomill/fleet/_messages.py
@@ -69,6 +69,8 @@
         Labels that a step may require.
     born_ms : int
         Time of day at which this life began, in milliseconds since 1970.
+    stays_ms : int
+        Milliseconds for which a draining worker stays at least.
     """
 
     worker: WorkerId
@@ -80,6 +82,7 @@
     rack: str
     labels: frozenset[str]
     born_ms: int
+    stays_ms: int = 0
 
 
 class RunStatus(NamedTuple):
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -50,6 +50,8 @@
     settled_at : Instant
         Time of the last answered order about it; only reports asked for later
         tell whether it is there.
+    resumed : bool
+        Whether it began at a checkpoint.
     percent, advanced_at, saved, load
         Newest progress, when it last grew, checkpoint and load.
     pace : int
@@ -64,9 +66,12 @@
         "in_doubt",
         "load",
         "pace",
+        "first_at",
+        "first_percent",
         "percent",
         "phase",
         "reserved",
+        "resumed",
         "run",
         "saved",
         "settled_at",
@@ -87,12 +92,41 @@
         self.settled_at: Instant = now
         self.advanced_at = now
         self.percent = -1
+        self.first_percent = -1
+        self.first_at = now
         self.saved = ""
+        self.resumed = False
         self.load = 0
         self.pace = 100
         self.why_stopped = ""
         self.in_doubt = False
 
+    def note_percent(self, percent: int, now: Instant) -> bool:
+        """Take in progress and return whether there was any."""
+        if percent == self.percent:
+            return False
+        if self.first_percent < 0:
+            self.first_percent = percent
+            self.first_at = now
+        self.percent = percent
+        self.advanced_at = now
+        return True
+
+    def remaining_ms(self, now: Instant) -> float | None:
+        """Return how much longer the run takes, None if that can't be told.
+
+        The speed is that since the first report or, before there are two, that
+        since the start of a run without a checkpoint.
+        """
+        gained = self.percent - self.first_percent
+        span = self.advanced_at - self.first_at
+        if gained <= 0 and self.percent > 0 and not self.resumed:
+            gained, span = self.percent, self.advanced_at - self.began_at
+        if gained <= 0 or span <= 0:
+            return None
+        left = (100 - self.percent) * span / gained
+        return max(0.0, left - (now - self.advanced_at))
+
 
 class Worker:
     """A worker with its attempts, its lease and its ends.
@@ -116,6 +150,8 @@
         Whether its last hold was answered.
     lease_until : Instant
         Upper bound of the end of the lease, on this process' clock.
+    leaves_at : Instant or None
+        Earliest end of a draining worker.
     """
 
     def __init__(self, info: WorkerInfo, now: Instant) -> None:
@@ -128,6 +164,7 @@
         self.born_ms = 0
         self.lease_until = now
         self.heard_at: Instant | None = None
+        self.leaves_at: Instant | None = None
         self.failures_in_row = 0
         self.avoid_until = now
         self._clock_ms = 0
--- a/pimentomill/platform/_store.py
+++ b/pimentomill/platform/_store.py
@@ -201,7 +201,7 @@
         try:
             body = msgspec.json.decode(reply.body, type=NewestBody)
             records = [
-                KeyedRecord(item.key, base64.b64decode(item.value))
+                KeyedRecord(item.key, base64.b64decode(item.value, validate=True))
                 for item in body.items
             ]
         except (msgspec.DecodeError, ValueError) as exc:
--- a/pimentomill/platform/_workers.py
+++ b/pimentomill/platform/_workers.py
@@ -66,6 +66,8 @@
     zone: str = msgspec.field(name="Zone", default="")
     labels: list[str] = msgspec.field(name="Labels", default_factory=list)
     born_ms: int = msgspec.field(name="born", default=0)
+    # The least time that is left to a draining worker, not that of a task.
+    stays_ms: int = msgspec.field(name="RemainingMs", default=0)
 
 
 class WireStart(msgspec.Struct, omit_defaults=True):
@@ -158,6 +160,7 @@
         wire.labels[1] if len(wire.labels) > 1 else "",
         frozenset(wire.labels),
         wire.born_ms,
+        wire.stays_ms,
     )
 
 
--- /dev/null
+++ b/pimentomill/platform/tests/test_jobs_and_rules.py
@@ -0,0 +1,137 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from pimentomill.exceptions import SettingsError, ValidationError
+from pimentomill.jobs import JobState
+from pimentomill.platform._jobs import decode_job, encode_state, encode_waiting
+from pimentomill.platform._rules import decode_rules
+from pimentomill.platform._settings import load_node_file
+from pimentomill.utils import Resources
+
+NODE_FILE = """
+NodeName = "edge-golfo-a-1"
+Zone = "golfo-a"
+Advice = "10.200.1.9:8683"
+NewField = 3
+[ListenAddrs]
+Front = "10.1.0.5:8686"
+Ready = "10.1.0.5:8689"
+Control = "10.1.0.5:8688"
+[Bounds]
+GraceS = 6
+RevokeMs = 5000
+[platform]
+Address = "10.200.1.7:8683"
+"""
+
+
+class TestJobs(unittest.TestCase):
+    def decode(self, *steps, **fields):
+        job = {"Spec": "x", "Steps": list(steps), **fields}
+        return decode_job(json.dumps(job).encode())
+
+    def test_each_field_of_a_step(self):
+        wire = {
+            "Count": 4,
+            "Cpu": 500,
+            "MemMb": 256,
+            "Gpu": 1,
+            "EstimateMs": 900,
+            "Affinity": "r1-3",
+            "AntiAffinity": 2,
+            "Requires": "a",
+            "Gang": True,
+            "LongRunning": True,
+            "Fills": True,
+            "TargetMs": 80,
+            "MayMiss": 1,
+        }
+        step = self.decode(wire).steps[0]
+        self.assertEqual(step.need, Resources(500, 256, 1))
+        self.assertEqual(step.reserved, Resources(0, 256, 1))
+        self.assertEqual((step.data_rack, step.required_label), ("r1-3", "a"))
+        self.assertEqual((step.max_per_worker, step.tail_target_ms), (2, 80))
+        self.assertTrue(step.gang and step.long_running)
+        self.assertEqual(step.max_unavailable, 1)
+
+    def test_a_scheduled_job(self):
+        spec = self.decode({"Count": 1}, Times=3, StartAtMs=1000, IntervalMs=50)
+        self.assertEqual(spec.due_ms(2), 1100)
+
+    def test_what_is_refused_names_the_field(self):
+        cases = (
+            ((), "Steps"),
+            (({"Count": 0},), "Count"),
+            (({"Count": 1, "DependsOn": [0]},), "DependsOn"),
+            (({"Count": 1, "Cpu": -1},), "negative"),
+            (({"Count": "x"},), "Count"),
+        )
+        for steps, word in cases:
+            with self.assertRaisesRegex(ValidationError, word):
+                self.decode(*steps)
+        with self.assertRaises(ValidationError):
+            decode_job(b"{")
+
+    def test_answers(self):
+        self.assertEqual(encode_state(JobState.RUNNING), b'{"State":"running"}')
+        self.assertEqual(encode_waiting(12), b'{"Waiting":12}')
+
+
+class TestRules(unittest.TestCase):
+    def test_a_configuration(self):
+        wire = {
+            "Version": 7,
+            "Routes": [
+                {
+                    "Name": "r",
+                    "Host": "Ficu.example",
+                    "PathPrefix": "/p/",
+                    "Service": "s",
+                    "Priority": 2,
+                    "MaxAttempts": 2,
+                    "Stretch": 4.0,
+                    "TargetLatencyMs": 3000,
+                    "Advice": {"DecideMs": 240.0, "EachMs": 2.0, "ValidMs": 2000},
+                }
+            ],
+            "Services": [{"Name": "s"}],
+            "Limits": {"MaxBodyBytes": 100},
+            "Tenants": [{"Name": "t", "ApiKeys": ["k1", "k2"], "MaxCount": {"Cpu": 5}}],
+        }
+        catalog = decode_rules(json.dumps(wire).encode())
+        queue = catalog.route("ficu.example", "/p/1")
+        self.assertEqual(queue.advice.duration_ms(10), 260.0)
+        self.assertEqual(catalog.keys, {"k1": "t", "k2": "t"})
+        self.assertEqual(catalog.teams["t"].limit, Resources(5, 0, 0))
+        self.assertEqual(catalog.limits.body_bytes, 100)
+
+    def test_unreadable_configurations_are_ignored(self):
+        for value in (b"", b"\xff", b'{"Routes":[]}', b'{"Version":"7"}'):
+            self.assertIsNone(decode_rules(value))
+
+
+class TestNodeFile(unittest.TestCase):
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            path.write_text(text)
+            return load_node_file(path)
+
+    def test_a_whole_file_and_fields_that_are_not_known(self):
+        cfg = self.load(NODE_FILE)
+        self.assertEqual(cfg.node, "edge-golfo-a-1")
+        self.assertEqual(cfg.listen.entries, "10.1.0.5:8688")
+        self.assertEqual(cfg.bounds.key_withdrawal_ms, 5000)
+
+    def test_errors_name_the_field(self):
+        with self.assertRaisesRegex(SettingsError, "NodeName"):
+            self.load(NODE_FILE.replace("NodeName", "Other"))
+        wrong = NODE_FILE.replace("RevokeMs = 5000", 'RevokeMs = "soon"')
+        with self.assertRaisesRegex(SettingsError, r"Bounds\.RevokeMs"):
+            self.load(wrong)
+        with self.assertRaisesRegex(SettingsError, "not TOML"):
+            self.load("=")
+        with self.assertRaisesRegex(SettingsError, "can't be read"):
+            load_node_file("/nowhere/node.toml")
--- /dev/null
+++ b/pimentomill/platform/tests/test_store.py
@@ -0,0 +1,123 @@
+import base64
+import json
+import struct
+import unittest
+
+from pimentomill.exceptions import (
+    AppendUnknownError,
+    FencedError,
+    LogUnavailableError,
+    OutOfSequenceError,
+    RecordsForgottenError,
+)
+from pimentomill.jobs import KeyedRecord
+from pimentomill.platform import _store
+from pimentomill.platform._http import HttpCaller
+from pimentomill.platform._store import PlatformStore, decode_slice, encode_keyed
+from pimentomill.replica import Writer
+
+from .fake_wire import FakeWire
+
+RECORDS = [KeyedRecord("k", b"value"), KeyedRecord("gone", b"")]
+
+
+class StoreCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.wire = FakeWire()
+        await self.wire.start()
+        self.http = HttpCaller(4)
+        self.store = PlatformStore(self.wire.address, self.http)
+
+    async def asyncTearDown(self):
+        await self.http.close()
+        await self.wire.stop()
+
+    def answer(self, path, status, body):
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.wire.answers[path] = (status, content)
+
+    async def append(self):
+        return await self.store.append("work", RECORDS, Writer("leader", 3, 8))
+
+
+class TestAppend(StoreCase):
+    async def test_what_is_sent_and_read(self):
+        self.answer("/log-append", 200, {"Offset": 840, "End": 842})
+        appended = await self.append()
+        self.assertEqual((appended.first, appended.end), (840, 842))
+        method, path, body, _ = self.wire.seen[0]
+        self.assertEqual(method, "POST")
+        self.assertIn("Topic=keyed.work&part=0&Producer=leader&epoch=3", path)
+        self.assertIn("Sequence=8", path)
+        self.assertEqual(body, encode_keyed(RECORDS))
+
+    async def test_refusals_keep_nothing(self):
+        for status in (429, 503, 507):
+            self.answer("/log-append", status, b"")
+            with self.assertRaises(LogUnavailableError):
+                await self.append()
+
+    async def test_each_reason_of_a_conflict(self):
+        self.answer("/log-append", 409, {"Reason": "fenced"})
+        with self.assertRaises(FencedError):
+            await self.append()
+        self.answer("/log-append", 409, {"Reason": "seq", "Sequence": 9})
+        with self.assertRaises(OutOfSequenceError) as caught:
+            await self.append()
+        self.assertEqual(caught.exception.expected, 9)
+
+    async def test_no_answer_is_an_unknown_outcome(self):
+        self.wire.mute.add("/log-append")
+        self.addCleanup(setattr, _store, "APPEND_TIMEOUT_MS", _store.APPEND_TIMEOUT_MS)
+        _store.APPEND_TIMEOUT_MS = 50
+        with self.assertRaises(AppendUnknownError):
+            await self.append()
+
+    async def test_nothing_is_kept_where_nothing_listens(self):
+        await self.wire.stop()
+        with self.assertRaises(LogUnavailableError):
+            await self.append()
+        await self.wire.start()
+
+
+class TestRead(StoreCase):
+    def slice_body(self, end):
+        return struct.pack(">QQ", end, 0) + encode_keyed(RECORDS)
+
+    async def test_records_and_the_end(self):
+        self.answer("/log-read", 200, self.slice_body(7))
+        part = await self.store.read("rules", 5, 0)
+        self.assertEqual(part.records, RECORDS)
+        self.assertEqual((part.next_offset, part.end), (7, 7))
+        self.assertIn("Topic=keyed.op", self.wire.seen[0][1])
+
+    async def test_forgotten_records(self):
+        self.answer("/log-read", 410, {"First": 9})
+        with self.assertRaises(RecordsForgottenError):
+            await self.store.read("rules", 5, 0)
+
+    def test_broken_framing_is_refused(self):
+        whole = self.slice_body(7)
+        for cut in (3, 15, 18, len(whole) - 3):
+            with self.assertRaises(LogUnavailableError):
+                decode_slice(whole[:cut], 5)
+
+    def test_a_record_without_a_readable_key_keeps_its_offset(self):
+        body = struct.pack(">QQ", 2, 0) + struct.pack(">I", 2) + b"\x09a"
+        body += encode_keyed(RECORDS[:1])
+        part = decode_slice(body, 0)
+        self.assertEqual([record.key for record in part.records], ["", "k"])
+
+    async def test_pages_of_newest_records(self):
+        item = {"Key": "a", "Value": base64.b64encode(b"x").decode(), "Offset": 3}
+        self.answer("/log-newest", 200, {"items": [item], "HasMore": True, "End": 6})
+        page = await self.store.newest("work", "0")
+        self.assertEqual(page.records, [KeyedRecord("a", b"x")])
+        self.assertEqual((page.more_after, page.end), ("a", 6))
+        self.assertIn("DependsOn=0", self.wire.seen[0][1])
+
+    async def test_an_unreadable_page(self):
+        for body in (b"{", {"items": [{"Key": "a", "Value": "!"}], "End": 1}):
+            self.answer("/log-newest", 200, body)
+            with self.assertRaises(LogUnavailableError):
+                await self.store.newest("work", None)
