--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -556,6 +556,7 @@
 
     def _note_failure(self, worker: Worker) -> None:
         worker.failures_in_row += 1
+        worker.failed_at = self.clock.now()
         if worker.failures_in_row >= EARLY_FAIL_LIMIT:
             self._avoid(worker)
 
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -203,13 +203,12 @@
             self.out.want_tickets.append((step, sorted(lacking)))
         return left
 
-    @staticmethod
-    def _sound(step: StepRun, index: int, rooms: list[_Room]) -> list[_Room]:
+    def _sound(self, step: StepRun, index: int, rooms: list[_Room]) -> list[_Room]:
         """Leave out workers that failed last if the task can't afford a failure."""
         failed = len(step.failed_runs.get(index, ()))
         if not failed or failed + 1 < step.job.queue.max_attempts:
             return rooms
-        return [room for room in rooms if not room.worker.failures_in_row]
+        return [room for room in rooms if not room.worker.failed_lately(self.now)]
 
     def _place_gang(self, step: StepRun, rooms: list[_Room]) -> int:
         """Place all tasks or none and return how many lack room."""
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -83,11 +83,20 @@
         last.failed_runs[0] = {1}
         failing = worker("w1")
         failing.failures_in_row = 1
+        failing.failed_at = 0
         self.assertEqual(placed(self.plan([last], [failing])), [])
         self.assertEqual(
             placed(self.plan([last], [failing, worker("w2")])), [(0, "w2")]
         )
 
+    def test_a_task_s_last_attempt_does_not_wait_for_good(self):
+        last = first_step(steps=[step()])
+        last.failed_runs[0] = {1}
+        only = worker("w1")
+        only.failures_in_row = 1
+        only.failed_at = 0
+        self.assertEqual(len(self.plan([last], [only], now=1500).placements), 1)
+
     def test_a_worker_that_fails_all_runs_one_task_at_a_time(self):
         failing = worker("w1")
         failing.failures_in_row = 2
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -14,6 +14,9 @@
 PROBATION_FAILURES = 2
 """Failures in a row after which a worker runs one task at a time until one ends well.
 One run of twenty fails by its own fault, so two in a row are rarely chance."""
+LATELY_MS = 1500
+"""Milliseconds for which a failure keeps a task's last attempt away. A task may have no
+other worker, and work that could run must not wait for 3 s."""
 LAPSE_MARGIN_MS = 150
 """Milliseconds added before a lease counts as lapsed: one slow round trip."""
 
@@ -166,6 +169,7 @@
         self.heard_at: Instant | None = None
         self.leaves_at: Instant | None = None
         self.failures_in_row = 0
+        self.failed_at: Instant | None = None
         self.avoid_until = now
         self._clock_ms = 0
         self._clock_at = now
@@ -190,6 +194,11 @@
             and not (self.is_suspect and self.attempts)
         )
 
+    def failed_lately(self, now: Instant) -> bool:
+        """Return whether the last run here failed a short time ago."""
+        recent = self.failed_at is not None and now - self.failed_at < LATELY_MS
+        return self.failures_in_row > 0 and recent
+
     @property
     def is_suspect(self) -> bool:
         """Whether it failed what it ran last."""
