--- a/pimentomill/control/_advice.py
+++ b/pimentomill/control/_advice.py
@@ -20,8 +20,11 @@
 """Milliseconds added to it: the way there and back, and one retry of a packet."""
 REST_MS = 2000
 """Milliseconds for which an entry that did not answer is not asked again."""
-MAX_BACKLOG_MS = 400
-"""Backlog above which no tickets are renewed in advance."""
+SHORT_MS = 100
+"""Milliseconds up to which a question is short: those of the most urgent queues take
+20, all others 150 to 900."""
+SHORT_LANE_SHARE = 4
+"""One entry of so many is left for short questions."""
 
 _log = PartLog("advice")
 
@@ -49,7 +52,11 @@
 
 
 class AdviceDesk:
-    """Spreads questions over the entries and keeps their answers.
+    """Gives each entry one question at a time and keeps the answers.
+
+    An entry that has a question waits up to a second for its answer, so questions
+    are not queued there: the most urgent one goes to the next entry that is idle.
+    Some entries are left for short questions, which long ones would hold up.
 
     Parameters
     ----------
@@ -68,30 +75,31 @@
         self.clock = clock
         self.margin_ms = margin_ms
         self.ports: dict[str, AdvicePort] = {}
-        self._busy_until: dict[str, Instant] = {}
+        self._busy: dict[str, bool] = {}
         self._rest_until: dict[str, Instant] = {}
 
-    def backlog_ms(self) -> int:
-        """Return how long a new question would wait."""
-        port = self._choose()
-        if port is None:
-            return MAX_BACKLOG_MS
-        return max(0, self._busy_until.get(port.name, 0) - self.clock.now())
-
-    def is_idle_enough(self) -> bool:
-        """Return whether tickets may be renewed in advance."""
-        return self.backlog_ms() < MAX_BACKLOG_MS
+    def idle_count(self) -> int:
+        """Return how many entries could take a question now."""
+        return sum(1 for _ in self._idle())
 
-    def _choose(self) -> AdvicePort | None:
+    def _idle(self):
         now = self.clock.now()
-        able = [
+        return (
             port
-            for port in self.ports.values()
-            if self._rest_until.get(port.name, now) <= now
-        ]
-        if not able:
-            return None
-        return min(able, key=lambda port: self._busy_until.get(port.name, 0))
+            for name, port in self.ports.items()
+            if name not in self._busy and self._rest_until.get(name, now) <= now
+        )
+
+    def can_take(self, step: StepRun, workers: int) -> bool:
+        """Return whether a question of this length could be asked now."""
+        policy = step.job.queue.advice
+        if policy is None or next(self._idle(), None) is None:
+            return False
+        if policy.duration_ms(workers) <= SHORT_MS:
+            return True
+        long_ones = sum(self._busy.values())
+        lanes = max(1, len(self.ports) // SHORT_LANE_SHARE)
+        return len(self.ports) == 1 or long_ones < len(self.ports) - lanes
 
     async def ask(self, step: StepRun, workers: list[Worker]) -> bool:
         """Ask about a step and keep the answer in it.
@@ -109,17 +117,15 @@
             Whether an answer came.
         """
         policy = step.job.queue.advice
-        port = self._choose()
+        port = next(self._idle(), None)
         if policy is None or port is None:
             return False
         names = [worker.info.worker for worker in workers[:MAX_WORKERS]]
-        now = self.clock.now()
         takes = policy.duration_ms(len(names))
-        start = max(now, self._busy_until.get(port.name, now))
-        self._busy_until[port.name] = Instant(round(start + takes))
-        limit = start - now + takes * TIMEOUT_FACTOR + TIMEOUT_BASE_MS
+        self._busy[port.name] = takes > SHORT_MS
         step.question_open = True
         try:
+            limit = takes * TIMEOUT_FACTOR + TIMEOUT_BASE_MS
             async with asyncio.timeout(limit / 1000):
                 given = await port.ask(step.key, names)
         except (TimeoutError, PimentomillError) as exc:
@@ -127,15 +133,14 @@
             return False
         finally:
             step.question_open = False
+            self._busy.pop(port.name, None)
         self._keep(step, names, given)
         return True
 
     def _note_failure(self, port: AdvicePort, step: StepRun, exc: Exception) -> None:
-        now = self.clock.now()
-        self._busy_until[port.name] = now
         unreachable = isinstance(exc, TimeoutError | TransportError)
         if unreachable and len(self.ports) > 1:
-            self._rest_until[port.name] = Instant(now + REST_MS)
+            self._rest_until[port.name] = Instant(self.clock.now() + REST_MS)
         why = str(exc) or type(exc).__name__
         _log.warning("No answer", step=step.key, entry=port.name, why=why)
 
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -35,8 +35,10 @@
 """Milliseconds between two reads of the workers' own records."""
 EXPIRY_INTERVAL_MS = 5000
 """Milliseconds between two searches for jobs that need not be kept."""
-RENEW_STEPS = 6
+RENEW_STEPS = 2
 """Waiting steps whose tickets are renewed ahead of their turn."""
+RENEW_IDLE = 4
+"""Idle entries from which on tickets are renewed ahead: first questions go first."""
 RENEW_AHEAD_MS = 80
 """Milliseconds of validity beyond the time of a question that are wanted."""
 
@@ -317,15 +319,12 @@
         now = self.clock.now()
         steps = [step for step in self.book.ready_steps()]
         steps.sort(key=lambda step: order_key(step, now))
-        for step in steps:
-            self._ask_first(step)
         plan = self.planner.plan(now, steps, self.book.workers.values())
         self._last_plan = plan
         self.orders.start_all(plan.placements)
         self._preempt([step for step in steps if step.waiting], now)
-        for step, names in plan.want_tickets:
-            self._ask(step, [self.book.workers[name] for name in names])
-        if self.desk.is_idle_enough():
+        self._ask_in_order(steps, plan)
+        if self.desk.idle_count() >= RENEW_IDLE:
             self._renew(steps, now)
         self.scribe.wake()
 
@@ -339,22 +338,32 @@
             self.book.order_stop(attempt, "room for more urgent work")
         self.orders.stop_all(self.book.take_stops())
 
-    def _ask_first(self, step: StepRun) -> None:
-        """Ask about workers that could run a step and were not asked about."""
-        queue = step.job.queue
-        if queue.advice is None or step.question_open:
-            return
-        missing = [
+    def _ask_in_order(self, steps: list[StepRun], plan: Plan) -> None:
+        """Ask what the most urgent steps need to know, while entries are idle."""
+        wanted = {step.key: names for step, names in plan.want_tickets}
+        for step in steps:
+            if step.job.queue.advice is None or step.question_open:
+                continue
+            if not self.desk.idle_count():
+                return
+            workers = self._not_asked(step)
+            if not workers:
+                names = wanted.get(step.key, ())
+                workers = [self.book.workers[name] for name in names]
+            self._ask(step, workers)
+
+    def _not_asked(self, step: StepRun) -> list[Worker]:
+        """Return workers that could run a step and were not asked about."""
+        service = step.job.queue.service
+        return [
             worker
             for worker in self.book.workers.values()
-            if worker.info.service == queue.service
+            if worker.info.service == service
             and worker.is_listed
             and worker.info.worker not in step.asked
             and not worker.info.is_draining
             and step.spec.reserved.fits_in(worker.info.capacity)
         ]
-        if missing:
-            self._ask(step, missing)
 
     def _renew(self, steps: list[StepRun], now: Instant) -> None:
         """Renew tickets of the next steps, so that room is not left waiting."""
@@ -380,6 +389,8 @@
     def _ask(self, step: StepRun, workers: list[Worker]) -> None:
         if step.question_open or not workers:
             return
+        if not self.desk.can_take(step, len(workers)):
+            return
         step.question_open = True
         task = asyncio.get_running_loop().create_task(self._ask_desk(step, workers))
         self._questions.add(task)
