Read the newest records when a state is asked for; ask ahead about next steps; prefer faster workers for urgent tasks

Cause: urgent jobs with everything started within 0.04 s were still shown late: entries read the stream each 120 ms, second steps waited for their first question, and kinds of workers differ by 1.3 in speed.

--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -1,5 +1,6 @@
 """All unfinished work and all workers, in the leader's memory."""
 
+import statistics
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -32,6 +33,8 @@
 """First pause of a worker that fails what it starts; it doubles with each failure."""
 AVOID_MAX_MS = 4000
 """Longest such pause, so that a sound worker is found again within seconds."""
+MIN_COMPARED = 2
+"""Tasks of a step that must be done before another is compared with them."""
 SLOW_PAUSE_MS = 2000
 """Pause of a worker on which a run went slowly; others are tried meanwhile."""
 STUCK_MS = 1700
@@ -230,6 +233,19 @@
                 continue
             yield step
 
+    def next_steps(self) -> Iterator[StepRun]:
+        """Yield steps that only wait for tasks that have been started."""
+        for step in self.open_steps.values():
+            if step.ready_at is not None or step.asked:
+                continue
+            key = step.key
+            before = [
+                step.job.steps[StepKey(key.job, key.occurrence, number)]
+                for number in step.spec.depends_on
+            ]
+            if all(not other.waiting for other in before):
+                yield step
+
     # Attempts
 
     def step_of(self, task: TaskKey) -> StepRun | None:
@@ -520,7 +536,7 @@
     def _take_done(self, worker, step: StepRun | None, attempt, end: RunEnd) -> None:
         worker.failures_in_row = 0
         if step is not None and attempt is not None and not attempt.resumed:
-            step.durations.append(self.clock.now() - attempt.began_at)
+            self._note_duration(worker, step, self.clock.now() - attempt.began_at)
         lasts = step is not None and step.spec.long_running
         if attempt is not None:
             self.release(attempt, put_back=lasts)
@@ -539,6 +555,14 @@
             self._note_ready(step.job)
             self._complete_if_done(step.job)
 
+    @staticmethod
+    def _note_duration(worker: Worker, step: StepRun, took_ms: int) -> None:
+        """Learn how fast a worker is, compared with others on the same step."""
+        if len(step.durations) >= MIN_COMPARED and not step.spec.fills:
+            usual = statistics.median(step.durations)
+            worker.note_pace(took_ms / max(1.0, usual))
+        step.durations.append(took_ms)
+
     def _take_failed(self, worker, step: StepRun | None, attempt, end: RunEnd) -> None:
         self._note_failure(worker)
         if attempt is not None:
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -326,6 +326,7 @@
         self._ask_in_order(steps, plan)
         if self.desk.idle_count() >= RENEW_IDLE:
             self._renew(steps, now)
+            self._ask_ahead()
         self.scribe.wake()
 
     def _preempt(self, steps: list[StepRun], now: Instant) -> None:
@@ -352,6 +353,15 @@
                 workers = [self.book.workers[name] for name in names]
             self._ask(step, workers)
 
+    def _ask_ahead(self) -> None:
+        """Ask about steps whose predecessors have all been started.
+
+        The allowed workers do not change, so only a ticket may be missing later.
+        """
+        for step in self.book.next_steps():
+            if step.job.queue.advice is not None and not step.question_open:
+                self._ask(step, self._not_asked(step))
+
     def _not_asked(self, step: StepRun) -> list[Worker]:
         """Return workers that could run a step and were not asked about."""
         service = step.job.queue.service
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -13,6 +13,8 @@
 
 WIDE_SHARE = 0.5
 """A task that takes more of a worker is hard to place once the worker is shared."""
+SLOW = 1.15
+"""Slowness from which a worker comes second for urgent tasks: kinds differ by 1.3."""
 MAX_RESERVED = 2
 """Workers kept free for one step; more would idle more room than the step needs."""
 
@@ -286,10 +288,13 @@
         left += (room.mem - spec.need.memory_mb) / max(1, capacity.memory_mb)
         if capacity.accelerators:
             left += (room.acc - spec.need.accelerators) / capacity.accelerators
+        urgent = step.job.queue.priority == 0
         ticketless = (
             step.job.queue.advice is not None and self._ticket(step, room.id) is None
         )
-        return (suspect, again, far, ticketless, left)
+        # Kinds of workers differ in speed; only urgent work is that sensitive.
+        slow = urgent and room.worker.slowness > SLOW
+        return (suspect, again, far, slow, ticketless, left)
 
     @staticmethod
     def _tail_tasks(room: _Room) -> int:
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -105,6 +105,16 @@
         failing.add(Attempt(TaskKey("x", 0, 0, 0), 1, failing, Resources(1, 0, 0), 0))
         self.assertEqual(placed(self.plan([busy], [failing])), [])
 
+    def test_urgent_tasks_prefer_faster_workers(self):
+        slow = worker("w1")
+        slow.add(Attempt(TaskKey("x", 0, 0, 0), 1, slow, Resources(9000, 0, 0), 0))
+        slow.slowness = 1.3
+        urgent = first_step(steps=[step()], of=queue(priority=0))
+        usual = first_step(steps=[step()], of=queue(priority=1))
+        for tried, wanted in ((urgent, "w2"), (usual, "w1")):
+            plan = self.plan([tried], [slow, worker("w2")])
+            self.assertEqual(placed(plan), [(0, wanted)])
+
     def test_filling_work_takes_no_processor_but_memory(self):
         filling = first_step(steps=[step(count=3, cpu=16000, memory=16000, fills=True)])
         plan = self.plan([filling], [worker("w1")])
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -14,6 +14,10 @@
 PROBATION_FAILURES = 2
 """Failures in a row after which a worker runs one task at a time until one ends well.
 One run of twenty fails by its own fault, so two in a row are rarely chance."""
+PACE_WEIGHT = 0.2
+"""Weight of the newest task in a worker's slowness: those of a step differ by 15 %."""
+MAX_RATIO = 4.0
+"""Largest ratio taken in, so that one stuck task does not decide."""
 LATELY_MS = 1500
 """Milliseconds for which a failure keeps a task's last attempt away. A task may have no
 other worker, and work that could run must not wait for 3 s."""
@@ -155,6 +159,8 @@
         Upper bound of the end of the lease, on this process' clock.
     leaves_at : Instant or None
         Earliest end of a draining worker.
+    slowness : float
+        How much longer tasks take here than elsewhere; 1 if they don't.
     """
 
     def __init__(self, info: WorkerInfo, now: Instant) -> None:
@@ -168,6 +174,7 @@
         self.lease_until = now
         self.heard_at: Instant | None = None
         self.leaves_at: Instant | None = None
+        self.slowness = 1.0
         self.failures_in_row = 0
         self.failed_at: Instant | None = None
         self.avoid_until = now
@@ -194,6 +201,11 @@
             and not (self.is_suspect and self.attempts)
         )
 
+    def note_pace(self, ratio: float) -> None:
+        """Take in how much longer a task took here than its siblings elsewhere."""
+        bounded = min(MAX_RATIO, ratio)
+        self.slowness += PACE_WEIGHT * (bounded - self.slowness)
+
     def failed_lately(self, now: Instant) -> bool:
         """Return whether the last run here failed a short time ago."""
         recent = self.failed_at is not None and now - self.failed_at < LATELY_MS
--- a/pimentomill/intake/_intake.py
+++ b/pimentomill/intake/_intake.py
@@ -27,6 +27,8 @@
 """Age of the state above which the store counts as out of reach."""
 FRESH_WAIT_MS = 1000
 """Longest wait for the newest state; callers wait 3 s for an answer."""
+REFRESH_MS = 150
+"""Longest wait for newer records before a state is shown that may still change."""
 APPEND_WAIT_MS = 1600
 """Milliseconds within which an append without an answer is repeated; callers wait 3 s
 and the last repeat takes up to 1 s more."""
@@ -115,6 +117,8 @@
             If that can't be told now.
         """
         entry = await self._find(queue, team, job)
+        if entry is not None and not entry.state.is_final:
+            await self.follower.refresh(REFRESH_MS)
         return entry.state if entry is not None else None
 
     def waiting(self, queue: Queue) -> int:
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -51,9 +51,11 @@
 """Milliseconds between two signs of an entry."""
 MEMBER_TERM_MS = 12000
 """Milliseconds without a sign after which an entry is not asked any more."""
-FOLLOW_PAUSE_MS = 120
-"""Milliseconds between two reads of an entry that does not lead: how much later a
-state is shown, against the calls to the store that all entries make."""
+FOLLOW_PAUSE_MS = 200
+"""Milliseconds between two reads of an entry that does not lead. A question about an
+unfinished job is answered by a read of its own; the rest can wait."""
+LEAD_WAIT_MS = 800
+"""Milliseconds for which the store may hold a read of the leader back."""
 LEAD_PAUSE_MS = 5
 """Milliseconds between two reads of the leader."""
 ELECTION_TICK_MS = 60
@@ -170,7 +172,7 @@
             self._apply_work,
             lambda: None,
             clock,
-            FollowerTiming(wait_ms=800, pause_ms=FOLLOW_PAUSE_MS),
+            FollowerTiming(wait_ms=0, pause_ms=FOLLOW_PAUSE_MS),
         )
         self.intake = Intake(store, WORK_STREAM, self.table, self.work, clock)
 
@@ -371,10 +373,11 @@
             leader.set_catalog(self.catalog_)
         self.leader_ = leader
         # The leader reads the stream almost without a pause: each record may be work.
-        pause, self.work.timing.pause_ms = self.work.timing.pause_ms, LEAD_PAUSE_MS
+        usual = self.work.timing
+        self.work.timing = FollowerTiming(LEAD_WAIT_MS, LEAD_PAUSE_MS)
         try:
             why = await leader.run()
             _log.info("Leads no more", epoch=epoch, why=why)
         finally:
             self.leader_ = None
-            self.work.timing.pause_ms = pause
+            self.work.timing = usual
--- a/pimentomill/replica/_follower.py
+++ b/pimentomill/replica/_follower.py
@@ -85,6 +85,7 @@
         self.proven_at_ = NEVER
         self.offset_: int | None = None
         self.is_reachable_ = False
+        self._listening = False
         self._wake = asyncio.Event()
         self._progress = asyncio.Condition()
         self._fresh_wanted = False
@@ -122,14 +123,19 @@
         wait_ms = 0 if self._fresh_wanted else self.timing.wait_ms
         self._fresh_wanted = False
         began = self.clock.now()
-        part = await self.store.read(self.stream, self.offset_, wait_ms)
+        self._listening = wait_ms > 0
+        try:
+            part = await self.store.read(self.stream, self.offset_, wait_ms)
+        finally:
+            self._listening = False
         for record in part.records:
             self.apply(record)
         self.offset_ = part.next_offset
         if self.offset_ >= part.end:
             self.proven_at_ = began
         await self._announce(bool(part.records))
-        if self.offset_ >= part.end and part.records:
+        waited = wait_ms > 0 and not part.records
+        if self.offset_ >= part.end and not waited:
             await self._pause()
 
     async def _pause(self) -> None:
@@ -169,6 +175,19 @@
         async with self._progress:
             self._progress.notify_all()
 
+    async def refresh(self, limit_ms: int) -> None:
+        """Wait for the newest records, but not long.
+
+        A read that the store holds back brings them by itself.
+
+        Parameters
+        ----------
+        limit_ms : int
+            Longest wait in milliseconds.
+        """
+        if self.is_reachable_ and not self._listening:
+            await self.wait_current(Instant(self.clock.now() + limit_ms))
+
     async def wait_current(self, deadline: Instant) -> bool:
         """Wait until the state is at least as new as the stream is now.
 
