--- a/pimentomill/cli/_commands.py
+++ b/pimentomill/cli/_commands.py
@@ -22,6 +22,7 @@
 from ..standins import BackendStandIn, PlatformStandIn, WorkerStandIn
 from ..telemetry import start_logging
 from ..utils import SystemClock, new_id
+from ._cell import BurnCommand, CellCommand, CheckNodeCommand
 from ._client import EntryClient, read_secret
 
 __all__ = ["Pimentomill", "main"]
@@ -231,6 +232,9 @@
         | SubmitCommand
         | JobCommand
         | DoCommand
+        | CellCommand
+        | CheckNodeCommand
+        | BurnCommand
     ]
 
 
--- /dev/null
+++ b/pimentomill/cli/tests/test_cell.py
@@ -0,0 +1,68 @@
+import unittest
+
+import cappa
+import msgspec
+
+from pimentomill.cli._cell import (
+    BurnCommand,
+    CheckNodeCommand,
+    show_job,
+    show_jobs,
+    show_leader,
+)
+from pimentomill.dispatch.tests.samples import accepted, step
+from pimentomill.jobs import (
+    Cancelled,
+    KeyedRecord,
+    accepted_key,
+    cancelled_key,
+    encode_record,
+)
+from pimentomill.replica import LEADER_KEY, LeaderRecord
+from pimentomill.telemetry import burn_report, render_burn
+
+JOB = "a" * 16
+
+
+class TestCellCommands(unittest.TestCase):
+    def setUp(self):
+        sign = msgspec.msgpack.encode(LeaderRecord(3, "n1", "i1"))
+        self.records = [
+            KeyedRecord(LEADER_KEY, sign),
+            KeyedRecord(accepted_key(JOB), encode_record(accepted(JOB, [step()]))),
+            KeyedRecord(cancelled_key(JOB), encode_record(Cancelled(JOB, 9))),
+        ]
+
+    def test_the_leader(self):
+        self.assertIn('"epoch":3,"node":"n1"', show_leader(self.records)[0])
+        self.assertEqual(show_leader([]), ["no leader on record"])
+
+    def test_jobs_and_the_records_of_one(self):
+        self.assertEqual(show_jobs(self.records), [f"{JOB} cancelled q t"])
+        self.assertEqual(len(show_job(self.records, JOB)), 2)
+        self.assertEqual(show_job(self.records, "b" * 16), [])
+
+    def test_a_bad_settings_file_is_refused(self):
+        with self.assertRaises(cappa.Exit):
+            CheckNodeCommand("/nowhere/node.toml")()
+
+    def test_a_bad_target_is_refused(self):
+        with self.assertRaises(cappa.Exit):
+            BurnCommand([], target=1.5)()
+
+
+class TestBurn(unittest.TestCase):
+    SAMPLE = 'jobs_finished_total{queue="%s",team="t",state="%s",in_time="%s"} %d'
+
+    def test_cancelled_jobs_are_not_owed_and_failed_ones_are_missed(self):
+        texts = [
+            self.SAMPLE % ("q", "completed", "true", 90),
+            self.SAMPLE % ("q", "cancelled", "false", 50),
+            self.SAMPLE % ("q", "failed", "true", 10),
+            self.SAMPLE % ("r", "completed", "true", 10),
+        ]
+        worst, best = burn_report(texts, 0.8)
+        self.assertEqual((worst.queue, worst.finished, worst.in_time), ("q", 100, 90))
+        self.assertAlmostEqual(worst.budget_left, 0.5)
+        self.assertEqual(best.budget_left, 1.0)
+        self.assertIn("90.0%", render_burn([worst]))
--- a/pimentomill/control/_advice.py
+++ b/pimentomill/control/_advice.py
@@ -7,7 +7,7 @@
 from ..exceptions import PimentomillError, TransportError
 from ..fleet import Worker
 from ..jobs import StepKey, WorkerId
-from ..telemetry import PartLog
+from ..telemetry import CellMetrics, PartLog
 from ..utils import Clock, Instant
 
 __all__ = ["AdviceDesk", "AdviceGiven", "AdvicePort"]
@@ -64,6 +64,8 @@
         Source of time.
     margin_ms : int
         Milliseconds before its end at which a ticket is no longer used.
+    metrics : CellMetrics, default=None
+        Where questions are counted; of its own if None.
 
     Attributes
     ----------
@@ -71,9 +73,12 @@
         Entries that can ask, by name.
     """
 
-    def __init__(self, clock: Clock, margin_ms: int) -> None:
+    def __init__(
+        self, clock: Clock, margin_ms: int, metrics: CellMetrics | None = None
+    ) -> None:
         self.clock = clock
         self.margin_ms = margin_ms
+        self.metrics = metrics or CellMetrics()
         self.ports: dict[str, AdvicePort] = {}
         self._busy: dict[str, bool] = {}
         self._rest_until: dict[str, Instant] = {}
@@ -124,16 +129,19 @@
         takes = policy.duration_ms(len(names))
         self._busy[port.name] = takes > SHORT_MS
         step.question_open = True
+        began = self.clock.now()
         try:
             limit = takes * TIMEOUT_FACTOR + TIMEOUT_BASE_MS
             async with asyncio.timeout(limit / 1000):
                 given = await port.ask(step.key, names)
         except (TimeoutError, PimentomillError) as exc:
             self._note_failure(port, step, exc)
+            self.metrics.note_question("failed", self.clock.now() - began)
             return False
         finally:
             step.question_open = False
             self._busy.pop(port.name, None)
+        self.metrics.note_question("answered", self.clock.now() - began)
         self._keep(step, names, given)
         return True
 
--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ..catalog import Catalog
-from ..dispatch import JobRun, QuotaBook, ShareMeter, StepRun
+from ..dispatch import JobRun, QuotaBook, ShareMeter, StepRun, objective_ms
 from ..fleet import (
     Attempt,
     AttemptPhase,
@@ -17,7 +17,7 @@
     WorkerReport,
 )
 from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
-from ..telemetry import PartLog
+from ..telemetry import CellMetrics, PartLog
 from ..utils import Clock, Epoch, Instant, JobId
 from ._relocation import is_straggler, must_leave
 
@@ -73,6 +73,8 @@
         Source of time.
     find_job : callable
         Returns what the store says of a job, None if it is unknown.
+    metrics : CellMetrics, default=None
+        Where ends and jobs are counted; of its own if None.
 
     Attributes
     ----------
@@ -93,10 +95,12 @@
         epoch: Epoch,
         clock: Clock,
         find_job: Callable[[JobId], JobEntry | None] = lambda job: None,
+        metrics: CellMetrics | None = None,
     ) -> None:
         self.epoch = epoch
         self.clock = clock
         self.find_job = find_job
+        self.metrics = metrics or CellMetrics()
         self.jobs: dict[JobId, JobRun] = {}
         self.workers: dict[WorkerId, Worker] = {}
         self.quotas = QuotaBook()
@@ -204,7 +208,23 @@
     def _finish(self, job: JobRun, state: JobState, why: str) -> None:
         job.state = state
         job_id = job.accepted.job
-        _log.info("Job finished", job=job_id, state=state.value, why=why)
+        took_ms = self.clock.now() - job.seen_at
+        objective = round(objective_ms(job))
+        _log.info(
+            "Job finished",
+            job=job_id,
+            state=state.value,
+            why=why,
+            took_ms=took_ms,
+            objective_ms=objective,
+        )
+        self.metrics.note_job(
+            job.queue.name,
+            job.accepted.team,
+            state.value,
+            took_ms <= objective,
+            took_ms,
+        )
         self.dirty.add(job_id)
         self.scheduled.pop(job_id, None)
         for step in job.steps.values():
@@ -523,6 +543,7 @@
             how=end.kind.value,
             known=attempt is not None,
         )
+        self.metrics.note_end(end.kind.value)
         if step is not None:
             step.note_run(end.task.index, end.run)
         if end.kind is EndKind.DONE:
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -100,7 +100,7 @@
         self.clock = clock
         self.cfg = cfg
         self.fleet = fleet
-        self.book = CellBook(record.epoch, clock, table.find)
+        self.book = CellBook(record.epoch, clock, table.find, desk.metrics)
         self.planner = Planner(self.book.quotas)
         self.scribe = Scribe(store, self.book, record, sequence, clock, cfg)
         self.orders = Orders(
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -109,6 +109,8 @@
             waited_ms=now - step.job.seen_at,
             token=self.book.epoch,
         )
+        waited_ms = now - step.job.seen_at
+        self.book.metrics.note_start(answer.outcome.value, waited_ms)
         if answer.clock_ms is not None:
             worker.note_clock(answer.clock_ms, now)
         self._settle_start(attempt, placement, answer)
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -37,7 +37,7 @@
     RecordStore,
     Writer,
 )
-from ..telemetry import PartLog
+from ..telemetry import CellMetrics, PartLog
 from ..utils import Clock, Epoch, Instant
 from ._records import MEMBER_PREFIX, MemberRecord, member_key
 
@@ -117,6 +117,8 @@
         Connections to other entries.
     clock : Clock
         Source of time.
+    metrics : CellMetrics
+        Metrics of the process.
 
     Attributes
     ----------
@@ -137,8 +139,10 @@
         read_worker: Callable[[str, bytes], WorkerInfo | None],
         session: aiohttp.ClientSession,
         clock: Clock,
+        metrics: CellMetrics,
     ) -> None:
         self.cfg = cfg
+        self.metrics = metrics
         self.control = control
         self.store = store
         self.workers = workers
@@ -355,7 +359,7 @@
         sequence = self._claims.get(epoch)
         if sequence is None:
             return
-        desk = AdviceDesk(self.clock, self.control.advice_margin_ms)
+        desk = AdviceDesk(self.clock, self.control.advice_margin_ms, self.metrics)
         self._set_ports(desk)
         leader = Leader(
             LeaderRecord(epoch, self.cfg.node, self.incarnation),
@@ -372,6 +376,7 @@
         if self.catalog_ is not None:
             leader.set_catalog(self.catalog_)
         self.leader_ = leader
+        self.metrics.note_term()
         # The leader reads the stream almost without a pause: each record may be work.
         usual = self.work.timing
         self.work.timing = FollowerTiming(LEAD_WAIT_MS, LEAD_PAUSE_MS)
--- a/pimentomill/platform/__init__.py
+++ b/pimentomill/platform/__init__.py
@@ -2,5 +2,6 @@
 
 from ._daemon import main, serve
 from ._settings import NodeFile, load_node_file
+from ._store import read_newest
 
-__all__ = ["NodeFile", "load_node_file", "main", "serve"]
+__all__ = ["NodeFile", "load_node_file", "main", "read_newest", "serve"]
--- a/pimentomill/platform/_daemon.py
+++ b/pimentomill/platform/_daemon.py
@@ -7,7 +7,7 @@
 from ..control import ControlSettings
 from ..links import LinkServer
 from ..node import CellNode, NodeSettings
-from ..telemetry import PartLog, log_to_stdout
+from ..telemetry import CellMetrics, PartLog, log_to_stdout
 from ..utils import SystemClock
 from ._advice import PlatformAdvisor
 from ._front import Front
@@ -28,6 +28,8 @@
 """Seconds until the platform has seen that the entry takes no new callers."""
 DRAIN_MARGIN_S = 1.0
 """Seconds left of the grace period when the process ends by itself."""
+METRICS_PORT = 9464
+"""Port for scrapers, as the deploy file names it."""
 WORKER_CONNECTIONS = 12
 """Connections to one worker, of the 64 that it takes from all entries."""
 STORE_CONNECTIONS = 24
@@ -47,6 +49,7 @@
 async def serve(cfg: NodeFile) -> None:
     """Run an entry until it is told to stop."""
     clock = SystemClock()
+    metrics = CellMetrics()
     control = ControlSettings(
         lease_ms=round(cfg.bounds.longest_lease_ms * LEASE_SHARE),
         keep_finished_ms=round(cfg.bounds.state_kept_s * 1000) + 30_000,
@@ -59,18 +62,21 @@
             cfg.node, cfg.listen.entries, cfg.bounds.key_withdrawal_ms - KEY_MARGIN_MS
         ),
         control,
-        PlatformStore(cfg.store.address, store_http),
+        PlatformStore(cfg.store.address, store_http, metrics),
         PlatformWorkers(worker_http, control.start_timeout_ms, control.hold_timeout_ms),
         advisor,
         decode_rules,
         decode_worker,
         store_http.session,
         clock,
+        metrics,
     )
     front = Front(node)
     links = LinkServer(advisor, node.incarnation)
     await front.start(
-        split_address(cfg.listen.callers), split_address(cfg.listen.readiness)
+        split_address(cfg.listen.callers),
+        split_address(cfg.listen.readiness),
+        (cfg.ip, METRICS_PORT),
     )
     await links.start(*split_address(cfg.listen.entries))
     _log.info("Started", node=cfg.node, zone=cfg.zone, incarnation=node.incarnation)
--- a/pimentomill/platform/_front.py
+++ b/pimentomill/platform/_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 
 from aiohttp import web
 
@@ -17,6 +18,8 @@
 
 KEY_HEADER = "Key"
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
+QUIET_STATUSES = (200, 404)
+METRICS_PATH = "/metrics"
 READY_PATH = "/ready"
 DOUBT_AGE_MS = 1000
 """Age of the operators' settings above which an unknown key or route is no proof."""
@@ -62,11 +65,17 @@
         self.in_flight_ = 0
         self._runners: list[web.ServerRunner] = []
 
-    async def start(self, callers: tuple[str, int], readiness: tuple[str, int]) -> None:
-        """Listen for callers and for the readiness check."""
+    async def start(
+        self,
+        callers: tuple[str, int],
+        readiness: tuple[str, int],
+        metrics: tuple[str, int],
+    ) -> None:
+        """Listen for callers, for the readiness check and for scrapers."""
         for handler, (host, port) in (
             (self._handle, callers),
             (self._handle_ready, readiness),
+            (self._handle_metrics, metrics),
         ):
             server = web.Server(
                 handler,
@@ -90,6 +99,12 @@
             return web.Response(status=404)
         return web.Response(status=200 if self.node.is_ready() else 503)
 
+    async def _handle_metrics(self, req: web.BaseRequest) -> web.Response:
+        if req.path != METRICS_PATH:
+            return web.Response(status=404)
+        text = self.node.metrics.render()
+        return web.Response(body=text, content_type="text/plain")
+
     async def _handle(self, req: web.BaseRequest) -> web.Response:
         self.in_flight_ += 1
         try:
@@ -101,6 +116,7 @@
         return resp
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
+        began = time.monotonic()
         try:
             queue, rest = self._route(req)
             team = self._authorize(req, queue)
@@ -112,12 +128,27 @@
             status = 503 if isinstance(exc, Unavailable) else 400
             refusal = Refusal(status, str(exc))
             resp, why = self._refuse(refusal), str(exc)
-        if req.method != "GET" or resp.status not in (200, 404):
-            _log.info(
-                "Request", method=req.method, path=req.path, status=resp.status, why=why
-            )
+        self._note(req, resp.status, why, (time.monotonic() - began) * 1000)
         return resp
 
+    def _note(self, req: web.BaseRequest, status: int, why: str, took: float) -> None:
+        """Count an answer, and log it unless it only repeats what is known."""
+        node = self.node
+        node.metrics.note_request(req.method, status, took)
+        if req.method == "GET" and status in QUIET_STATUSES:
+            return
+        _log.info(
+            "Request",
+            method=req.method,
+            path=req.path,
+            status=status,
+            why=why,
+            took_ms=round(took),
+            version=node.catalog_.version if node.catalog_ else None,
+            settings_age_ms=node.rules.age_ms(),
+            state_age_ms=node.work.age_ms(),
+        )
+
     @staticmethod
     def _refuse(refusal: Refusal) -> web.Response:
         headers = {}
--- a/pimentomill/platform/_settings.py
+++ b/pimentomill/platform/_settings.py
@@ -62,6 +62,8 @@
         Name of the instance.
     zone : str
         Data centre.
+    ip : str
+        Address of the instance.
     listen : ListenAddresses
         Where to listen.
     bounds : Bounds
@@ -76,6 +78,7 @@
 
     node: str = msgspec.field(name="NodeName")
     zone: str = msgspec.field(name="Zone")
+    ip: str = msgspec.field(name="Ip")
     listen: ListenAddresses = msgspec.field(name="ListenAddrs")
     store: StoreSettings = msgspec.field(name="platform")
     bounds: Bounds = msgspec.field(name="Bounds", default=Bounds())
--- a/pimentomill/platform/_store.py
+++ b/pimentomill/platform/_store.py
@@ -17,9 +17,10 @@
 )
 from ..jobs import KeyedRecord
 from ..replica import Appended, NewestPage, Slice, Writer
+from ..telemetry import CellMetrics
 from ._http import HttpCaller, HttpReply
 
-__all__ = ["TOPICS", "PlatformStore", "decode_slice", "encode_keyed"]
+__all__ = ["TOPICS", "PlatformStore", "decode_slice", "encode_keyed", "read_newest"]
 
 TOPICS = {"work": "keyed.work", "rules": "keyed.op", "workers": "keyed.servers"}
 """Topic of each of the product's streams; all use the first partition."""
@@ -140,11 +141,14 @@
         IP address and port.
     http : HttpCaller
         Connections.
+    metrics : CellMetrics
+        Where calls are counted.
     """
 
-    def __init__(self, address: str, http: HttpCaller) -> None:
+    def __init__(self, address: str, http: HttpCaller, metrics: CellMetrics) -> None:
         self.base = f"http://{address}"
         self.http = http
+        self.metrics = metrics
         self._append_ms = MIN_APPEND_MS / APPEND_FACTOR
 
     async def append(
@@ -162,12 +166,16 @@
         try:
             reply = await self.http.call("POST", url, limit, encode_keyed(records))
         except TransportError as exc:
+            took = (time.monotonic() - began) * 1000
+            self.metrics.note_store("append", "no answer", took)
             if not exc.sent:
                 raise LogUnavailableError(str(exc)) from exc
             # The store may have become slow: the next append gets more time.
             self._note_append(limit)
             raise AppendUnknownError(str(exc)) from exc
-        self._note_append((time.monotonic() - began) * 1000)
+        took = (time.monotonic() - began) * 1000
+        self._note_append(took)
+        self.metrics.note_store("append", str(reply.status), took)
         return self._read_append(reply)
 
     def _note_append(self, took_ms: float) -> None:
@@ -225,7 +233,42 @@
 
     async def _get(self, path: str, query: dict, timeout_ms: int) -> HttpReply:
         url = f"{self.base}{path}?{urlencode(query)}"
+        began = time.monotonic()
+        outcome = "no answer"
         try:
-            return await self.http.call("GET", url, timeout_ms)
+            reply = await self.http.call("GET", url, timeout_ms)
+            outcome = str(reply.status)
         except TransportError as exc:
             raise LogUnavailableError(str(exc)) from exc
+        finally:
+            took = (time.monotonic() - began) * 1000
+            self.metrics.note_store("read", outcome, took)
+        return reply
+
+
+async def read_newest(address: str, stream: str) -> list[KeyedRecord]:
+    """Return the newest record of every key of a stream, for on-call work.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port of the store.
+    stream : str
+        One of the product's streams.
+
+    Raises
+    ------
+    LogUnavailableError
+        If the store can't be reached or refuses.
+    """
+    http = HttpCaller(1)
+    try:
+        store = PlatformStore(address, http, CellMetrics())
+        page = await store.newest(stream, None)
+        records = list(page.records)
+        while page.more_after is not None:
+            page = await store.newest(stream, page.more_after)
+            records += page.records
+        return records
+    finally:
+        await http.close()
--- a/pimentomill/platform/tests/test_front.py
+++ b/pimentomill/platform/tests/test_front.py
@@ -13,6 +13,7 @@
 from pimentomill.node import CellNode, NodeSettings
 from pimentomill.platform._front import Front
 from pimentomill.standins import MemoryStore, MemoryWorkers
+from pimentomill.telemetry import CellMetrics
 from pimentomill.utils import SystemClock
 
 JOB = "5c0e7a21d94b36f8"
@@ -42,10 +43,14 @@
             lambda key, value: None,
             None,
             SystemClock(),
+            CellMetrics(),
         )
         self.front = Front(self.node)
-        await self.front.start(("127.0.0.1", 0), ("127.0.0.1", 0))
-        callers, readiness = (runner.addresses[0] for runner in self.front._runners)
+        await self.front.start(*[("127.0.0.1", 0)] * 3)
+        callers, readiness, metrics = (
+            runner.addresses[0] for runner in self.front._runners
+        )
+        self.metrics_address = metrics
         self.address, self.ready_address = callers, readiness
         self.session = aiohttp.ClientSession()
         await self.store.append("rules", [KeyedRecord("config", b"1")])
@@ -129,6 +134,16 @@
             writer.close()
 
 
+class TestMetrics(FrontCase):
+    async def test_answers_are_counted_as_text(self):
+        await self.status("GET", "/c/")
+        url = f"http://127.0.0.1:{self.metrics_address[1]}/metrics"
+        async with self.session.get(url) as resp:
+            text = await resp.text()
+        self.assertIn('requests_total{method="GET",status="404"} 1.0', text)
+        self.assertIn("request_ms_bucket", text)
+
+
 class TestOutage(FrontCase):
     async def lose_store(self):
         self.store.is_down = True
--- a/pimentomill/platform/tests/test_jobs_and_rules.py
+++ b/pimentomill/platform/tests/test_jobs_and_rules.py
@@ -13,6 +13,7 @@
 NODE_FILE = """
 NodeName = "edge-golfo-a-1"
 Zone = "golfo-a"
+Ip = "10.1.0.5"
 Advice = "10.200.1.9:8683"
 NewField = 3
 [ListenAddrs]
--- a/pimentomill/platform/tests/test_store.py
+++ b/pimentomill/platform/tests/test_store.py
@@ -15,6 +15,7 @@
 from pimentomill.platform._http import HttpCaller
 from pimentomill.platform._store import PlatformStore, decode_slice, encode_keyed
 from pimentomill.replica import Writer
+from pimentomill.telemetry import CellMetrics
 
 from .fake_wire import FakeWire
 
@@ -26,7 +27,7 @@
         self.wire = FakeWire()
         await self.wire.start()
         self.http = HttpCaller(4)
-        self.store = PlatformStore(self.wire.address, self.http)
+        self.store = PlatformStore(self.wire.address, self.http, CellMetrics())
 
     async def asyncTearDown(self):
         await self.http.close()
--- /dev/null
+++ b/pimentomill/telemetry/_burn.py
@@ -0,0 +1,96 @@
+"""Service-level burn from the metrics of all entries."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from prometheus_client.parser import text_string_to_metric_families
+
+__all__ = ["BurnRow", "burn_report", "render_burn"]
+
+JOBS_SAMPLE = "jobs_finished_total"
+NOT_OWED = frozenset({"cancelled"})
+
+
+class BurnRow(NamedTuple):
+    """Jobs of a queue and a team against the target.
+
+    Parameters
+    ----------
+    queue, team : str
+        Which jobs.
+    finished, in_time : int
+        Finished jobs that were owed, and those that met their objective.
+    target : float
+        Share that should meet it.
+    """
+
+    queue: str
+    team: str
+    finished: int
+    in_time: int
+    target: float
+
+    @property
+    def share(self) -> float:
+        """Share of jobs that met their objective."""
+        return self.in_time / self.finished if self.finished else 1.0
+
+    @property
+    def budget_left(self) -> float:
+        """Share of the error budget that is left; negative when it is overspent."""
+        allowed = (1 - self.target) * self.finished
+        missed = self.finished - self.in_time
+        if allowed <= 0:
+            return 1.0 if not missed else -float(missed)
+        return 1 - missed / allowed
+
+
+def burn_report(texts: Iterable[str], target: float) -> list[BurnRow]:
+    """Return the burn by queue and team, the most burnt first.
+
+    Parameters
+    ----------
+    texts : iterable of str
+        Metrics of each entry.
+    target : float
+        Share of jobs that should meet their objective, above 0 and below 1.
+
+    Examples
+    --------
+    >>> text = 'jobs_finished_total{queue="q",state="completed",in_time="%s"} %d'
+    >>> rows = burn_report([text % ("true", 9), text % ("false", 1)], 0.9)
+    >>> rows[0].share, round(rows[0].budget_left, 2)
+    (0.9, 0.0)
+    """
+    counts: dict[tuple[str, str], list[int]] = defaultdict(lambda: [0, 0])
+    for text in texts:
+        for family in text_string_to_metric_families(text):
+            for sample in family.samples:
+                _count(sample, counts)
+    rows = [
+        BurnRow(queue, team, finished, in_time, target)
+        for (queue, team), (finished, in_time) in counts.items()
+    ]
+    return sorted(rows, key=lambda row: row.budget_left)
+
+
+def _count(sample, counts: dict[tuple[str, str], list[int]]) -> None:
+    labels = sample.labels
+    if sample.name != JOBS_SAMPLE or labels.get("state") in NOT_OWED:
+        return
+    count = counts[(labels.get("queue", ""), labels.get("team", ""))]
+    count[0] += int(sample.value)
+    if labels.get("in_time") == "true" and labels.get("state") == "completed":
+        count[1] += int(sample.value)
+
+
+def render_burn(rows: list[BurnRow]) -> str:
+    """Return the report as a table."""
+    lines = ["queue                team       jobs  in time  budget left"]
+    lines += [
+        f"{row.queue:<20} {row.team:<10} {row.finished:>4}  "
+        f"{row.share:>7.1%}  {row.budget_left:>11.0%}"
+        for row in rows
+    ]
+    return "\n".join(lines)
--- /dev/null
+++ b/pimentomill/telemetry/_cell_metrics.py
@@ -0,0 +1,98 @@
+"""Counters and histograms of an entry of a cell, as text for a scraper."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import (
+    ExplicitBucketHistogramAggregation,
+    View,
+)
+from prometheus_client import CollectorRegistry, generate_latest
+
+__all__ = ["CellMetrics"]
+
+SCOPE = "pimentomill"
+BUCKETS_MS = (5, 10, 20, 40, 80, 160, 320, 640, 1280, 2560, 5120, 10240, 20480)
+"""Upper bounds of the latency histograms, each twice the one before."""
+
+
+class CellMetrics:
+    """Metrics of one process.
+
+    Notes
+    -----
+    Each process counts what it has decided itself; jobs and runs are counted by the
+    leader only.
+
+    Examples
+    --------
+    >>> metrics = CellMetrics()
+    >>> metrics.note_request("POST", 200, 12.0)
+    >>> 'requests_total{method="POST"' in metrics.render().decode()
+    True
+    """
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
+        buckets = ExplicitBucketHistogramAggregation(BUCKETS_MS)
+        self._provider = MeterProvider(
+            metric_readers=[reader],
+            views=[View(instrument_name="*_ms", aggregation=buckets)],
+        )
+        meter = self._provider.get_meter(SCOPE)
+        self._requests = meter.create_counter("requests")
+        self._request_ms = meter.create_histogram("request_ms")
+        self._store_calls = meter.create_counter("store_calls")
+        self._store_ms = meter.create_histogram("store_ms")
+        self._starts = meter.create_counter("starts")
+        self._start_wait_ms = meter.create_histogram("start_wait_ms")
+        self._ends = meter.create_counter("ends")
+        self._questions = meter.create_counter("questions")
+        self._question_ms = meter.create_histogram("question_ms")
+        self._jobs = meter.create_counter("jobs_finished")
+        self._job_ms = meter.create_histogram("job_ms")
+        self._terms = meter.create_counter("leader_terms")
+
+    def note_request(self, method: str, status: int, took_ms: float) -> None:
+        """Count an answered request of a caller."""
+        self._requests.add(1, {"method": method, "status": str(status)})
+        self._request_ms.record(took_ms, {"method": method})
+
+    def note_store(self, call: str, outcome: str, took_ms: float) -> None:
+        """Count a call to the store."""
+        self._store_calls.add(1, {"call": call, "outcome": outcome})
+        self._store_ms.record(took_ms, {"call": call})
+
+    def note_start(self, outcome: str, waited_ms: float) -> None:
+        """Count an order to start a run; the wait is that since the hand-in."""
+        self._starts.add(1, {"outcome": outcome})
+        self._start_wait_ms.record(waited_ms)
+
+    def note_end(self, kind: str) -> None:
+        """Count a run that ended."""
+        self._ends.add(1, {"kind": kind})
+
+    def note_question(self, outcome: str, took_ms: float) -> None:
+        """Count a question to a queue's policy."""
+        self._questions.add(1, {"outcome": outcome})
+        self._question_ms.record(took_ms)
+
+    def note_job(
+        self, queue: str, team: str, state: str, in_time: bool, took_ms: float
+    ) -> None:
+        """Count a finished job and whether it met its objective."""
+        labels = {"queue": queue, "team": team, "state": state}
+        self._jobs.add(1, {**labels, "in_time": str(in_time).lower()})
+        self._job_ms.record(took_ms, {"queue": queue})
+
+    def note_term(self) -> None:
+        """Count a term as the leader."""
+        self._terms.add(1)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self._registry)
