--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -107,7 +107,8 @@
 
     def test_urgent_tasks_prefer_faster_workers(self):
         slow = worker("w1")
-        slow.add(Attempt(TaskKey("x", 0, 0, 0), 1, slow, Resources(9000, 0, 0), 0))
+        half = Resources(8000, 16000, 0)
+        slow.add(Attempt(TaskKey("x", 0, 0, 0), 1, slow, half, 0))
         slow.slowness = 1.3
         urgent = first_step(steps=[step()], of=queue(priority=0))
         usual = first_step(steps=[step()], of=queue(priority=1))
