--- a/pimentomill/control/_advice.py
+++ b/pimentomill/control/_advice.py
@@ -14,12 +14,15 @@
 
 MAX_WORKERS = 100
 """Workers that one question may name, by the platform's contract."""
-TIMEOUT_FACTOR = 4
+TIMEOUT_FACTOR = 3
 """Multiple of the expected time after which a question has failed."""
-TIMEOUT_BASE_MS = 600
+TIMEOUT_BASE_MS = 250
 """Milliseconds added to it: the way there and back, and one retry of a packet."""
 REST_MS = 2000
-"""Milliseconds for which an entry that did not answer is not asked again."""
+"""Milliseconds for which an entry that did not answer is not asked again; they double
+with each failure in a row."""
+MAX_REST_MS = 16000
+"""Longest such rest."""
 SHORT_MS = 100
 """Milliseconds up to which a question is short: those of the most urgent queues take
 20, all others 150 to 900."""
@@ -82,6 +85,7 @@
         self.ports: dict[str, AdvicePort] = {}
         self._busy: dict[str, bool] = {}
         self._rest_until: dict[str, Instant] = {}
+        self._failures: dict[str, int] = {}
 
     def idle_count(self) -> int:
         """Return how many entries could take a question now."""
@@ -95,12 +99,24 @@
             if name not in self._busy and self._rest_until.get(name, now) <= now
         )
 
+    def _choose(self, is_short: bool) -> AdvicePort | None:
+        """Return an idle entry; one that failed last gets no short question."""
+        idle = [
+            port
+            for port in self._idle()
+            if not (is_short and self._failures.get(port.name, 0))
+        ]
+        return min(
+            idle, key=lambda port: self._failures.get(port.name, 0), default=None
+        )
+
     def can_take(self, step: StepRun, workers: int) -> bool:
         """Return whether a question of this length could be asked now."""
         policy = step.job.queue.advice
-        if policy is None or next(self._idle(), None) is None:
+        is_short = policy is not None and policy.duration_ms(workers) <= SHORT_MS
+        if policy is None or self._choose(is_short) is None:
             return False
-        if policy.duration_ms(workers) <= SHORT_MS:
+        if is_short:
             return True
         long_ones = sum(self._busy.values())
         lanes = max(1, len(self.ports) // SHORT_LANE_SHARE)
@@ -122,11 +138,11 @@
             Whether an answer came.
         """
         policy = step.job.queue.advice
-        port = next(self._idle(), None)
+        names = [worker.info.worker for worker in workers[:MAX_WORKERS]]
+        takes = policy.duration_ms(len(names)) if policy is not None else 0.0
+        port = self._choose(takes <= SHORT_MS)
         if policy is None or port is None:
             return False
-        names = [worker.info.worker for worker in workers[:MAX_WORKERS]]
-        takes = policy.duration_ms(len(names))
         self._busy[port.name] = takes > SHORT_MS
         step.question_open = True
         began = self.clock.now()
@@ -142,13 +158,17 @@
             step.question_open = False
             self._busy.pop(port.name, None)
         self.metrics.note_question("answered", self.clock.now() - began)
+        self._failures.pop(port.name, None)
         self._keep(step, names, given)
         return True
 
     def _note_failure(self, port: AdvicePort, step: StepRun, exc: Exception) -> None:
         unreachable = isinstance(exc, TimeoutError | TransportError)
         if unreachable and len(self.ports) > 1:
-            self._rest_until[port.name] = Instant(self.clock.now() + REST_MS)
+            failures = self._failures.get(port.name, 0)
+            rest = min(MAX_REST_MS, REST_MS << failures)
+            self._failures[port.name] = failures + 1
+            self._rest_until[port.name] = Instant(self.clock.now() + rest)
         why = str(exc) or type(exc).__name__
         _log.warning("No answer", step=step.key, entry=port.name, why=why)
 
--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -84,6 +84,10 @@
         Workers.
     quotas : QuotaBook
         What teams have running.
+    withheld : set of JobId
+        Jobs of which an earlier leader may have started tasks that are not known.
+    withheld_until : dict of str to Instant
+        Until when such jobs wait, by pool.
     dirty : set of JobId
         Jobs to be stored soon.
     begun : set of JobId
@@ -113,7 +117,7 @@
         self.begun: set[JobId] = set()
         self.marks: list[EndMark] = []
         self.finished: set[JobId] = set()
-        self.withheld_until: Instant = clock.now()
+        self.withheld_until: dict[str, Instant] = {}
         self.withheld: set[JobId] = set()
 
     # Jobs
@@ -245,11 +249,11 @@
     def ready_steps(self) -> Iterator[StepRun]:
         """Yield steps with tasks that may start."""
         now = self.clock.now()
-        holding = now < self.withheld_until
         for step in self.open_steps.values():
             if step.ready_at is None or not step.waiting:
                 continue
-            if holding and step.key.job in self.withheld:
+            until = self.withheld_until.get(step.job.queue.service, now)
+            if now < until and step.key.job in self.withheld:
                 continue
             yield step
 
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -131,6 +131,7 @@
         self._questions: set[asyncio.Task] = set()
         self._fleet_written: frozenset[WorkerId] = frozenset()
         self._surveyed = False
+        self._survey_until = clock.now()
         self._last_plan = Plan()
 
     # Events from outside
@@ -220,7 +221,8 @@
             worker.is_listed = False
             worker.lease_until = self._longest_lease()
             self.holds.watch(worker)
-        self.book.withheld_until = Instant(self.clock.now() + SURVEY_MS)
+        self._survey_until = Instant(self.clock.now() + SURVEY_MS)
+        self._withhold_all(self._survey_until)
         _log.info(
             "Leads",
             epoch=self.record.epoch,
@@ -243,7 +245,9 @@
             return
         if worker is None:
             worker = self.book.sync_worker(info)
-            worker.lease_until = self._longest_lease()
+            if not info.is_draining:
+                # A draining worker that is not on record as used runs nothing.
+                worker.lease_until = self._longest_lease()
             _log.info(
                 "Worker listed",
                 worker=info.worker,
@@ -263,11 +267,15 @@
 
     def _record_fleet(self) -> None:
         """Let a successor know the workers, also those no longer listed."""
-        names = frozenset(self.book.workers)
+        infos = [
+            worker.info
+            for worker in self.book.workers.values()
+            if worker.attempts or not worker.info.is_draining
+        ]
+        names = frozenset(info.worker for info in infos)
         if names == self._fleet_written:
             return
         self._fleet_written = names
-        infos = [worker.info for worker in self.book.workers.values()]
         value = msgspec.msgpack.encode(infos)
         self.scribe.extra = [
             record for record in self.scribe.extra if record.key != FLEET_KEY
@@ -275,30 +283,35 @@
         self.scribe.extra.append(KeyedRecord(FLEET_KEY, value))
 
     def _check_survey(self) -> None:
-        """End the wait for workers once all have answered."""
+        """End the wait for workers of a pool once all of them have answered."""
         if self._surveyed:
             return
         now = self.clock.now()
         unknown = [w for w in self.book.workers.values() if not w.is_known]
-        listed_known = self.workers_follower.offset_ is not None
-        if listed_known and not unknown:
-            self._surveyed = True
-            self.book.withheld_until = now
-        elif now >= self.book.withheld_until:
-            if not listed_known:
-                self.book.withheld_until = Instant(now + SURVEY_MS)
-                return
-            self._surveyed = True
-            limit = max(worker.lease_until for worker in unknown)
-            self.book.withheld_until = max(now, limit)
-        else:
+        is_listed = self.workers_follower.offset_ is not None
+        if not is_listed or (unknown and now < self._survey_until):
+            self._withhold_all(Instant(now + SURVEY_MS))
             return
+        self._surveyed = True
+        self._withhold_all(now)
+        for worker in unknown:
+            service = worker.info.service
+            until = self.book.withheld_until.get(service, now)
+            self.book.withheld_until[service] = max(until, worker.lease_until)
         _log.info(
             "Workers surveyed",
-            unknown=len(unknown),
-            withheld_ms=self.book.withheld_until - now,
+            unknown=[worker.info.worker for worker in unknown],
+            withheld_ms={
+                service: until - now
+                for service, until in self.book.withheld_until.items()
+                if until > now
+            },
         )
 
+    def _withhold_all(self, until: Instant) -> None:
+        for job in self.book.jobs.values():
+            self.book.withheld_until[job.queue.service] = until
+
     # Planning
 
     async def _plan_loop(self) -> None:
@@ -418,6 +431,7 @@
         """Tell in the log why the longest waiting steps wait."""
         while True:
             await asyncio.sleep(DIAGNOSIS_INTERVAL_MS / 1000)
+            self._record_fleet()
             now = self.clock.now()
             workers = list(self.book.workers.values())
             oldest = now - DIAGNOSIS_INTERVAL_MS
--- a/pimentomill/control/tests/test_advice.py
+++ b/pimentomill/control/tests/test_advice.py
@@ -76,3 +76,15 @@
         self.assertEqual(self.desk.idle_count(), 3)
         self.clock.advance(2000)
         self.assertEqual(self.desk.idle_count(), 4)
+
+    async def test_an_entry_that_failed_last_gets_no_short_question(self):
+        self.ports[0].fails = True
+        self.ports[0].gate.set()
+        await self.desk.ask(self.step("a", SHORT), self.workers)
+        self.clock.advance(2000)
+        for letter in "bcd":
+            await self.ask(self.step(letter, SHORT))
+        self.assertFalse(self.desk.can_take(self.step("e", SHORT), 2))
+        self.ports[0].fails = False
+        self.assertTrue(await self.desk.ask(self.step("f", LONG), self.workers))
+        self.assertTrue(self.desk.can_take(self.step("g", SHORT), 2))
--- a/pimentomill/control/tests/test_book.py
+++ b/pimentomill/control/tests/test_book.py
@@ -1,7 +1,13 @@
 import unittest
 
 from pimentomill.control import CellBook
-from pimentomill.dispatch.tests.samples import accepted, info, queue, step
+from pimentomill.dispatch.tests.samples import (
+    SERVICE,
+    accepted,
+    info,
+    queue,
+    step,
+)
 from pimentomill.fleet import (
     AttemptPhase,
     EndKind,
@@ -158,7 +164,7 @@
         self.store_progress()
         self.book = self.new_book(2)
         self.book.sync_job(JOB, self.table.find(JOB), inherited=True)
-        self.book.withheld_until = self.clock.now() + 500
+        self.book.withheld_until = {SERVICE: self.clock.now() + 500}
         return self.book.jobs[JOB]
 
     def test_a_successor_starts_no_task_that_was_recorded_as_done(self):
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -47,9 +47,9 @@
 RULES_KEY = "config"
 FIRST_SEQUENCE_SPAN = 1 << 30
 """Range of a claim's first sequence number: two claims must not look alike."""
-MEMBER_INTERVAL_MS = 5000
+MEMBER_INTERVAL_MS = 2500
 """Milliseconds between two signs of an entry."""
-MEMBER_TERM_MS = 12000
+MEMBER_TERM_MS = 6000
 """Milliseconds without a sign after which an entry is not asked any more."""
 FOLLOW_PAUSE_MS = 200
 """Milliseconds between two reads of an entry that does not lead. A question about an
