Append through another entry where this one has no answer or is turned away

Cause: requests in flight when an entry was cut from the store ended with 504, which clients do not repeat.

--- a/pimentomill/intake/_intake.py
+++ b/pimentomill/intake/_intake.py
@@ -17,7 +17,7 @@
     cancelled_key,
     encode_record,
 )
-from ..replica import Follower, GroupAppender, RecordStore
+from ..replica import Follower, GroupAppender, RecordStore, Relay
 from ..telemetry import PartLog
 from ..utils import Clock, Instant, JobId
 
@@ -64,6 +64,8 @@
         Keeps the table up to date.
     clock : Clock
         Source of time.
+    relay : callable, default=None
+        Appends through another entry.
     """
 
     def __init__(
@@ -73,8 +75,10 @@
         table: JobTable,
         follower: Follower,
         clock: Clock,
+        relay: Relay | None = None,
     ) -> None:
-        self.appender = GroupAppender(store, stream, clock)
+        self.appender = GroupAppender(store, stream, clock, relay)
+        self.relay = relay
         self.table = table
         self.follower = follower
         self.clock = clock
@@ -93,7 +97,7 @@
         """
         if self.table.find(job) is not None:
             return Kept.KEPT
-        if self.is_store_lost():
+        if self.is_store_lost() and self.relay is None:
             return Kept.NOT_KEPT
         record = Accepted(job, queue, team, spec, self.clock.wall_ms())
         return await self._append(accepted_key(job), encode_record(record))
@@ -150,7 +154,10 @@
     async def _append(self, key: str, value: bytes) -> Kept:
         deadline = Instant(self.clock.now() + APPEND_WAIT_MS)
         try:
-            await self.appender.append(KeyedRecord(key, value), deadline)
+            if self.relay is not None and self.is_store_lost():
+                await self.relay([KeyedRecord(key, value)])
+            else:
+                await self.appender.append(KeyedRecord(key, value), deadline)
         except LogUnavailableError as exc:
             _log.warning("Not kept", key=key, why=str(exc))
             return Kept.NOT_KEPT
--- a/pimentomill/links/__init__.py
+++ b/pimentomill/links/__init__.py
@@ -1,5 +1,5 @@
 """Calls between the system's own entries."""
 
-from ._links import LinkServer, RemoteAdvisor, is_gone
+from ._links import LinkServer, RemoteAdvisor, is_gone, relay_append
 
-__all__ = ["LinkServer", "RemoteAdvisor", "is_gone"]
+__all__ = ["LinkServer", "RemoteAdvisor", "is_gone", "relay_append"]
--- a/pimentomill/links/_links.py
+++ b/pimentomill/links/_links.py
@@ -7,13 +7,22 @@
 from aiohttp import web
 
 from ..control import AdviceGiven, AdvicePort
-from ..exceptions import PimentomillError, TransportError
-from ..jobs import StepKey, WorkerId
+from ..exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    PimentomillError,
+    TransportError,
+)
+from ..jobs import KeyedRecord, StepKey, WorkerId
+from ..replica import Relay
 from ..telemetry import PartLog
 
-__all__ = ["LinkServer", "RemoteAdvisor", "is_gone"]
+__all__ = ["LinkServer", "RemoteAdvisor", "is_gone", "relay_append"]
 
 ASK_PATH = "/ask"
+APPEND_PATH = "/append"
+RELAY_S = 1.2
+"""Seconds for an append through another entry, so that callers still get an answer."""
 WATCH_PATH = "/watch/"
 WATCH_S = 20.0
 """Seconds for which a watch is held open; it ends earlier only with the process."""
@@ -34,6 +43,12 @@
     workers: list[WorkerId]
 
 
+class RelayedAppend(msgspec.Struct, frozen=True):
+    """Records of a keyed stream to append for another entry."""
+
+    records: list[KeyedRecord]
+
+
 class Answer(msgspec.Struct, frozen=True):
     """Tickets by worker, and for how many milliseconds they can be used."""
 
@@ -50,11 +65,15 @@
         How this entry asks the policy.
     incarnation : str
         Life of this process.
+    append : callable
+        Appends records to the store; raises `LogUnavailableError` if nothing was
+        kept and `AppendUnknownError` if that is not known.
     """
 
-    def __init__(self, advisor: AdvicePort, incarnation: str) -> None:
+    def __init__(self, advisor: AdvicePort, incarnation: str, append: Relay) -> None:
         self.advisor = advisor
         self.incarnation = incarnation
+        self.append = append
         self._runner: web.ServerRunner | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -73,6 +92,8 @@
     async def _handle(self, req: web.BaseRequest) -> web.Response:
         if req.path.startswith(WATCH_PATH):
             return await self._watch(req.path[len(WATCH_PATH) :])
+        if req.path == APPEND_PATH:
+            return await self._append(req)
         if req.path != ASK_PATH:
             return web.Response(status=404)
         try:
@@ -86,6 +107,19 @@
         answer = Answer(given.tickets, given.valid_ms)
         return web.Response(body=msgspec.msgpack.encode(answer))
 
+    async def _append(self, req: web.BaseRequest) -> web.Response:
+        try:
+            relayed = msgspec.msgpack.decode(await req.read(), type=RelayedAppend)
+        except msgspec.DecodeError as exc:
+            return web.Response(status=400, text=str(exc))
+        try:
+            await self.append(relayed.records)
+        except LogUnavailableError as exc:
+            return web.Response(status=503, text=str(exc))
+        except AppendUnknownError as exc:
+            return web.Response(status=504, text=str(exc))
+        return web.Response(status=200)
+
     async def _watch(self, incarnation: str) -> web.Response:
         """Hold the answer back for as long as the life that is meant goes on."""
         if incarnation != self.incarnation:
@@ -94,6 +128,35 @@
         return web.Response(status=200)
 
 
+async def relay_append(
+    session: aiohttp.ClientSession, address: str, records: list[KeyedRecord]
+) -> None:
+    """Append records through another entry.
+
+    Raises
+    ------
+    LogUnavailableError
+        If nothing was kept.
+    AppendUnknownError
+        If the records may or may not have been kept.
+    """
+    body = msgspec.msgpack.encode(RelayedAppend(records))
+    limit = aiohttp.ClientTimeout(total=RELAY_S, sock_connect=CONNECT_S)
+    url = f"http://{address}{APPEND_PATH}"
+    try:
+        async with session.post(url, data=body, timeout=limit) as resp:
+            status = resp.status
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        raise LogUnavailableError(f"{address} can't be reached") from exc
+    except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+        raise AppendUnknownError(f"{address} did not answer") from exc
+    if status == 200:
+        return
+    if status == 504:
+        raise AppendUnknownError(f"{address} does not know the outcome")
+    raise LogUnavailableError(f"{address} answers {status}")
+
+
 async def is_gone(
     session: aiohttp.ClientSession, address: str, incarnation: str
 ) -> bool:
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -26,7 +26,7 @@
 from ..fleet import WorkerInfo, WorkerPort
 from ..intake import Intake
 from ..jobs import JobTable, KeyedRecord
-from ..links import RemoteAdvisor, is_gone
+from ..links import RemoteAdvisor, is_gone, relay_append
 from ..replica import (
     LEADER_KEY,
     ElectionTiming,
@@ -47,6 +47,8 @@
 RULES_KEY = "config"
 FIRST_SEQUENCE_SPAN = 1 << 30
 """Range of a claim's first sequence number: two claims must not look alike."""
+RELAY_TRIES = 2
+"""Entries through which an append is tried."""
 MEMBER_INTERVAL_MS = 2500
 """Milliseconds between two signs of an entry."""
 MEMBER_TERM_MS = 6000
@@ -178,7 +180,9 @@
             clock,
             FollowerTiming(wait_ms=0, pause_ms=FOLLOW_PAUSE_MS),
         )
-        self.intake = Intake(store, WORK_STREAM, self.table, self.work, clock)
+        self.intake = Intake(
+            store, WORK_STREAM, self.table, self.work, clock, self._relay
+        )
 
     # State
 
@@ -260,6 +264,32 @@
                 ports[name] = RemoteAdvisor(name, member.address, self.session)
         desk.ports = ports
 
+    # Appends through other entries
+
+    async def append_for(self, records: list[KeyedRecord]) -> None:
+        """Append records that another entry can't append itself."""
+        if self.intake.is_store_lost():
+            raise LogUnavailableError("the store is out of reach here too")
+        await self.store.append(WORK_STREAM, records)
+
+    async def _relay(self, records: list[KeyedRecord]) -> None:
+        """Append through entries that showed themselves lately, one after another."""
+        recent = sorted(
+            (
+                (seen_at, member.address)
+                for name, (member, seen_at) in self.members.items()
+                if name != self.cfg.node
+            ),
+            reverse=True,
+        )
+        for _, address in recent[:RELAY_TRIES]:
+            try:
+                await relay_append(self.session, address, records)
+                return
+            except LogUnavailableError as exc:
+                _log.warning("Entry can't append", address=address, why=str(exc))
+        raise LogUnavailableError("no other entry could append")
+
     # Duties
 
     async def run(self) -> None:
--- a/pimentomill/platform/_daemon.py
+++ b/pimentomill/platform/_daemon.py
@@ -72,7 +72,7 @@
         metrics,
     )
     front = Front(node)
-    links = LinkServer(advisor, node.incarnation)
+    links = LinkServer(advisor, node.incarnation, node.append_for)
     await front.start(
         split_address(cfg.listen.callers),
         split_address(cfg.listen.readiness),
--- a/pimentomill/replica/__init__.py
+++ b/pimentomill/replica/__init__.py
@@ -1,6 +1,6 @@
 """Copies of the store's streams, and who leads by them."""
 
-from ._appender import GroupAppender
+from ._appender import GroupAppender, Relay
 from ._follower import Follower, FollowerTiming
 from ._leases import LEADER_KEY, ElectionTiming, LeaderRecord, LeaderWatch
 from ._ports import Appended, NewestPage, RecordStore, Slice, Writer
@@ -16,6 +16,7 @@
     "LeaderWatch",
     "NewestPage",
     "RecordStore",
+    "Relay",
     "Slice",
     "Writer",
 ]
--- a/pimentomill/replica/_appender.py
+++ b/pimentomill/replica/_appender.py
@@ -1,6 +1,7 @@
 """Appends of many callers, gathered into few."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from ..exceptions import AppendUnknownError, LogUnavailableError
 from ..jobs import KeyedRecord
@@ -10,6 +11,8 @@
 
 __all__ = ["GroupAppender"]
 
+Relay = Callable[[list[KeyedRecord]], Awaitable[None]]
+
 MAX_BATCH_BYTES = 512 * 1024
 """Bytes of one append, a quarter of what the platform takes."""
 REPEAT_MS = 10
@@ -52,12 +55,22 @@
         Name of the stream.
     clock : Clock
         Source of time.
+    relay : callable, default=None
+        Appends through another entry where this one has no answer or is turned
+        away; raises `LogUnavailableError` or `AppendUnknownError`.
     """
 
-    def __init__(self, store: RecordStore, stream: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: RecordStore,
+        stream: str,
+        clock: Clock,
+        relay: Relay | None = None,
+    ) -> None:
         self.store = store
         self.stream = stream
         self.clock = clock
+        self.relay = relay
         self._waiting: list[_Waiting] = []
         self._task: asyncio.Task | None = None
 
@@ -81,8 +94,7 @@
         while self._waiting:
             batch = self._take_batch()
             try:
-                records = [item.record for item in batch]
-                await self.store.append(self.stream, records)
+                await self._append([item.record for item in batch])
             except LogUnavailableError as exc:
                 self._refuse(batch, exc)
             except AppendUnknownError as exc:
@@ -92,6 +104,24 @@
                 for item in batch:
                     item.settle(None)
 
+    async def _append(self, records: list[KeyedRecord]) -> None:
+        try:
+            await self.store.append(self.stream, records)
+        except (LogUnavailableError, AppendUnknownError) as exc:
+            if self.relay is None:
+                raise
+            await self._append_elsewhere(records, exc)
+
+    async def _append_elsewhere(
+        self, records: list[KeyedRecord], exc: LogUnavailableError | AppendUnknownError
+    ) -> None:
+        try:
+            await self.relay(records)
+        except LogUnavailableError as second:
+            # The first try decides whether anything may have been kept.
+            raise exc from second
+        _log.info("Appended through another entry", records=len(records), why=str(exc))
+
     def _take_batch(self) -> list[_Waiting]:
         size = 0
         batch: list[_Waiting] = []
--- a/pimentomill/replica/tests/test_appender.py
+++ b/pimentomill/replica/tests/test_appender.py
@@ -39,6 +39,26 @@
         with self.assertRaises(LogUnavailableError):
             await self.put("a")
 
+    async def test_another_entry_appends_where_this_one_is_turned_away(self):
+        relayed = []
+
+        async def relay(records):
+            relayed.extend(records)
+
+        self.appender.relay = relay
+        self.store.is_down = True
+        await self.put("a")
+        self.assertEqual([record.key for record in relayed], ["a"])
+
+    async def test_a_lost_answer_stays_unknown_if_no_other_entry_can_append(self):
+        async def relay(records):
+            raise LogUnavailableError("no other entry")
+
+        self.appender.relay = relay
+        self.store.lose_answers = 1
+        with self.assertRaises(AppendUnknownError):
+            await self.put("a", deadline=0)
+
     async def test_a_refused_repeat_stays_unknown(self):
         self.store.lose_answers = 1
         self.store.append_delay_s = 0.005
