--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -31,8 +31,9 @@
 """Failures in a row after which a worker is given no work for a while."""
 AVOID_BASE_MS = 1000
 """First pause of a worker that fails what it starts; it doubles with each failure."""
-AVOID_MAX_MS = 4000
-"""Longest such pause, so that a sound worker is found again within seconds."""
+AVOID_MAX_MS = 2000
+"""Longest such pause: it may be the only worker that a step is allowed to use, and work
+that could run must not wait for 3 s."""
 MIN_COMPARED = 2
 """Tasks of a step that must be done before another is compared with them."""
 SLOW_PAUSE_MS = 2000
@@ -450,7 +451,7 @@
         if attempt.note_percent(status.percent, now):
             self._check_straggler(attempt, now)
         elif self._is_stuck(attempt, now):
-            worker.failures_in_row += 1
+            worker.note_failure(attempt.task.job, now)
             self._avoid(worker)
             self.order_stop(attempt, "no progress")
 
@@ -559,7 +560,7 @@
             self.release(attempt)
 
     def _take_done(self, worker, step: StepRun | None, attempt, end: RunEnd) -> None:
-        worker.failures_in_row = 0
+        worker.failed_jobs.clear()
         if step is not None and attempt is not None and not attempt.resumed:
             self._note_duration(worker, step, self.clock.now() - attempt.began_at)
         lasts = step is not None and step.spec.long_running
@@ -589,7 +590,7 @@
         step.durations.append(took_ms)
 
     def _take_failed(self, worker, step: StepRun | None, attempt, end: RunEnd) -> None:
-        self._note_failure(worker)
+        self._note_failure(worker, end.task.job)
         if attempt is not None:
             attempt.saved = end.saved or attempt.saved
         if attempt is not None:
@@ -603,10 +604,10 @@
         if len(runs) >= step.job.queue.max_attempts:
             self._finish(step.job, JobState.FAILED, f"a task failed {len(runs)} times")
 
-    def _note_failure(self, worker: Worker) -> None:
-        worker.failures_in_row += 1
-        worker.failed_at = self.clock.now()
-        if worker.failures_in_row >= EARLY_FAIL_LIMIT:
+    def _note_failure(self, worker: Worker, job: JobId) -> None:
+        is_new = job not in worker.failed_jobs
+        worker.note_failure(job, self.clock.now())
+        if is_new and worker.failures_in_row >= EARLY_FAIL_LIMIT:
             self._avoid(worker)
 
     def _avoid(self, worker: Worker) -> None:
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from ..jobs import TaskKey
-from ..utils import ZERO, Instant, Resources
+from ..utils import ZERO, Instant, JobId, Resources
 from ._messages import WorkerInfo
 
 __all__ = ["Attempt", "AttemptPhase", "Worker"]
@@ -12,7 +12,7 @@
 CLOCK_DRIFT = 0.02
 """Share by which a worker's clock may be slow, by the platform's contract."""
 PROBATION_FAILURES = 2
-"""Failures in a row after which a worker runs one task at a time until one ends well.
+"""Different jobs that fail in a row after which a worker runs one task at a time until one ends well.
 One run of twenty fails by its own fault, so two in a row are rarely chance."""
 PACE_WEIGHT = 0.2
 """Weight of the newest task in a worker's slowness: those of a step differ by 15 %."""
@@ -175,7 +175,7 @@
         self.heard_at: Instant | None = None
         self.leaves_at: Instant | None = None
         self.slowness = 1.0
-        self.failures_in_row = 0
+        self.failed_jobs: set[JobId] = set()
         self.failed_at: Instant | None = None
         self.avoid_until = now
         self._clock_ms = 0
@@ -206,6 +206,19 @@
         bounded = min(MAX_RATIO, ratio)
         self.slowness += PACE_WEIGHT * (bounded - self.slowness)
 
+    @property
+    def failures_in_row(self) -> int:
+        """Number of different jobs that failed here since a run ended well.
+
+        A job that can never be done fails wherever it runs, so it counts once.
+        """
+        return len(self.failed_jobs)
+
+    def note_failure(self, job: JobId, now: Instant) -> None:
+        """Take in that a run of a job failed here."""
+        self.failed_jobs.add(job)
+        self.failed_at = now
+
     def failed_lately(self, now: Instant) -> bool:
         """Return whether the last run here failed a short time ago."""
         recent = self.failed_at is not None and now - self.failed_at < LATELY_MS
@@ -267,7 +280,7 @@
         self.acknowledged = 0
         self._durable.clear()
         self._open_ends.clear()
-        self.failures_in_row = 0
+        self.failed_jobs.clear()
 
     def note_end(self, number: int) -> bool:
         """Return whether an end is new, and remember it."""
