--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -12,8 +12,8 @@
 CLOCK_DRIFT = 0.02
 """Share by which a worker's clock may be slow, by the platform's contract."""
 PROBATION_FAILURES = 2
-"""Different jobs that fail in a row after which a worker runs one task at a time until one ends well.
-One run of twenty fails by its own fault, so two in a row are rarely chance."""
+"""Different jobs that fail in a row after which a worker runs one task at a time until
+one ends well. One run of twenty fails by its own fault: two are rarely chance."""
 PACE_WEIGHT = 0.2
 """Weight of the newest task in a worker's slowness: those of a step differ by 15 %."""
 MAX_RATIO = 4.0
