--- a/pimentomill/replica/_appender.py
+++ b/pimentomill/replica/_appender.py
@@ -99,7 +99,8 @@
                 self._refuse(batch, exc)
             except AppendUnknownError as exc:
                 self._repeat(batch, exc)
-                await asyncio.sleep(REPEAT_MS / 1000)
+                if self._waiting:
+                    await asyncio.sleep(REPEAT_MS / 1000)
             else:
                 for item in batch:
                     item.settle(None)
--- a/pimentomill/replica/_leases.py
+++ b/pimentomill/replica/_leases.py
@@ -9,6 +9,8 @@
 
 LEADER_KEY = "leader"
 CANDIDATE_SLOTS = 8
+OUTAGE_MS = 700
+"""Milliseconds between two proofs of the state from which on the store was away."""
 
 _log = PartLog("election")
 
@@ -77,6 +79,7 @@
         self.record_: LeaderRecord | None = None
         self.seen_at_ = clock.now()
         self._gone = ""
+        self._proven_at = clock.now()
 
     @property
     def epoch(self) -> Epoch:
@@ -130,6 +133,7 @@
             Milliseconds that a read of the store takes at present; a slow store
             delays the leader's signs too.
         """
+        self._note_outage(proven_at)
         if self.is_led_by_me():
             return False
         wait = self._rank() * self.timing.stagger_ms
@@ -140,6 +144,15 @@
             wait += self.timing.silence_ms + 3 * int(read_ms)
         return proven_at - self.seen_at_ >= wait
 
+    def _note_outage(self, proven_at: Instant) -> None:
+        """Let the silence begin anew after a time without the store.
+
+        The leader could not sign either, so its silence says nothing.
+        """
+        if proven_at - self._proven_at > OUTAGE_MS:
+            self.seen_at_ = max(self.seen_at_, proven_at)
+        self._proven_at = proven_at
+
     def _rank(self) -> int:
         # The order differs from epoch to epoch, so that a candidate that always
         # fails is not always the first.
--- a/pimentomill/replica/tests/test_leases.py
+++ b/pimentomill/replica/tests/test_leases.py
@@ -20,8 +20,9 @@
 
     def test_a_silent_leader_is_replaced(self):
         self.sign(1, "other")
-        self.clock.advance(900)
-        self.assertFalse(self.due())
+        for _ in range(3):
+            self.clock.advance(300)
+            self.assertFalse(self.due())
         self.clock.advance(200)
         self.assertTrue(self.due())
 
@@ -31,6 +32,16 @@
         self.clock.advance(5000)
         self.assertFalse(self.watch.claim_due(read_until, 0.0))
 
+    def test_after_an_outage_the_leader_has_time_to_sign(self):
+        self.sign(1, "other")
+        self.assertFalse(self.due())
+        self.clock.advance(4000)
+        self.assertFalse(self.due())
+        for _ in range(4):
+            self.clock.advance(300)
+            last = self.due()
+        self.assertTrue(last)
+
     def test_a_leader_that_resigned_is_replaced_at_once(self):
         self.sign(1, "other", resigned=True)
         self.clock.advance(80)
