--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -16,8 +16,8 @@
 """A task that takes more of a worker is hard to place once the worker is shared."""
 SLOW = 1.15
 """Slowness from which a worker comes second for urgent tasks: kinds differ by 1.3."""
-FULLER_WEIGHT = 0.02
-"""Weight of the free room against the angle, small enough to decide ties only."""
+FULLER_WEIGHT = 0.3
+"""Weight of the free room against the angle: large tasks need workers that are left whole."""
 MAX_RESERVED = 2
 """Workers kept free for one step; more would idle more room than the step needs."""
 
