--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -451,8 +451,9 @@
         if attempt.note_percent(status.percent, now):
             self._check_straggler(attempt, now)
         elif self._is_stuck(attempt, now):
+            worker.is_stalled = True
             worker.note_failure(attempt.task.job, now)
-            self._avoid(worker)
+            worker.avoid_until = Instant(now + AVOID_MAX_MS)
             self.order_stop(attempt, "no progress")
 
     def _check_straggler(self, attempt: Attempt, now: Instant) -> None:
@@ -560,7 +561,7 @@
             self.release(attempt)
 
     def _take_done(self, worker, step: StepRun | None, attempt, end: RunEnd) -> None:
-        worker.failed_jobs.clear()
+        worker.note_success()
         if step is not None and attempt is not None and not attempt.resumed:
             self._note_duration(worker, step, self.clock.now() - attempt.began_at)
         lasts = step is not None and step.spec.long_running
--- a/pimentomill/control/tests/test_book.py
+++ b/pimentomill/control/tests/test_book.py
@@ -287,3 +287,5 @@
             self.book.take_report(attempt.worker, self.report([status]), now)
             self.clock.advance(1000)
         self.assertEqual([o.why for o in self.book.take_stops()], ["no progress"])
+        self.assertTrue(attempt.worker.is_suspect)
+        self.assertFalse(attempt.worker.can_start(self.clock.now() - 1000))
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -17,7 +17,7 @@
 SLOW = 1.15
 """Slowness from which a worker comes second for urgent tasks: kinds differ by 1.3."""
 FULLER_WEIGHT = 0.3
-"""Weight of the free room against the angle: large tasks need workers that are left whole."""
+"""Weight of the free room against the angle: large tasks need whole workers."""
 MAX_RESERVED = 2
 """Workers kept free for one step; more would idle more room than the step needs."""
 
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -176,6 +176,7 @@
         self.leaves_at: Instant | None = None
         self.slowness = 1.0
         self.failed_jobs: set[JobId] = set()
+        self.is_stalled = False
         self.failed_at: Instant | None = None
         self.avoid_until = now
         self._clock_ms = 0
@@ -214,6 +215,11 @@
         """
         return len(self.failed_jobs)
 
+    def note_success(self) -> None:
+        """Take in that a run ended well here."""
+        self.failed_jobs.clear()
+        self.is_stalled = False
+
     def note_failure(self, job: JobId, now: Instant) -> None:
         """Take in that a run of a job failed here."""
         self.failed_jobs.add(job)
@@ -226,8 +232,8 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Whether it failed what it ran last."""
-        return self.failures_in_row >= PROBATION_FAILURES
+        """Whether it failed, or let stand still, what it ran last."""
+        return self.is_stalled or self.failures_in_row >= PROBATION_FAILURES
 
     def add(self, attempt: Attempt) -> None:
         """Take capacity for an attempt."""
@@ -280,7 +286,7 @@
         self.acknowledged = 0
         self._durable.clear()
         self._open_ends.clear()
-        self.failed_jobs.clear()
+        self.note_success()
 
     def note_end(self, number: int) -> bool:
         """Return whether an end is new, and remember it."""
