--- a/pimentomill/control/_relocation.py
+++ b/pimentomill/control/_relocation.py
@@ -13,6 +13,8 @@
 differ by 1.3, tasks of one step by 15 %, and a wrong rack costs up to 3 once."""
 RESTART_MS = 250
 """Milliseconds that a stop and a new start take."""
+MIN_SHARE = 0.8
+"""Share of its siblings' time that a run gets before it is judged."""
 MIN_SIBLINGS = 1
 """Tasks of the same step that must be done before one is called slow."""
 LEAVE_MARGIN_MS = 300
@@ -42,6 +44,8 @@
     if len(step.durations) < MIN_SIBLINGS:
         return False
     usual = statistics.median(step.durations)
+    if now - attempt.began_at < MIN_SHARE * usual:
+        return False
     remaining = attempt.remaining_ms(now)
     if remaining is None or attempt.percent >= 100:
         return False
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -14,6 +14,9 @@
 PROBATION_FAILURES = 2
 """Different jobs that fail in a row after which a worker runs one task at a time until
 one ends well. One run of twenty fails by its own fault: two are rarely chance."""
+MIN_SPAN_MS = 250
+"""Milliseconds of progress from which a run's speed is known well enough: progress
+comes in whole percent, and a run takes some 30 ms to begin."""
 PACE_WEIGHT = 0.2
 """Weight of the newest task in a worker's slowness: those of a step differ by 15 %."""
 MAX_RATIO = 4.0
@@ -129,7 +132,7 @@
         span = self.advanced_at - self.first_at
         if gained <= 0 and self.percent > 0 and not self.resumed:
             gained, span = self.percent, self.advanced_at - self.began_at
-        if gained <= 0 or span <= 0:
+        if gained <= 0 or span < MIN_SPAN_MS:
             return None
         left = (100 - self.percent) * span / gained
         return max(0.0, left - (now - self.advanced_at))
