--- a/pimentomill/exceptions.py
+++ b/pimentomill/exceptions.py
@@ -19,6 +19,7 @@
     "QuerySyntaxError",
     "RecordsForgottenError",
     "SettingsError",
+    "StateUnavailableError",
     "TransportError",
     "UnauthorizedError",
     "ValidationError",
@@ -137,5 +138,9 @@
     """The log no longer keeps the records that were asked for."""
 
 
+class StateUnavailableError(PimentomillError):
+    """The newest state can't be read now."""
+
+
 class InvariantError(PimentomillError, AssertionError):
     """A rule that must always hold was found broken."""
--- a/pimentomill/intake/__init__.py
+++ b/pimentomill/intake/__init__.py
@@ -1,5 +1,5 @@
 """Callers' requests about jobs."""
 
-from ._intake import Intake, Kept, Unavailable
+from ._intake import Intake, Kept
 
-__all__ = ["Intake", "Kept", "Unavailable"]
+__all__ = ["Intake", "Kept"]
--- a/pimentomill/intake/_intake.py
+++ b/pimentomill/intake/_intake.py
@@ -4,7 +4,11 @@
 from enum import Enum
 
 from ..catalog import Queue
-from ..exceptions import AppendUnknownError, LogUnavailableError
+from ..exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    StateUnavailableError,
+)
 from ..jobs import (
     Accepted,
     Cancelled,
@@ -21,7 +25,7 @@
 from ..telemetry import PartLog
 from ..utils import Clock, Instant, JobId
 
-__all__ = ["Intake", "Kept", "Unavailable"]
+__all__ = ["Intake", "Kept"]
 
 OUTAGE_AGE_MS = 1200
 """Age of the state above which the store counts as out of reach."""
@@ -45,10 +49,6 @@
     NO_SUCH_JOB = "no such job"
 
 
-class Unavailable(Exception):  # noqa: N818
-    """The newest state can't be read now."""
-
-
 class Intake:
     """Accepts, cancels and shows jobs.
 
@@ -117,7 +117,7 @@
 
         Raises
         ------
-        Unavailable
+        StateUnavailableError
             If that can't be told now.
         """
         entry = await self._find(queue, team, job)
@@ -138,7 +138,7 @@
             # The job may have been accepted elsewhere a moment ago.
             deadline = Instant(self.clock.now() + FRESH_WAIT_MS)
             if self.is_store_lost() or not await self.follower.wait_current(deadline):
-                raise Unavailable("the newest state can't be read")
+                raise StateUnavailableError("the newest state can't be read")
             entry = self.table.find(job)
         if entry is None or not self._may_see(entry, queue, team):
             return None
--- a/pimentomill/intake/tests/test_intake.py
+++ b/pimentomill/intake/tests/test_intake.py
@@ -3,7 +3,8 @@
 from unittest import mock
 
 from pimentomill.dispatch.tests.samples import accepted, queue, step
-from pimentomill.intake import Intake, Kept, Unavailable, _intake
+from pimentomill.exceptions import StateUnavailableError
+from pimentomill.intake import Intake, Kept, _intake
 from pimentomill.jobs import JobState, JobTable, KeyedRecord
 from pimentomill.replica import Follower, FollowerTiming
 from pimentomill.standins import MemoryStore
@@ -69,7 +70,7 @@
         self.assertIsNone(await self.state())
         self.store.is_down = True
         await asyncio.sleep(0.05)
-        with self.assertRaises(Unavailable):
+        with self.assertRaises(StateUnavailableError):
             await self.state()
 
     async def test_a_job_of_another_team_is_not_shown_or_cancelled(self):
--- a/pimentomill/jobs/__init__.py
+++ b/pimentomill/jobs/__init__.py
@@ -7,7 +7,6 @@
     StepSpec,
     TaskKey,
     WorkerId,
-    task_sort_key,
 )
 from ._records import (
     Accepted,
@@ -46,5 +45,4 @@
     "encode_record",
     "job_of_key",
     "progress_key",
-    "task_sort_key",
 ]
--- a/pimentomill/jobs/_model.py
+++ b/pimentomill/jobs/_model.py
@@ -14,7 +14,6 @@
     "StepSpec",
     "TaskKey",
     "WorkerId",
-    "task_sort_key",
 ]
 
 WorkerId = NewType("WorkerId", str)
@@ -61,11 +60,6 @@
         return StepKey(self.job, self.occurrence, self.step)
 
 
-def task_sort_key(task: TaskKey) -> tuple[JobId, int, int, int]:
-    """Return a key that orders tasks by job, occurrence, step and index."""
-    return tuple(task)
-
-
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """Tasks that are alike and become ready together.
 
--- a/pimentomill/jobs/_table.py
+++ b/pimentomill/jobs/_table.py
@@ -1,6 +1,7 @@
 """State of all jobs by replay of the store's records."""
 
 from collections.abc import Iterator
+from functools import singledispatch
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from ._records import (
     Accepted,
     Cancelled,
+    JobRecord,
     Progress,
     decode_job_record,
     job_of_key,
@@ -56,6 +58,30 @@
         return not (self.accepted_ or self.progress_ or self.cancelled_)
 
 
+@singledispatch
+def _take_in(record: JobRecord, entry: JobEntry) -> None:
+    """Take a record into what is known of its job."""
+    raise TypeError(f"{type(record).__name__} is no record about a job")
+
+
+@_take_in.register
+def _(record: Accepted, entry: JobEntry) -> None:
+    # A repeat of the hand-in through another entry changes nothing.
+    entry.accepted_ = entry.accepted_ or record
+
+
+@_take_in.register
+def _(record: Cancelled, entry: JobEntry) -> None:
+    entry.cancelled_ = entry.cancelled_ or record
+
+
+@_take_in.register
+def _(record: Progress, entry: JobEntry) -> None:
+    # A final state never changes again.
+    if not (entry.progress_ and entry.progress_.state.is_final):
+        entry.progress_ = record
+
+
 class JobTable:
     """All jobs that the store knows.
 
@@ -103,19 +129,9 @@
         except msgspec.DecodeError as exc:
             _log.warning("Record ignored", key=key, reason=str(exc))
             return None
-        self._store(self.entries_.setdefault(job, JobEntry()), record)
+        _take_in(record, self.entries_.setdefault(job, JobEntry()))
         return job
 
-    @staticmethod
-    def _store(entry: JobEntry, record: Accepted | Cancelled | Progress) -> None:
-        if isinstance(record, Accepted):
-            # A repeat of the hand-in through another entry changes nothing.
-            entry.accepted_ = entry.accepted_ or record
-        elif isinstance(record, Cancelled):
-            entry.cancelled_ = entry.cancelled_ or record
-        elif not (entry.progress_ and entry.progress_.state.is_final):
-            entry.progress_ = record
-
     def _drop(self, job: JobId, key: str) -> None:
         entry = self.entries_.get(job)
         if entry is None:
--- a/pimentomill/platform/_front.py
+++ b/pimentomill/platform/_front.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 
 from ..catalog import Queue
-from ..exceptions import ValidationError
-from ..intake import Kept, Unavailable
+from ..exceptions import StateUnavailableError, ValidationError
+from ..intake import Kept
 from ..node import CellNode
 from ..telemetry import PartLog
 from ..utils import JobId
@@ -124,8 +124,8 @@
             why = ""
         except Refusal as exc:
             resp, why = self._refuse(exc), str(exc)
-        except (ValidationError, Unavailable) as exc:
-            status = 503 if isinstance(exc, Unavailable) else 400
+        except (ValidationError, StateUnavailableError) as exc:
+            status = 503 if isinstance(exc, StateUnavailableError) else 400
             refusal = Refusal(status, str(exc))
             resp, why = self._refuse(refusal), str(exc)
         self._note(req, resp.status, why, (time.monotonic() - began) * 1000)
--- /dev/null
+++ b/pimentomill/telemetry/tests/test_sink.py
@@ -0,0 +1,46 @@
+import json
+import os
+import unittest
+
+from pimentomill.telemetry import NonBlockingSink
+
+LINE = b"x" * 999 + b"\n"
+
+
+class TestNonBlockingSink(unittest.TestCase):
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.sink = NonBlockingSink(writer)
+
+    def drain(self):
+        os.set_blocking(self.reader, False)
+        parts = []
+        try:
+            while part := os.read(self.reader, 1 << 20):
+                parts.append(part)
+        except BlockingIOError:
+            pass
+        return b"".join(parts)
+
+    def test_lines_arrive_in_order(self):
+        for text in ("a\n", b"b\n"):
+            self.sink.write(text)
+        self.assertEqual(self.drain(), b"a\nb\n")
+
+    def test_a_slow_reader_costs_lines_not_time_and_is_told_how_many(self):
+        written = 0
+        while not self.sink.dropped_:
+            self.sink.write(LINE)
+            written += 1
+        for _ in range(9):
+            self.sink.write(LINE)
+        lines = self.drain().splitlines()
+        self.sink.write(b"last\n")
+        lines += self.drain().splitlines()
+        notices = [json.loads(line) for line in lines if line.startswith(b"{")]
+        self.assertEqual([notice["count"] for notice in notices], [10])
+        whole = sum(line == LINE[:-1] for line in lines)
+        self.assertEqual(whole, written - 1)
+        self.assertEqual(lines[-1], b"last")
