--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -53,6 +53,9 @@
 """Milliseconds between two signs of an entry."""
 MEMBER_TERM_MS = 6000
 """Milliseconds without a sign after which an entry is not asked any more."""
+RULES_WAIT_MS = 400
+"""Milliseconds for which the store may hold a read of the operators' settings back.
+Each read that ends proves them current, so their age stays below twice it."""
 FOLLOW_PAUSE_MS = 200
 """Milliseconds between two reads of an entry that does not lead. A question about an
 unfinished job is answered by a read of its own; the rest can wait."""
@@ -170,7 +173,7 @@
             self._apply_rule,
             lambda: None,
             clock,
-            FollowerTiming(wait_ms=800, pause_ms=0),
+            FollowerTiming(wait_ms=RULES_WAIT_MS, pause_ms=0),
         )
         self.work = Follower(
             store,
