--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -2,13 +2,14 @@
 
 import sys
 
-from benchmarks import configuration, slopes, takeover, whole_path
+from benchmarks import configuration, planner, slopes, takeover, whole_path
 
 MODULES = {
     "slopes": slopes,
     "whole_path": whole_path,
     "configuration": configuration,
     "takeover": takeover,
+    "planner": planner,
 }
 
 
