--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -1,6 +1,7 @@
 """A small cell of separate processes on loopback, for demonstrations and tests."""
 
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -235,6 +236,26 @@
             time.sleep(POLL_S)
         raise TimeoutError(f"{what} not in time\n{self.log_tail()}")
 
+    def keep_logs(self, folder: Path) -> Path:
+        """Copy the logs of all processes, so that they outlast the cell.
+
+        Parameters
+        ----------
+        folder : Path
+            Where to make a folder for them.
+
+        Returns
+        -------
+        Path
+            Folder that holds the copies.
+        """
+        folder.mkdir(parents=True, exist_ok=True)
+        kept = Path(tempfile.mkdtemp(prefix="logs-", dir=folder))
+        for process in [*self.entries, *self.workers, *self.backends, self.platform]:
+            if process.log_path.exists():
+                shutil.copy(process.log_path, kept)
+        return kept
+
     def log_tail(self) -> str:
         """Return the ends of the entries' logs."""
         tails = []
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -3,6 +3,7 @@
 import sys
 import time
 from collections.abc import Callable
+from pathlib import Path
 
 import msgspec
 
@@ -11,6 +12,7 @@
 __all__ = ["main"]
 
 SHAPE = CellShape(entries=3, workers=6, backends=2, groups=3, accelerators=2)
+KEPT_LOGS = Path("run")
 WITHDRAWAL_BOUND_S = 4.0
 
 
@@ -196,12 +198,17 @@
 def main() -> int:
     """Run the demonstration and return the exit code."""
     started = time.monotonic()
+    cell = SmallCell(SHAPE)
     try:
-        with SmallCell(SHAPE) as cell:
-            run(cell)
+        cell.start()
+        run(cell)
     except (DemoError, TimeoutError) as exc:
-        say(msgspec.json.encode({"demo": "failed", "why": str(exc)}).decode())
+        kept = str(cell.keep_logs(KEPT_LOGS))
+        verdict = {"demo": "failed", "why": str(exc), "logs": kept}
+        say(msgspec.json.encode(verdict).decode())
         return 1
+    finally:
+        cell.close()
     seconds = round(time.monotonic() - started, 1)
     verdict = {"demo": "ok", "entries": SHAPE.entries, "seconds": seconds}
     say(msgspec.json.encode(verdict).decode())
