--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -313,6 +313,7 @@
         if step is None or step.active.get(index) is not attempt:
             return
         del step.active[index]
+        step.idle_since = self.clock.now()
         self.quotas.remove(step.job.accepted.team, step.spec.need)
         if attempt.saved:
             self._note_saved(step, index, attempt.saved)
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -60,6 +60,7 @@
         "acc",
         "cpu",
         "id",
+        "is_trusted",
         "kept_for",
         "mem",
         "others",
@@ -68,9 +69,10 @@
         "worker",
     )
 
-    def __init__(self, worker: Worker) -> None:
+    def __init__(self, worker: Worker, is_trusted: bool) -> None:
         free = worker.free
         self.worker = worker
+        self.is_trusted = is_trusted
         self.id = worker.info.worker
         self.cpu = free.cpu_milli
         self.mem = free.memory_mb
@@ -82,7 +84,7 @@
 
     def fits(self, step: StepRun) -> bool:
         need = step.spec.reserved
-        if self.worker.is_suspect and self.taken:
+        if self.worker.is_suspect and self.taken and self.is_trusted:
             return False
         if self.kept_for not in (None, step.key) and not need.fits_in(self.others):
             return False
@@ -157,8 +159,8 @@
         self.now = now
         self.rooms: dict[str, list[_Room]] = {}
         for worker in workers:
-            if worker.can_start(now):
-                room = _Room(worker)
+            if worker.is_open():
+                room = _Room(worker, worker.can_start(now))
                 self.rooms.setdefault(worker.info.service, []).append(room)
         self.planned: dict[str, Resources] = {}
         self.out = Plan()
@@ -171,7 +173,10 @@
         return self.out
 
     def _place_step(self, step: StepRun, rooms: list[_Room]) -> None:
-        rooms = [room for room in rooms if self._suits(step, room)]
+        suited = [room for room in rooms if self._suits(step, room)]
+        rooms = [room for room in suited if room.is_trusted]
+        if not rooms and step.is_impatient(self.now):
+            rooms = suited
         if step.spec.gang:
             blocked = self._place_gang(step, rooms)
         else:
@@ -213,7 +218,10 @@
         failed = len(step.failed_runs.get(index, ()))
         if not failed or failed + 1 < step.job.queue.max_attempts:
             return rooms
-        return [room for room in rooms if not room.worker.failed_lately(self.now)]
+        sound = [room for room in rooms if not room.worker.failed_lately(self.now)]
+        if not sound and step.is_impatient(self.now):
+            return rooms
+        return sound
 
     def _place_gang(self, step: StepRun, rooms: list[_Room]) -> int:
         """Place all tasks or none and return how many lack room."""
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -18,6 +18,9 @@
 __all__ = ["JobRun", "StepRun", "Ticket"]
 
 BITS = 8
+PATIENCE_MS = 1700
+"""Milliseconds without a run after which workers that failed are used again: work that
+could run has to do so within 3 s, and a ticket takes up to 1 s."""
 
 
 class Ticket:
@@ -66,6 +69,8 @@
         Newest checkpoints, by index.
     ready_at : Instant or None
         When the step could first run; None before.
+    idle_since : Instant or None
+        When a run of the step ended last.
     asked, allowed : set of WorkerId
         Workers that the queue's policy was asked about, and those it allows.
     tickets : dict of WorkerId to Ticket
@@ -86,6 +91,7 @@
         self.saved: dict[int, str] = {}
         self.next_run: dict[int, int] = {}
         self.ready_at: Instant | None = None
+        self.idle_since: Instant | None = None
         self.asked: set[WorkerId] = set()
         self.allowed: set[WorkerId] = set()
         self.tickets: dict[WorkerId, Ticket] = {}
@@ -98,6 +104,16 @@
         """Whether every task ended well."""
         return len(self.done) == self.spec.count
 
+    def is_impatient(self, now: Instant) -> bool:
+        """Return whether nothing of the step has run for long, so any worker will do.
+
+        Workers that failed lately are left alone for a while. Where a step may use no
+        other, that must not keep it from running for good.
+        """
+        if self.active or self.ready_at is None:
+            return False
+        return now - (self.idle_since or self.ready_at) >= PATIENCE_MS
+
     def take_run(self, index: int) -> int:
         """Return the number of the next run of a task.
 
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -95,6 +95,20 @@
         only.note_failure("x", 0)
         self.assertEqual(len(self.plan([last], [only], now=1500).placements), 1)
 
+    def test_a_step_is_not_kept_from_its_only_worker_by_others_failures(self):
+        """Several jobs that fail share the only worker that they may use."""
+        waiting = first_step(steps=[step()])
+        waiting.failed_runs[0] = {1}
+        waiting.idle_since = 10_000
+        failing = worker("w1")
+        failing.failed_jobs = {"x", "y"}
+        failing.failed_at = 11_600
+        failing.avoid_until = 13_600
+        self.assertEqual(placed(self.plan([waiting], [failing], now=11_600)), [])
+        self.assertEqual(len(self.plan([waiting], [failing], now=11_700).placements), 1)
+        full = worker("w2", cpu=10)
+        self.assertEqual(placed(self.plan([waiting], [failing, full], now=11_700)), [])
+
     def test_a_worker_that_fails_all_runs_one_task_at_a_time(self):
         failing = worker("w1")
         failing.failed_jobs = {"x", "y"}
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -195,15 +195,14 @@
         """Capacity that no attempt takes."""
         return self.info.capacity - self.used
 
+    def is_open(self) -> bool:
+        """Return whether new runs may be placed here at all."""
+        return self.is_listed and self.is_reachable and not self.info.is_draining
+
     def can_start(self, now: Instant) -> bool:
-        """Return whether new runs may be placed here."""
-        return (
-            self.is_listed
-            and self.is_reachable
-            and not self.info.is_draining
-            and now >= self.avoid_until
-            and not (self.is_suspect and self.attempts)
-        )
+        """Return whether new runs should be placed here."""
+        on_probation = self.is_suspect and bool(self.attempts)
+        return self.is_open() and now >= self.avoid_until and not on_probation
 
     def note_pace(self, ratio: float) -> None:
         """Take in how much longer a task took here than its siblings elsewhere."""
