--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -19,7 +19,7 @@
 from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
 from ..telemetry import CellMetrics, PartLog
 from ..utils import Clock, Epoch, Instant, JobId
-from ._relocation import is_straggler, must_leave
+from ._relocation import is_straggler, is_stuck, must_leave
 
 __all__ = ["CellBook", "EndMark", "StopOrder"]
 
@@ -38,10 +38,6 @@
 """Tasks of a step that must be done before another is compared with them."""
 SLOW_PAUSE_MS = 2000
 """Pause of a worker on which a run went slowly; others are tried meanwhile."""
-STUCK_MS = 1700
-"""Milliseconds without a percent of progress after which a run counts as stuck: the
-longest tasks gain a percent each 140 ms, on a worker that is eight times slower each
-1.1 s."""
 
 _log = PartLog("cell")
 
@@ -286,9 +282,6 @@
         attempt.resumed = bool(self.saved_for(step, index))
         step.withdraw(index)
         self._occupy(step, attempt)
-        if step.job.state is JobState.QUEUED:
-            step.job.state = JobState.RUNNING
-            self.begun.add(key.job)
         return attempt
 
     def _occupy(self, step: StepRun, attempt: Attempt) -> None:
@@ -296,6 +289,9 @@
         step.last_workers[attempt.task.index] = attempt.worker.info.worker
         attempt.worker.add(attempt)
         self.quotas.add(step.job.accepted.team, step.spec.need)
+        if step.job.state is JobState.QUEUED:
+            step.job.state = JobState.RUNNING
+            self.begun.add(step.key.job)
 
     def release(self, attempt: Attempt, put_back: bool = True) -> None:
         """Free what an attempt takes.
@@ -342,10 +338,12 @@
 
     def order_stop(self, attempt: Attempt, why: str) -> None:
         """Have a run stopped; its room stays taken until it has ended."""
-        if attempt.phase is AttemptPhase.STOPPING:
-            return
+        if attempt.phase is not AttemptPhase.STOPPING:
+            self._stop_again(attempt, why)
+
+    def _stop_again(self, attempt: Attempt, why: str) -> None:
+        """Have a run stopped, also if that was ordered before."""
         attempt.phase = AttemptPhase.STOPPING
-        attempt.why_stopped = why
         self.stops.append(StopOrder(attempt.worker, attempt.task, attempt.run, why))
 
     def lose_all(self, worker: Worker, why: str) -> None:
@@ -386,8 +384,7 @@
         for attempt in list(worker.attempts.values()):
             # An order without an answer may still be carried out by the new life.
             if attempt.phase is AttemptPhase.STARTING or attempt.in_doubt:
-                attempt.phase = AttemptPhase.UNCERTAIN
-                self.order_stop(attempt, "worker started anew")
+                self._stop_again(attempt, "worker started anew")
             else:
                 self.release(attempt)
 
@@ -410,7 +407,6 @@
         worker.note_clock(report.clock_ms, now)
         worker.is_reachable = True
         worker.is_known = True
-        worker.heard_at = now
         for end in report.ended:
             if worker.note_end(end.number):
                 self._take_end(worker, end)
@@ -443,7 +439,7 @@
             attempt = self._adopt(worker, status)
             if attempt is None:
                 return
-        if attempt.phase in (AttemptPhase.STARTING, AttemptPhase.UNCERTAIN):
+        if attempt.phase is AttemptPhase.STARTING:
             attempt.phase = AttemptPhase.RUNNING
             attempt.settled_at = now
         if status.saved:
@@ -451,7 +447,7 @@
         attempt.load = status.load
         if attempt.note_percent(status.percent, now):
             self._check_straggler(attempt, now)
-        elif self._is_stuck(attempt, now):
+        elif is_stuck(attempt, self.step_of(attempt.task), now):
             worker.is_stalled = True
             worker.note_failure(attempt.task.job, now)
             worker.avoid_until = Instant(now + AVOID_MAX_MS)
@@ -466,16 +462,6 @@
         worker.avoid_until = Instant(max(worker.avoid_until, now + SLOW_PAUSE_MS))
         self.order_stop(attempt, "slow here")
 
-    def _is_stuck(self, attempt: Attempt, now: Instant) -> bool:
-        step = self.step_of(attempt.task)
-        if step is None or attempt.phase is not AttemptPhase.RUNNING:
-            return False
-        if step.spec.long_running and attempt.percent >= 100:
-            return False
-        if step.spec.gang or attempt.pace < 100 or step.spec.fills:
-            return False
-        return now - attempt.advanced_at > STUCK_MS
-
     def _adopt(self, worker: Worker, status: RunStatus) -> Attempt | None:
         """Take over a run that this leader has not ordered, or have it stopped."""
         task = status.task
@@ -500,9 +486,6 @@
         attempt.resumed = True
         step.withdraw(task.index)
         self._occupy(step, attempt)
-        if step.job.state is JobState.QUEUED:
-            step.job.state = JobState.RUNNING
-            self.begun.add(task.job)
         _log.info("Run adopted", task=task, run=status.run, worker=worker.info.worker)
         return attempt
 
@@ -595,7 +578,6 @@
         self._note_failure(worker, end.task.job)
         if attempt is not None:
             attempt.saved = end.saved or attempt.saved
-        if attempt is not None:
             self.release(attempt)
         if step is None or step.spec.long_running or step.job.state.is_final:
             return
--- a/pimentomill/control/_holds.py
+++ b/pimentomill/control/_holds.py
@@ -1,14 +1,13 @@
 """Renews leases and reads what runs, one loop a worker."""
 
 import asyncio
+from collections.abc import Callable
 
 from ..exceptions import ConflictError, FencedError, TransportError
-from ..fleet import HoldOrder, Worker, WorkerPort
+from ..fleet import HoldOrder, Worker
 from ..jobs import WorkerId
 from ..telemetry import PartLog
-from ..utils import Clock
-from ._book import CellBook
-from ._settings import ControlSettings
+from ._drive import Drive
 
 __all__ = ["Holds"]
 
@@ -25,42 +24,19 @@
 
     Parameters
     ----------
-    book : CellBook
-        State.
-    port : WorkerPort
-        Calls to workers.
-    clock : Clock
-        Source of time.
-    cfg : ControlSettings
-        Settings.
+    drive : Drive
+        What the leader shares with it.
     durable : asyncio.Event
         Set when ends have been stored.
-    changed : callable
-        Called after each report.
-    fenced : callable
-        Called when a worker has seen a higher token.
     forgotten : callable
         Called when a worker is gone for good.
     """
 
     def __init__(
-        self,
-        book: CellBook,
-        port: WorkerPort,
-        clock: Clock,
-        cfg,
-        durable,
-        changed,
-        fenced,
-        forgotten,
+        self, drive: Drive, durable: asyncio.Event, forgotten: Callable[[], None]
     ) -> None:
-        self.book = book
-        self.port = port
-        self.clock = clock
-        self.cfg: ControlSettings = cfg
-        self.durable: asyncio.Event = durable
-        self.changed = changed
-        self.fenced = fenced
+        self.drive = drive
+        self.durable = durable
         self.forgotten = forgotten
         self._loops: dict[WorkerId, asyncio.Task] = {}
 
@@ -82,10 +58,10 @@
                 if await self._hold(worker):
                     await self._pause(worker)
                 else:
-                    await asyncio.sleep(self.cfg.retry_ms / 1000)
+                    await asyncio.sleep(self.drive.cfg.retry_ms / 1000)
         finally:
             self._loops.pop(worker.info.worker, None)
-        self.book.workers.pop(worker.info.worker, None)
+        self.drive.book.workers.pop(worker.info.worker, None)
         self.forgotten()
         _log.info("Worker forgotten", worker=worker.info.worker)
 
@@ -94,39 +70,43 @@
             not worker.is_listed
             and not worker.is_reachable
             and not worker.attempts
-            and self.clock.now() >= worker.lease_until
+            and self.drive.clock.now() >= worker.lease_until
         )
 
     async def _hold(self, worker: Worker) -> bool:
-        now = self.clock.now()
+        now = self.drive.clock.now()
         # A worker that does not answer is asked without a renewal: each renewal
         # would put off the moment at which its lease has certainly lapsed.
         lease_end = None
         if worker.is_reachable:
-            lease_end = worker.lease_end(now, self.cfg.lease_ms)
-        wait = 0 if worker.has_open_ends or lease_end is None else self.cfg.hold_wait_ms
-        order = HoldOrder(self.book.epoch, worker.acknowledged, lease_end, wait)
+            lease_end = worker.lease_end(now, self.drive.cfg.lease_ms)
+        wait = (
+            0
+            if worker.has_open_ends or lease_end is None
+            else self.drive.cfg.hold_wait_ms
+        )
+        order = HoldOrder(self.drive.book.epoch, worker.acknowledged, lease_end, wait)
         try:
-            report = await self.port.hold(worker.info, order)
+            report = await self.drive.port.hold(worker.info, order)
         except FencedError as exc:
-            self.fenced(str(exc))
+            self.drive.fenced(str(exc))
             return False
         except (TransportError, ConflictError) as exc:
             self._note_failure(worker, exc)
             return False
         if not worker.is_reachable:
             _log.info("Worker answers", worker=worker.info.worker)
-        self.book.take_report(worker, report, now)
-        self.changed()
+        self.drive.book.take_report(worker, report, now)
+        self.drive.changed()
         return True
 
     def _note_failure(self, worker: Worker, exc: Exception) -> None:
         if worker.is_reachable:
             _log.warning("Worker lost", worker=worker.info.worker, why=str(exc))
         worker.is_reachable = False
-        if worker.attempts and self.clock.now() >= worker.lease_until:
-            self.book.lose_all(worker, "its lease has lapsed")
-            self.changed()
+        if worker.attempts and self.drive.clock.now() >= worker.lease_until:
+            self.drive.book.lose_all(worker, "its lease has lapsed")
+            self.drive.changed()
 
     async def _pause(self, worker: Worker) -> None:
         if worker.has_open_ends:
@@ -134,7 +114,7 @@
             if worker.has_open_ends:
                 await asyncio.sleep(OUTAGE_GAP_MS / 1000)
             return
-        await asyncio.sleep(self.cfg.hold_gap_ms / 1000)
+        await asyncio.sleep(self.drive.cfg.hold_gap_ms / 1000)
 
     async def _wait_durable(self, worker: Worker) -> None:
         try:
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -8,14 +8,15 @@
 from ..catalog import Catalog
 from ..dispatch import Plan, Planner, StepRun, choose_victims, order_key
 from ..exceptions import FencedError
-from ..fleet import Worker, WorkerInfo, WorkerPort
+from ..fleet import Worker, WorkerInfo, WorkerPort, lease_bound
 from ..jobs import JobTable, KeyedRecord, WorkerId
 from ..replica import Follower, FollowerTiming, LeaderRecord, RecordStore
 from ..telemetry import PartLog
-from ..utils import Clock, Instant, JobId
+from ..utils import Clock, Instant, JobId, wait_set
 from ._advice import AdviceDesk
 from ._book import CellBook
 from ._diagnosis import NOT_ALLOWED, why_waiting
+from ._drive import Drive
 from ._expiry import expired_keys
 from ._holds import Holds
 from ._orders import Orders
@@ -29,8 +30,12 @@
 FLEET_KEY = "fleet"
 SURVEY_MS = 900
 """Milliseconds in which workers should answer a new leader's first hold."""
+SHUT_OUT_MS = 50
+"""Milliseconds from a claim until the worker that answers last has seen its token."""
 PLAN_GAP_MS = 4
 """Milliseconds between two passes of the planner, so that events gather."""
+IDLE_PLAN_MS = 200
+"""Longest time between two passes: leases, pauses and tickets end without an event."""
 WORKER_PAUSE_MS = 250
 """Milliseconds between two reads of the workers' own records."""
 EXPIRY_INTERVAL_MS = 5000
@@ -103,20 +108,10 @@
         self.book = CellBook(record.epoch, clock, table.find, desk.metrics)
         self.planner = Planner(self.book.quotas)
         self.scribe = Scribe(store, self.book, record, sequence, clock, cfg)
-        self.orders = Orders(
-            self.book, port, clock, cfg, self.request_plan, self.step_down
-        )
-        self.holds = Holds(
-            self.book,
-            port,
-            clock,
-            cfg,
-            self.scribe.durable,
-            self.request_plan,
-            self.step_down,
-            self._record_fleet,
-        )
-        self.pacing = Pacing(self.book, port, clock, cfg)
+        drive = Drive(self.book, port, clock, cfg, self.request_plan, self.step_down)
+        self.orders = Orders(drive)
+        self.holds = Holds(drive, self.scribe.durable, self._record_fleet)
+        self.pacing = Pacing(drive)
         self.workers_follower = Follower(
             store,
             WORKERS_STREAM,
@@ -232,7 +227,8 @@
 
     def _longest_lease(self) -> Instant:
         # The leader before may have renewed a lease just before it was shut out.
-        return Instant(self.clock.now() + round(self.cfg.lease_ms * 1.02) + 200)
+        bound = lease_bound(self.clock.now(), self.cfg.lease_ms)
+        return Instant(bound + SHUT_OUT_MS)
 
     # Workers
 
@@ -316,11 +312,7 @@
 
     async def _plan_loop(self) -> None:
         while True:
-            try:
-                async with asyncio.timeout(0.2):
-                    await self._plan_wanted.wait()
-            except TimeoutError:
-                pass
+            await wait_set(self._plan_wanted, IDLE_PLAN_MS)
             self._plan_wanted.clear()
             self._plan()
             await asyncio.sleep(PLAN_GAP_MS / 1000)
@@ -330,8 +322,7 @@
         self.book.evacuate()
         self.orders.stop_all(self.book.take_stops())
         now = self.clock.now()
-        steps = [step for step in self.book.ready_steps()]
-        steps.sort(key=lambda step: order_key(step, now))
+        steps = sorted(self.book.ready_steps(), key=lambda step: order_key(step, now))
         plan = self.planner.plan(now, steps, self.book.workers.values())
         self._last_plan = plan
         self.orders.start_all(plan.placements)
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -10,12 +10,11 @@
     StartAnswer,
     StartOrder,
     StartOutcome,
-    WorkerPort,
 )
 from ..telemetry import PartLog
-from ..utils import Clock, Instant
-from ._book import CellBook, StopOrder
-from ._settings import ControlSettings
+from ..utils import Instant
+from ._book import StopOrder
+from ._drive import Drive
 
 __all__ = ["Orders"]
 
@@ -32,29 +31,12 @@
 
     Parameters
     ----------
-    book : CellBook
-        State.
-    port : WorkerPort
-        Calls to workers.
-    clock : Clock
-        Source of time.
-    cfg : ControlSettings
-        Settings.
-    replan : callable
-        Called when room or tasks have become free.
-    fenced : callable
-        Called when a worker has seen a higher token.
+    drive : Drive
+        What the leader shares with it.
     """
 
-    def __init__(
-        self, book: CellBook, port: WorkerPort, clock: Clock, cfg, replan, fenced
-    ) -> None:
-        self.book = book
-        self.port = port
-        self.clock = clock
-        self.cfg: ControlSettings = cfg
-        self.replan = replan
-        self.fenced = fenced
+    def __init__(self, drive: Drive) -> None:
+        self.drive = drive
         self._tasks: set[asyncio.Task] = set()
 
     def start_all(self, placements: list[Placement]) -> None:
@@ -68,7 +50,9 @@
                     run = gang_runs[step.key] = step.take_run(0)
             else:
                 run = step.take_run(placement.index)
-            attempt = self.book.begin(step, placement.index, placement.worker, run)
+            attempt = self.drive.book.begin(
+                step, placement.index, placement.worker, run
+            )
             self._spawn(self._start(attempt, placement))
 
     def stop_all(self, stops: list[StopOrder]) -> None:
@@ -88,38 +72,38 @@
 
     async def _start(self, attempt: Attempt, placement: Placement) -> None:
         step, worker = placement.step, placement.worker
-        now = self.clock.now()
+        now = self.drive.clock.now()
         order = StartOrder(
             attempt.task,
             attempt.run,
             step.job.spec.payload,
-            worker.lease_end(now, self.cfg.lease_ms) or 0,
-            self.book.epoch,
-            self.book.saved_for(step, attempt.task.index),
+            worker.lease_end(now, self.drive.cfg.lease_ms) or 0,
+            self.drive.book.epoch,
+            self.drive.book.saved_for(step, attempt.task.index),
             placement.ticket,
         )
-        answer = await self.port.start(worker.info, order)
-        now = self.clock.now()
+        answer = await self.drive.port.start(worker.info, order)
+        now = self.drive.clock.now()
+        waited_ms = now - step.job.seen_at
         _log.info(
             "Start",
             task=attempt.task,
             run=attempt.run,
             worker=worker.info.worker,
             outcome=answer.outcome.value,
-            waited_ms=now - step.job.seen_at,
-            token=self.book.epoch,
+            waited_ms=waited_ms,
+            token=self.drive.book.epoch,
         )
-        waited_ms = now - step.job.seen_at
-        self.book.metrics.note_start(answer.outcome.value, waited_ms)
+        self.drive.book.metrics.note_start(answer.outcome.value, waited_ms)
         if answer.clock_ms is not None:
             worker.note_clock(answer.clock_ms, now)
         self._settle_start(attempt, placement, answer)
-        self.replan()
+        self.drive.changed()
 
     def _settle_start(
         self, attempt: Attempt, placement: Placement, answer: StartAnswer
     ) -> None:
-        now = self.clock.now()
+        now = self.drive.clock.now()
         outcome = answer.outcome
         if attempt.phase is AttemptPhase.STOPPING:
             attempt.settled_at = now
@@ -131,7 +115,7 @@
         elif outcome is StartOutcome.UNKNOWN:
             self._doubt(attempt)
         elif outcome is StartOutcome.FENCED:
-            self.fenced("a worker has seen a higher token")
+            self.drive.fenced("a worker has seen a higher token")
         else:
             self._take_rejection(attempt, placement, outcome, now)
 
@@ -143,7 +127,7 @@
         elif outcome is not StartOutcome.STALE_RUN:
             pause = Instant(now + UNHEALTHY_PAUSE_MS)
             placement.worker.avoid_until = max(placement.worker.avoid_until, pause)
-        self.book.release(attempt)
+        self.drive.book.release(attempt)
 
     def _doubt(self, attempt: Attempt) -> None:
         """Settle an order without an answer: it may be carried out later.
@@ -151,28 +135,29 @@
         A stop of that run makes it impossible. Once the stop is answered, a later
         report tells whether the run is there.
         """
-        attempt.phase = AttemptPhase.UNCERTAIN
         attempt.in_doubt = True
         attempt.worker.is_reachable = False
-        self.book.order_stop(attempt, "no answer to its start")
-        attempt.settled_at = Instant(self.clock.now() + 10 * self.cfg.lease_ms)
-        self.stop_all(self.book.take_stops())
+        self.drive.book.order_stop(attempt, "no answer to its start")
+        attempt.settled_at = Instant(
+            self.drive.clock.now() + 10 * self.drive.cfg.lease_ms
+        )
+        self.stop_all(self.drive.book.take_stops())
 
     async def _stop(self, stop: StopOrder) -> None:
         for _ in range(STOP_TRIES):
             try:
-                await self.port.stop(
-                    stop.worker.info, stop.task, stop.run, self.book.epoch
+                await self.drive.port.stop(
+                    stop.worker.info, stop.task, stop.run, self.drive.book.epoch
                 )
                 break
             except FencedError as exc:
-                self.fenced(str(exc))
+                self.drive.fenced(str(exc))
                 return
             except ConflictError:
                 return
             except TransportError as exc:
                 _log.warning("Stop repeated", task=stop.task, why=str(exc))
-                await asyncio.sleep(self.cfg.retry_ms / 1000)
+                await asyncio.sleep(self.drive.cfg.retry_ms / 1000)
         _log.info(
             "Stop",
             task=stop.task,
@@ -182,4 +167,4 @@
         )
         attempt = stop.worker.attempts.get(stop.task)
         if attempt is not None and attempt.run == stop.run:
-            attempt.settled_at = self.clock.now()
+            attempt.settled_at = self.drive.clock.now()
--- a/pimentomill/control/_pacing.py
+++ b/pimentomill/control/_pacing.py
@@ -3,11 +3,9 @@
 import asyncio
 
 from ..exceptions import ConflictError, FencedError, TransportError
-from ..fleet import Attempt, AttemptPhase, Worker, WorkerPort
+from ..fleet import Attempt, AttemptPhase, Worker
 from ..telemetry import PartLog
-from ..utils import Clock
-from ._book import CellBook
-from ._settings import ControlSettings
+from ._drive import Drive
 
 __all__ = ["Pacing", "next_pace"]
 
@@ -59,28 +57,19 @@
 
     Parameters
     ----------
-    book : CellBook
-        State.
-    port : WorkerPort
-        Calls to workers.
-    clock : Clock
-        Source of time.
-    cfg : ControlSettings
-        Settings.
+    drive : Drive
+        What the leader shares with it.
     """
 
-    def __init__(self, book: CellBook, port: WorkerPort, clock: Clock, cfg) -> None:
-        self.book = book
-        self.port = port
-        self.clock = clock
-        self.cfg: ControlSettings = cfg
+    def __init__(self, drive: Drive) -> None:
+        self.drive = drive
 
     async def run(self) -> None:
         """Look at all workers again and again until cancelled."""
         while True:
-            await asyncio.sleep(self.cfg.pace_interval_ms / 1000)
+            await asyncio.sleep(self.drive.cfg.pace_interval_ms / 1000)
             calls = []
-            for worker in list(self.book.workers.values()):
+            for worker in list(self.drive.book.workers.values()):
                 calls += self._adjust(worker)
             await asyncio.gather(*calls)
 
@@ -88,7 +77,7 @@
         worst = 0.0
         fillers: list[Attempt] = []
         for attempt in worker.attempts.values():
-            step = self.book.step_of(attempt.task)
+            step = self.drive.book.step_of(attempt.task)
             if step is None or attempt.phase is not AttemptPhase.RUNNING:
                 continue
             if step.spec.fills:
@@ -105,12 +94,14 @@
     async def _set(self, attempt: Attempt, pace: int, worst: float) -> None:
         info = attempt.worker.info
         try:
-            await self.port.pace(info, attempt.task, attempt.run, pace, self.book.epoch)
+            await self.drive.port.pace(
+                info, attempt.task, attempt.run, pace, self.drive.book.epoch
+            )
         except (TransportError, ConflictError, FencedError) as exc:
             _log.warning("Pace not set", task=attempt.task, why=str(exc))
             return
         attempt.pace = pace
-        attempt.advanced_at = self.clock.now()
+        attempt.advanced_at = self.drive.clock.now()
         _log.info(
             "Pace set",
             task=attempt.task,
--- a/pimentomill/control/_relocation.py
+++ b/pimentomill/control/_relocation.py
@@ -6,8 +6,12 @@
 from ..fleet import Attempt, AttemptPhase
 from ..utils import Instant
 
-__all__ = ["is_straggler", "must_leave"]
+__all__ = ["is_straggler", "is_stuck", "must_leave"]
 
+STUCK_MS = 1700
+"""Milliseconds without a percent of progress after which a run counts as stuck: the
+longest tasks gain a percent each 140 ms, on a worker that is eight times slower each
+1.1 s."""
 SLOW_FACTOR = 2.5
 """Multiple of its siblings' time from which a run counts as slow: kinds of workers
 differ by 1.3, tasks of one step by 15 %, and a wrong rack costs up to 3 once."""
@@ -24,6 +28,27 @@
 """Progress up to which a run without checkpoints is begun anew rather than risked."""
 
 
+def is_stuck(attempt: Attempt, step: StepRun | None, now: Instant) -> bool:
+    """Return whether a run stands still.
+
+    Parameters
+    ----------
+    attempt : Attempt
+        Run without new progress.
+    step : StepRun or None
+        Its step, None if the job is not known.
+    now : Instant
+        Time.
+    """
+    if step is None or attempt.phase is not AttemptPhase.RUNNING:
+        return False
+    if step.spec.long_running and attempt.percent >= 100:
+        return False
+    if step.spec.gang or attempt.pace < 100 or step.spec.fills:
+        return False
+    return now - attempt.advanced_at > STUCK_MS
+
+
 def is_straggler(attempt: Attempt, step: StepRun, now: Instant) -> bool:
     """Return whether a run would be done sooner if it began anew elsewhere.
 
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -6,7 +6,7 @@
 
 from ..fleet import Worker
 from ..jobs import StepKey, WorkerId
-from ..utils import ZERO, Instant, Resources
+from ..utils import ZERO, Instant, Resources, dominant_fraction
 from ._quota import QuotaBook
 from ._state import StepRun
 
@@ -102,7 +102,8 @@
         self.others = capacity - step.spec.reserved - others
         self.kept_for = step.key
 
-    def take(self, need: Resources, step: StepRun) -> None:
+    def take(self, step: StepRun) -> None:
+        need = step.spec.reserved
         self.taken += 1
         if self.kept_for not in (None, step.key):
             self.others = self.others - need
@@ -110,7 +111,8 @@
         self.mem -= need.memory_mb
         self.acc -= need.accelerators
 
-    def give(self, need: Resources, step: StepRun) -> None:
+    def give(self, step: StepRun) -> None:
+        need = step.spec.reserved
         self.taken -= 1
         if self.kept_for not in (None, step.key):
             self.others = self.others + need
@@ -173,7 +175,7 @@
         return self.out
 
     def _place_step(self, step: StepRun, rooms: list[_Room]) -> None:
-        suited = [room for room in rooms if self._suits(step, room)]
+        suited = [room for room in rooms if step.may_use(room.worker.info)]
         rooms = [room for room in suited if room.is_trusted]
         if not rooms and step.is_impatient(self.now):
             rooms = suited
@@ -184,15 +186,8 @@
         if blocked:
             self._reserve(step, rooms, blocked)
 
-    def _suits(self, step: StepRun, room: _Room) -> bool:
-        spec = step.spec
-        if spec.required_label and spec.required_label not in room.worker.info.labels:
-            return False
-        return step.job.queue.advice is None or room.id in step.allowed
-
     def _place_tasks(self, step: StepRun, rooms: list[_Room]) -> int:
         """Place what fits and return how many tasks are left for want of room."""
-        need = step.spec.reserved
         left = 0
         lacking: set[WorkerId] = set()
         for index in sorted(step.waiting):
@@ -203,11 +198,10 @@
                 left += 1
                 break
             ticket = self._ticket(step, room.id)
+            self._occupy(step, room)
             if ticket is None:
                 lacking.add(room.id)
-                self._occupy(step, room, need)
                 continue
-            self._occupy(step, room, need)
             self.out.placements.append(Placement(step, index, room.worker, ticket))
         if lacking:
             self.out.want_tickets.append((step, sorted(lacking)))
@@ -227,7 +221,6 @@
         """Place all tasks or none and return how many lack room."""
         if not step.waiting or step.active:
             return 0
-        need = step.spec.reserved
         groups = [rooms]
         if step.spec.rack_sensitive:
             racks: dict[str, list[_Room]] = {}
@@ -235,38 +228,35 @@
                 racks.setdefault(room.worker.info.rack, []).append(room)
             groups = [*racks.values(), rooms]
         for group in groups:
-            chosen = self._fit_gang(step, group, need)
+            chosen = self._fit_gang(step, group)
             if chosen is not None:
                 self._start_gang(step, chosen)
                 return 0
         return step.spec.count
 
-    def _fit_gang(self, step: StepRun, rooms: list[_Room], need: Resources):
+    def _fit_gang(self, step: StepRun, rooms: list[_Room]) -> list[_Room] | None:
         chosen: list[_Room] = []
         before = self.planned.get(step.job.accepted.team, ZERO)
         for _ in range(step.spec.count):
             room = self._best(step, rooms, 0) if self._within_limit(step) else None
             if room is None:
                 for taken in chosen:
-                    taken.give(need, step)
+                    taken.give(step)
                     taken.per_step[step.key] -= 1
                 self.planned[step.job.accepted.team] = before
                 return None
-            self._occupy(step, room, need)
+            self._occupy(step, room)
             chosen.append(room)
         return chosen
 
     def _start_gang(self, step: StepRun, chosen: list[_Room]) -> None:
         tickets = [self._ticket(step, room.id) for room in chosen]
-        lacking = {
-            room.id for room, ticket in zip(chosen, tickets, strict=True) if not ticket
-        }
-        if step.job.queue.advice is not None and lacking:
+        if None in tickets:
             wanted = sorted({room.id for room in chosen})
             self.out.want_tickets.append((step, wanted))
             return
         for index, (room, ticket) in enumerate(zip(chosen, tickets, strict=True)):
-            placement = Placement(step, index, room.worker, ticket or "")
+            placement = Placement(step, index, room.worker, ticket)
             self.out.placements.append(placement)
 
     def _best(self, step: StepRun, rooms: list[_Room], index: int):
@@ -314,8 +304,8 @@
             room.per_step[step.key] = count
         return count
 
-    def _occupy(self, step: StepRun, room: _Room, need: Resources) -> None:
-        room.take(need, step)
+    def _occupy(self, step: StepRun, room: _Room) -> None:
+        room.take(step)
         room.per_step[step.key] = self._count(step, room) + 1
         team = step.job.accepted.team
         self.planned[team] = self.planned.get(team, ZERO) + step.spec.need
@@ -343,7 +333,10 @@
             capacity = room.worker.info.capacity
             if room.kept_for is not None:
                 continue
-            if need.fits_in(capacity) and _share(need, capacity) > WIDE_SHARE:
+            if (
+                need.fits_in(capacity)
+                and dominant_fraction(need, capacity) > WIDE_SHARE
+            ):
                 wide.append(room)
         wide.sort(key=lambda room: (-room.acc, -room.cpu))
         for room in wide[: min(blocked, MAX_RESERVED)]:
@@ -399,10 +392,3 @@
     copies = min((have // want for want, have in pairs if want), default=1)
     limit = step.spec.max_per_worker
     return min(copies, limit) if limit else copies
-
-
-def _share(need: Resources, capacity: Resources) -> float:
-    share = need.cpu_milli / max(1, capacity.cpu_milli)
-    if capacity.accelerators:
-        share = max(share, need.accelerators / capacity.accelerators)
-    return max(share, need.memory_mb / max(1, capacity.memory_mb))
--- a/pimentomill/dispatch/_preemption.py
+++ b/pimentomill/dispatch/_preemption.py
@@ -69,7 +69,11 @@
     for step in steps:
         if step.job.over_share or not is_in_time(step, now):
             continue
-        usable = [s for s in spaces.get(step.job.queue.service, ()) if _suits(step, s)]
+        usable = [
+            space
+            for space in spaces.get(step.job.queue.service, ())
+            if step.may_use(space.worker.info)
+        ]
         if usable:
             _serve(step, usable, step_of, quotas, now, chosen)
         if len(chosen) >= MAX_VICTIMS:
@@ -77,13 +81,6 @@
     return chosen
 
 
-def _suits(step: StepRun, space: _Space) -> bool:
-    spec, info = step.spec, space.worker.info
-    if spec.required_label and spec.required_label not in info.labels:
-        return False
-    return step.job.queue.advice is None or info.worker in step.allowed
-
-
 def _serve(step: StepRun, spaces, step_of, quotas, now, chosen: list[Attempt]) -> None:
     """Find room for all waiting tasks of a step, or give up at the first."""
     team, need = step.job.accepted.team, step.spec.need
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -3,7 +3,7 @@
 import heapq
 
 from ..catalog import Queue
-from ..fleet import Attempt
+from ..fleet import Attempt, WorkerInfo
 from ..jobs import (
     Accepted,
     JobState,
@@ -104,6 +104,13 @@
         """Whether every task ended well."""
         return len(self.done) == self.spec.count
 
+    def may_use(self, info: WorkerInfo) -> bool:
+        """Return whether its labels and the queue's policy admit a worker."""
+        label = self.spec.required_label
+        if label and label not in info.labels:
+            return False
+        return self.job.queue.advice is None or info.worker in self.allowed
+
     def is_impatient(self, now: Instant) -> bool:
         """Return whether nothing of the step has run for long, so any worker will do.
 
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -7,7 +7,7 @@
 from ..utils import ZERO, Instant, JobId, Resources
 from ._messages import WorkerInfo
 
-__all__ = ["Attempt", "AttemptPhase", "Worker"]
+__all__ = ["Attempt", "AttemptPhase", "Worker", "lease_bound"]
 
 CLOCK_DRIFT = 0.02
 """Share by which a worker's clock may be slow, by the platform's contract."""
@@ -28,12 +28,24 @@
 """Milliseconds added before a lease counts as lapsed: one slow round trip."""
 
 
+def lease_bound(now: Instant, term_ms: int) -> Instant:
+    """Return when a lease that begins now has lapsed on any worker's clock.
+
+    Parameters
+    ----------
+    now : Instant
+        Time.
+    term_ms : int
+        Length of the lease in milliseconds on the worker's clock.
+    """
+    return Instant(now + round(term_ms * (1 + CLOCK_DRIFT)) + LAPSE_MARGIN_MS)
+
+
 class AttemptPhase(Enum):
     """How far an attempt has come."""
 
     STARTING = "starting"
     RUNNING = "running"
-    UNCERTAIN = "uncertain"
     STOPPING = "stopping"
 
 
@@ -73,11 +85,11 @@
     __slots__ = (
         "advanced_at",
         "began_at",
+        "first_at",
+        "first_percent",
         "in_doubt",
         "load",
         "pace",
-        "first_at",
-        "first_percent",
         "percent",
         "phase",
         "reserved",
@@ -86,7 +98,6 @@
         "saved",
         "settled_at",
         "task",
-        "why_stopped",
         "worker",
     )
 
@@ -108,7 +119,6 @@
         self.resumed = False
         self.load = 0
         self.pace = 100
-        self.why_stopped = ""
         self.in_doubt = False
 
     def note_percent(self, percent: int, now: Instant) -> bool:
@@ -158,6 +168,8 @@
         Whether the platform lists it.
     is_reachable : bool
         Whether its last hold was answered.
+    is_known : bool
+        Whether it ever answered a hold of this leader.
     lease_until : Instant
         Upper bound of the end of the lease, on this process' clock.
     leaves_at : Instant or None
@@ -175,7 +187,6 @@
         self.is_known = False
         self.born_ms = 0
         self.lease_until = now
-        self.heard_at: Instant | None = None
         self.leaves_at: Instant | None = None
         self.slowness = 1.0
         self.failed_jobs: set[JobId] = set()
@@ -276,8 +287,7 @@
         """
         if not self._has_clock:
             return None
-        bound = now + round(term_ms * (1 + CLOCK_DRIFT)) + LAPSE_MARGIN_MS
-        self.lease_until = Instant(max(self.lease_until, bound))
+        self.lease_until = max(self.lease_until, lease_bound(now, term_ms))
         return self._clock_ms + (now - self._clock_at) + term_ms
 
     def begin_life(self, born_ms: int) -> None:
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -356,7 +356,7 @@
             epoch = self.watch.epoch
             if self.watch.is_led_by_me() and epoch > self._led_epoch:
                 await self._lead(epoch)
-            elif self.watch.claim_due(self.work.proven_at_, 0.0):
+            elif self.watch.claim_due(self.work.proven_at_):
                 await self._claim(Epoch(epoch + 1))
 
     async def _claim(self, epoch: Epoch) -> None:
--- a/pimentomill/platform/_http.py
+++ b/pimentomill/platform/_http.py
@@ -15,11 +15,10 @@
 
 
 class HttpReply(NamedTuple):
-    """Status, body and headers of an answer."""
+    """Status and body of an answer."""
 
     status: int
     body: bytes
-    headers: dict[str, str]
 
 
 class HttpCaller:
@@ -70,7 +69,7 @@
                 method, url, data=body, headers=headers, timeout=limit
             ) as resp:
                 content = await resp.read()
-                return HttpReply(resp.status, content, dict(resp.headers))
+                return HttpReply(resp.status, content)
         except aiohttp.ConnectionTimeoutError as exc:
             raise TransportError("connecting took too long", sent=False) from exc
         except aiohttp.ClientConnectorError as exc:
--- a/pimentomill/platform/_jobs.py
+++ b/pimentomill/platform/_jobs.py
@@ -6,7 +6,7 @@
 from ..jobs import JobSpec, JobState, StepSpec
 from ..utils import Resources
 
-__all__ = ["STATE_NAMES", "decode_job", "encode_state", "encode_waiting"]
+__all__ = ["decode_job", "encode_state", "encode_waiting"]
 
 MAX_PAYLOAD = 4000
 """Bytes of a job's text, by the platform's contract."""
@@ -14,7 +14,6 @@
 """Steps of a job; far above what callers use."""
 MAX_TASKS = 10_000
 """Tasks of a step; far above what callers use."""
-STATE_NAMES = {state: state.value for state in JobState}
 
 
 class WireStep(msgspec.Struct):
@@ -126,7 +125,7 @@
 
 def encode_state(state: JobState) -> bytes:
     """Return the answer about a job."""
-    return msgspec.json.encode(WireState(STATE_NAMES[state]))
+    return msgspec.json.encode(WireState(state.value))
 
 
 def encode_waiting(count: int) -> bytes:
--- a/pimentomill/platform/_settings.py
+++ b/pimentomill/platform/_settings.py
@@ -36,21 +36,13 @@
     grace_s: float = msgspec.field(name="GraceS", default=6)
     key_withdrawal_ms: int = msgspec.field(name="RevokeMs", default=5000)
     longest_lease_ms: int = msgspec.field(name="HoldMaxMs", default=6000)
-    longest_stop_ms: int = msgspec.field(name="StopMs", default=1000)
     state_kept_s: float = msgspec.field(name="status_s", default=120)
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
-    """The platform's store: its address, and the most bytes of one append."""
+    """Where the platform's store listens."""
 
     address: str = msgspec.field(name="Address")
-    append_bytes: int = msgspec.field(name="CallBytes", default=2_097_152)
-
-
-class MachineApi(msgspec.Struct, frozen=True):
-    """Where instances can be listed, moved and serviced."""
-
-    address: str = msgspec.field(name="Address", default="")
 
 
 class NodeFile(msgspec.Struct, frozen=True):
@@ -72,8 +64,6 @@
         The platform's store.
     policy_address : str
         Service that knows which workers a queue's policy allows.
-    machines : MachineApi
-        Interface to instances.
     """
 
     node: str = msgspec.field(name="NodeName")
@@ -83,7 +73,6 @@
     store: StoreSettings = msgspec.field(name="platform")
     bounds: Bounds = msgspec.field(name="Bounds", default=Bounds())
     policy_address: str = msgspec.field(name="Advice", default="")
-    machines: MachineApi = msgspec.field(name="CloudApi", default=MachineApi())
 
 
 def load_node_file(path: str | Path) -> NodeFile:
--- a/pimentomill/replica/_follower.py
+++ b/pimentomill/replica/_follower.py
@@ -6,7 +6,7 @@
 from ..exceptions import LogUnavailableError, RecordsForgottenError
 from ..jobs import KeyedRecord
 from ..telemetry import PartLog
-from ..utils import Clock, Instant
+from ..utils import Clock, Instant, wait_set
 from ._ports import RecordStore
 
 __all__ = ["Follower", "FollowerTiming"]
@@ -45,7 +45,7 @@
     stream : str
         Name of the stream.
     apply : callable
-        Called with each record and whether it is the newest state at loading.
+        Called with each record, in order.
     reload : callable
         Called before all keys are read anew.
     clock : Clock
@@ -61,8 +61,8 @@
         The state held is at least as new as the stream was at this time.
     offset_ : int or None
         Offset up to which records have been applied; None before the first load.
-    read_ms_ : float
-        Smoothed time of a read that did not wait, in milliseconds.
+    is_reachable_ : bool
+        Whether the last read was answered.
     """
 
     def __init__(
@@ -143,11 +143,7 @@
         if self.timing.pause_ms <= 0 or self._fresh_wanted:
             return
         self._wake.clear()
-        try:
-            async with asyncio.timeout(self.timing.pause_ms / 1000):
-                await self._wake.wait()
-        except TimeoutError:
-            return
+        await wait_set(self._wake, self.timing.pause_ms)
 
     async def _load(self) -> None:
         """Read the newest record of every key."""
--- a/pimentomill/replica/_leases.py
+++ b/pimentomill/replica/_leases.py
@@ -122,16 +122,13 @@
         """Take in that a life of an entry has ended."""
         self._gone = incarnation
 
-    def claim_due(self, proven_at: Instant, read_ms: float) -> bool:
+    def claim_due(self, proven_at: Instant) -> bool:
         """Return whether this process should try to take over now.
 
         Parameters
         ----------
         proven_at : Instant
             Time up to which the records are known to be complete.
-        read_ms : float
-            Milliseconds that a read of the store takes at present; a slow store
-            delays the leader's signs too.
         """
         self._note_outage(proven_at)
         if self.is_led_by_me():
@@ -141,7 +138,7 @@
         if record is not None and record.incarnation == self._gone:
             return True
         if record is not None and not record.resigned:
-            wait += self.timing.silence_ms + 3 * int(read_ms)
+            wait += self.timing.silence_ms
         return proven_at - self.seen_at_ >= wait
 
     def _note_outage(self, proven_at: Instant) -> None:
--- a/pimentomill/replica/tests/test_leases.py
+++ b/pimentomill/replica/tests/test_leases.py
@@ -16,7 +16,7 @@
         self.watch.apply(msgspec.msgpack.encode(record))
 
     def due(self):
-        return self.watch.claim_due(self.clock.now(), 0.0)
+        return self.watch.claim_due(self.clock.now())
 
     def test_a_silent_leader_is_replaced(self):
         self.sign(1, "other")
@@ -30,7 +30,7 @@
         self.sign(1, "other")
         read_until = self.clock.now()
         self.clock.advance(5000)
-        self.assertFalse(self.watch.claim_due(read_until, 0.0))
+        self.assertFalse(self.watch.claim_due(read_until))
 
     def test_after_an_outage_the_leader_has_time_to_sign(self):
         self.sign(1, "other")
--- a/pimentomill/standins/_memory_worker.py
+++ b/pimentomill/standins/_memory_worker.py
@@ -15,6 +15,7 @@
     WorkerReport,
 )
 from ..jobs import TaskKey, WorkerId
+from ..utils import wait_set
 
 __all__ = ["MemoryWorkers"]
 
@@ -111,11 +112,7 @@
         state.ended = [end for end in state.ended if end.number > order.acknowledged]
         if order.wait_ms and not state.ended:
             state.changed.clear()
-            try:
-                async with asyncio.timeout(order.wait_ms / 1000):
-                    await state.changed.wait()
-            except TimeoutError:
-                pass
+            await wait_set(state.changed, order.wait_ms)
         running = [
             RunStatus(task, run, "", 50, 0) for task, run in state.running.items()
         ]
--- a/pimentomill/standins/_records.py
+++ b/pimentomill/standins/_records.py
@@ -11,6 +11,7 @@
 )
 from ..jobs import KeyedRecord
 from ..replica import Appended, NewestPage, Slice, Writer
+from ..utils import wait_set
 
 __all__ = ["MemoryStore"]
 
@@ -101,11 +102,7 @@
             raise LogUnavailableError("the store is down")
         kept = self.records(stream)
         if offset >= len(kept) and wait_ms:
-            try:
-                async with asyncio.timeout(wait_ms / 1000):
-                    await self._grown.wait()
-            except TimeoutError:
-                pass
+            await wait_set(self._grown, wait_ms)
         if offset < self._first.get(stream, 0):
             raise RecordsForgottenError(f"records at {offset} are gone")
         part = kept[offset:]
--- a/pimentomill/utils/__init__.py
+++ b/pimentomill/utils/__init__.py
@@ -20,6 +20,7 @@
 from ._resources import ZERO, Resources, dominant_fraction
 from ._traffic import TrafficMeter, header_bytes
 from ._validation import check_name, check_positive
+from ._waiting import wait_set
 
 __all__ = [
     "ZERO",
@@ -47,4 +48,5 @@
     "header_bytes",
     "new_id",
     "stable_hash",
+    "wait_set",
 ]
--- /dev/null
+++ b/pimentomill/utils/_waiting.py
@@ -0,0 +1,29 @@
+"""Waiting with a bound."""
+
+import asyncio
+
+__all__ = ["wait_set"]
+
+MS_PER_S = 1000
+
+
+async def wait_set(event: asyncio.Event, limit_ms: int) -> bool:
+    """Wait until an event is set.
+
+    Parameters
+    ----------
+    event : asyncio.Event
+        Event.
+    limit_ms : int
+        Longest wait in milliseconds.
+
+    Returns
+    -------
+    bool
+        Whether the event was set in time.
+    """
+    try:
+        async with asyncio.timeout(limit_ms / MS_PER_S):
+            return await event.wait()
+    except TimeoutError:
+        return False
