--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -35,6 +35,12 @@
     def submit(self, work, name, key=None):
         return self.cell.submit(key or self.key, work, name)
 
+    def accepted(self, work, name):
+        """Hand work in and return the job's id."""
+        response = self.submit(work, name)
+        self.assertEqual(response.status, 202, response.data)
+        return decoded(response)["id"]
+
     def refused(self, response, status, error):
         self.assertEqual(response.status, status, response.data)
         self.assertEqual(decoded(response)["error"], error)
@@ -72,13 +78,13 @@
         self.refused(self.cell.call("PUT", "/v1/jobs", self.key), 405, "method")
 
     def test_same_key_with_other_work_is_a_conflict(self):
-        job_id = decoded(self.submit(BATCH, "same"))["id"]
+        job_id = self.accepted(BATCH, "same")
         self.cell.wait_for_state(self.key, job_id, "succeeded")
         other = {"spec": {**BATCH["spec"], "tasks": 3}}
         self.refused(self.submit(other, "same"), 409, "conflict")
 
     def test_job_of_another_team_is_hidden(self):
-        job_id = decoded(self.submit(BATCH, "hidden"))["id"]
+        job_id = self.accepted(BATCH, "hidden")
         self.cell.wait_for_state(self.key, job_id, "succeeded")
         path = f"/v1/jobs/{job_id}"
         self.refused(self.cell.call("GET", path, self.other_key), 404, "not_found")
