Wait for headers and bodies on one loop at the product's own ports

Ruled out: more threads, which only moves the number. One earlier run of test_callers had a hand-in without an id once more; all hand-ins of that file now show the refusal.

--- a/pimentomill/http/_app.py
+++ b/pimentomill/http/_app.py
@@ -1,7 +1,7 @@
-"""WSGI application that routes requests to typed handlers."""
+"""Routes requests to typed handlers."""
 
 import re
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, TypeVar
 
@@ -160,49 +160,11 @@
         response.headers.update(headers)
         return response
 
-    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
-        """Serve one request by the WSGI protocol."""
-        try:
-            req = _request_of(environ)
-        except OSError as exc:
-            body = ErrorBody("incomplete", f"the body did not arrive whole: {exc}")
-            response = HttpResponse.json(body, HTTPStatus.REQUEST_TIMEOUT)
-        else:
-            response = self.answer(req)
-        phrase = HTTPStatus(response.status).phrase
-        headers = [
-            ("Content-Type", response.content_type),
-            ("Content-Length", str(len(response.body))),
-            *response.headers.items(),
-        ]
+    def serve(self, req: HttpRequest) -> HttpResponse:
+        """Return the answer to a request that arrived, and count its bytes."""
+        response = self.answer(req)
         if self.meter is not None:
-            self._count(environ, headers, len(response.body))
-        start_response(f"{response.status} {phrase}", headers)
-        return [response.body]
-
-    def _count(
-        self, environ: dict, headers: list[tuple[str, str]], body_bytes: int
-    ) -> None:
-        received = sum(len(k) + len(v) for k, v in environ.items() if k[:5] == "HTTP_")
-        received += int(environ.get("CONTENT_LENGTH") or 0)
-        sent = ANSWER_OVERHEAD_BYTES + header_bytes(dict(headers)) + body_bytes
-        self.meter.add(sent, REQUEST_LINE_BYTES + received)
-
-
-def _request_of(environ: dict) -> HttpRequest:
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    body = environ["wsgi.input"].read(length) if length else b""
-    if len(body) != length:
-        raise OSError(f"got {len(body)} of {length} bytes")
-    headers = {
-        name[5:].replace("_", "-").lower(): value
-        for name, value in environ.items()
-        if name.startswith("HTTP_")
-    }
-    return HttpRequest(
-        method=environ["REQUEST_METHOD"],
-        path=environ.get("PATH_INFO", "/"),
-        query=environ.get("QUERY_STRING", ""),
-        headers=headers,
-        body=body,
-    )
+            sent = header_bytes(response.headers) + len(response.body)
+            received = header_bytes(req.headers) + len(req.body)
+            self.meter.add(ANSWER_OVERHEAD_BYTES + sent, REQUEST_LINE_BYTES + received)
+        return response
--- a/pimentomill/http/_server.py
+++ b/pimentomill/http/_server.py
@@ -1,22 +1,31 @@
 """HTTP server on a port of its own."""
 
+import asyncio
+import ssl
 import threading
+from concurrent.futures import Future, ThreadPoolExecutor
+from http import HTTPStatus
 
-from cheroot import wsgi
-from cheroot.ssl.builtin import BuiltinSSLAdapter
+from aiohttp import web
 
 from ..settings import TlsSettings
-from ._app import Router
+from ._app import HttpRequest, HttpResponse, Router
+from ._errors import ErrorBody
 
 __all__ = ["HttpServer"]
 
 MAX_HEADER_BYTES = 16_384
-ACCEPT_WAIT_S = 0.1
+"""Longest request line and header field, in bytes."""
+RETRY_AFTER_S = 1
+"""Seconds after which a refused caller may come back; requests take milliseconds."""
 
 
 class HttpServer:
     """Serve a router in background threads.
 
+    One thread waits for headers and bodies of all connections, so a client that
+    sends slowly holds up nobody; handlers may block and run in a pool.
+
     Parameters
     ----------
     host : str
@@ -26,15 +35,15 @@
     router : Router
         What to serve.
     threads : int, default=4
-        Requests served at once.
+        Requests handled at once.
     backlog : int, default=128
-        Connections that may wait.
+        Whole requests that may wait for a thread; more get 503 at once.
     max_body_bytes : int, default=4194304
         Longest body taken.
     timeout_ms : int, default=10000
-        Longest silence of a client.
+        Milliseconds to wait for a whole header, and for a whole body.
     stop_by_ms : int, default=5000
-        How long requests in flight may take at the stop.
+        Milliseconds that requests in flight may take at the stop.
     tls : TlsSettings or None, default=None
         Certificate; plain HTTP without it.
     """
@@ -60,35 +69,111 @@
         self.timeout_ms = timeout_ms
         self.stop_by_ms = stop_by_ms
         self.tls = tls
-        self._server = self._make_server()
-        self._thread = threading.Thread(target=self._server.serve, daemon=True)
-
-    def _make_server(self) -> wsgi.Server:
-        server = wsgi.Server(
-            (self.host, self.port),
-            self.router,
-            numthreads=self.threads,
-            request_queue_size=self.backlog,
-            accepted_queue_size=self.backlog,
-            accepted_queue_timeout=ACCEPT_WAIT_S,
-            timeout=self.timeout_ms / 1000,
-            shutdown_timeout=self.stop_by_ms / 1000,
-            server_name="pimentomill",
+        self._in_flight = 0
+        self._pool = ThreadPoolExecutor(threads, "http")
+        self._bound: Future[None] = Future()
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._stopping: asyncio.Event | None = None
+        self._thread = threading.Thread(
+            target=lambda: asyncio.run(self._serve()), daemon=True
         )
-        server.max_request_body_size = self.max_body_bytes
-        server.max_request_header_size = MAX_HEADER_BYTES
-        if self.tls is not None:
-            server.ssl_adapter = BuiltinSSLAdapter(
-                self.tls.certificate, self.tls.private_key
-            )
-        return server
 
     def start(self) -> None:
-        """Bind the port and begin to serve."""
-        self._server.prepare()
+        """Bind the port and begin to serve.
+
+        Raises
+        ------
+        OSError
+            If the port can't be bound.
+        """
         self._thread.start()
+        self._bound.result()
 
     def stop(self) -> None:
         """Stop taking connections and let requests in flight end."""
-        self._server.stop()
+        self._loop.call_soon_threadsafe(self._stopping.set)
         self._thread.join()
+        self._pool.shutdown(wait=False)
+
+    async def _serve(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._stopping = asyncio.Event()
+        runner = web.ServerRunner(
+            self._make_server(), shutdown_timeout=self.stop_by_ms / 1000
+        )
+        try:
+            await self._listen(runner)
+        except (OSError, ssl.SSLError) as exc:
+            self._bound.set_exception(exc)
+            return
+        self._bound.set_result(None)
+        await self._stopping.wait()
+        await runner.cleanup()
+
+    def _make_server(self) -> web.Server:
+        def make_request(message, payload, protocol, writer, task):
+            return web.BaseRequest(
+                message,
+                payload,
+                protocol,
+                writer,
+                task,
+                self._loop,
+                client_max_size=self.max_body_bytes,
+            )
+
+        return web.Server(
+            self._handle,
+            request_factory=make_request,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=self.timeout_ms / 1000,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+
+    async def _listen(self, runner: web.ServerRunner) -> None:
+        context = None
+        if self.tls is not None:
+            context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            context.load_cert_chain(self.tls.certificate, self.tls.private_key)
+        await runner.setup()
+        site = web.TCPSite(
+            runner, self.host, self.port, backlog=self.backlog, ssl_context=context
+        )
+        await site.start()
+
+    async def _handle(self, req: web.BaseRequest) -> web.Response:
+        try:
+            async with asyncio.timeout(self.timeout_ms / 1000):
+                body = await req.read()
+        except TimeoutError:
+            return _refuse(HTTPStatus.REQUEST_TIMEOUT, "the body did not arrive whole")
+        except web.HTTPRequestEntityTooLarge:
+            return _refuse(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f"the body is longer than {self.max_body_bytes} bytes",
+            )
+        if self._in_flight >= self.threads + self.backlog:
+            return _refuse(HTTPStatus.SERVICE_UNAVAILABLE, "too many requests wait")
+        headers = {name.lower(): value for name, value in req.headers.items()}
+        message = HttpRequest(req.method, req.path, req.query_string, headers, body)
+        self._in_flight += 1
+        try:
+            work = self._loop.run_in_executor(self._pool, self.router.serve, message)
+            return _encode(await work)
+        finally:
+            self._in_flight -= 1
+
+
+def _encode(response: HttpResponse) -> web.Response:
+    headers = {"Content-Type": response.content_type, **response.headers}
+    return web.Response(status=response.status, body=response.body, headers=headers)
+
+
+def _refuse(status: HTTPStatus, why: str) -> web.Response:
+    """Answer without asking the router; the request has not been run."""
+    response = HttpResponse.json(ErrorBody(status.name.lower(), why), status)
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        response.headers["Retry-After"] = str(RETRY_AFTER_S)
+    return _encode(response)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -21,6 +21,13 @@
     return msgspec.json.decode(response.data)
 
 
+def id_of(response):
+    """Return the id of a job that was taken; the error shows the answer."""
+    if response.status != 202:
+        raise AssertionError(f"handing in: {response.status} {response.data!r}")
+    return decoded(response)["id"]
+
+
 class CallersTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
@@ -37,9 +44,7 @@
 
     def accepted(self, work, name):
         """Hand work in and return the job's id."""
-        response = self.submit(work, name)
-        self.assertEqual(response.status, 202, response.data)
-        return decoded(response)["id"]
+        return id_of(self.submit(work, name))
 
     def refused(self, response, status, error):
         self.assertEqual(response.status, status, response.data)
@@ -219,7 +224,7 @@
     def test_stop_cuts_off_nothing_in_flight_and_work_goes_on(self):
         service = {"kind": "service", "replicas": 2, "resources": [1000, 100, 0]}
         work = {"spec": {**service, "command": ["serve"]}}
-        job_id = decoded(self.cell.submit(self.key, work, "svc", 1))["id"]
+        job_id = id_of(self.cell.submit(self.key, work, "svc", 1))
         running = self.cell.wait_for_state(self.key, job_id, "running", 1)
         self.assertEqual(self.call_and_end(signal.SIGTERM), b"x")
         self.assertEqual(self.cell.entries[0].stop(), 0)
