Keep the entry for a question when it is chosen, and count resting entries out

Cause: questions of one pass all picked the same idle entry; the losers slept 150 ms. Change: the desk reserves the entry in the planner's pass; the lane for short questions is taken from usable entries; a refusal rests the entry for 150 ms instead of the caller.

--- a/pimentomill/control/__init__.py
+++ b/pimentomill/control/__init__.py
@@ -1,6 +1,6 @@
 """The leader: authority, recovery, orders to workers, records."""
 
-from ._advice import AdviceDesk, AdviceGiven, AdvicePort
+from ._advice import AdviceDesk, AdviceGiven, AdvicePort, Question
 from ._book import CellBook, EndMark, StopOrder
 from ._expiry import expired_keys
 from ._leader import FLEET_KEY, WORKERS_STREAM, Leader
@@ -19,6 +19,7 @@
     "ControlSettings",
     "EndMark",
     "Leader",
+    "Question",
     "StopOrder",
     "expired_keys",
 ]
--- a/pimentomill/control/_advice.py
+++ b/pimentomill/control/_advice.py
@@ -10,7 +10,7 @@
 from ..telemetry import CellMetrics, PartLog
 from ..utils import Clock, Instant
 
-__all__ = ["AdviceDesk", "AdviceGiven", "AdvicePort"]
+__all__ = ["AdviceDesk", "AdviceGiven", "AdvicePort", "Question"]
 
 MAX_WORKERS = 100
 """Workers that one question may name, by the platform's contract."""
@@ -18,6 +18,8 @@
 """Multiple of the expected time after which a question has failed."""
 TIMEOUT_BASE_MS = 250
 """Milliseconds added to it: the way there and back, and one retry of a packet."""
+REFUSED_REST_MS = 150
+"""Milliseconds for which an entry whose question was refused is not asked again."""
 REST_MS = 2000
 """Milliseconds for which an entry that did not answer is not asked again; they double
 with each failure in a row."""
@@ -54,6 +56,27 @@
         """
 
 
+class Question(NamedTuple):
+    """A question and the entry that is kept for it.
+
+    Parameters
+    ----------
+    step : StepRun
+        Step that is asked about.
+    workers : list of WorkerId
+        Workers that are asked about.
+    port : AdvicePort
+        Entry that asks.
+    expected_ms : float
+        Milliseconds that the policy takes to answer.
+    """
+
+    step: StepRun
+    workers: list[WorkerId]
+    port: AdvicePort
+    expected_ms: float
+
+
 class AdviceDesk:
     """Gives each entry one question at a time and keeps the answers.
 
@@ -116,35 +139,50 @@
         is_short = policy is not None and policy.duration_ms(workers) <= SHORT_MS
         if policy is None or self._choose(is_short) is None:
             return False
-        if is_short:
-            return True
-        long_ones = sum(self._busy.values())
-        lanes = max(1, len(self.ports) // SHORT_LANE_SHARE)
-        return len(self.ports) == 1 or long_ones < len(self.ports) - lanes
+        return is_short or self._has_room_for_long()
+
+    def _has_room_for_long(self) -> bool:
+        """Return whether a long question leaves an entry for short ones.
 
-    async def ask(self, step: StepRun, workers: list[Worker]) -> bool:
-        """Ask about a step and keep the answer in it.
+        Entries that rest after a failure answer nobody and are not counted.
+        """
+        usable = len(self._busy) + self.idle_count()
+        lanes = max(1, usable // SHORT_LANE_SHARE)
+        return usable == 1 or sum(self._busy.values()) < usable - lanes
+
+    def reserve(self, step: StepRun, workers: list[Worker]) -> Question | None:
+        """Keep an entry for a question, which has to be asked then.
 
         Parameters
         ----------
         step : StepRun
-            Step; its `question_open` is set while the question is under way.
+            Step; its `question_open` is set until the question is answered.
         workers : list of Worker
             Workers to ask about.
 
         Returns
         -------
-        bool
-            Whether an answer came.
+        Question or None
+            None if no entry is idle.
         """
-        policy = step.job.queue.advice
         names = [worker.info.worker for worker in workers[:MAX_WORKERS]]
-        takes = policy.duration_ms(len(names)) if policy is not None else 0.0
+        if not self.can_take(step, len(names)):
+            return None
+        takes = step.job.queue.advice.duration_ms(len(names))
         port = self._choose(takes <= SHORT_MS)
-        if policy is None or port is None:
-            return False
         self._busy[port.name] = takes > SHORT_MS
         step.question_open = True
+        return Question(step, names, port, takes)
+
+    async def ask(self, question: Question) -> bool:
+        """Ask a question and keep the answer in its step.
+
+        Returns
+        -------
+        bool
+            Whether an answer came.
+        """
+        step, names, port, takes = question
         began = self.clock.now()
         try:
             limit = takes * TIMEOUT_FACTOR + TIMEOUT_BASE_MS
@@ -169,6 +207,9 @@
             rest = min(MAX_REST_MS, REST_MS << failures)
             self._failures[port.name] = failures + 1
             self._rest_until[port.name] = Instant(self.clock.now() + rest)
+        else:
+            rest_until = Instant(self.clock.now() + REFUSED_REST_MS)
+            self._rest_until[port.name] = rest_until
         why = str(exc) or type(exc).__name__
         _log.warning("No answer", step=step.key, entry=port.name, why=why)
 
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -13,7 +13,7 @@
 from ..replica import Follower, FollowerTiming, LeaderRecord, RecordStore
 from ..telemetry import PartLog
 from ..utils import Clock, Instant, JobId, wait_set
-from ._advice import AdviceDesk
+from ._advice import AdviceDesk, Question
 from ._book import CellBook
 from ._diagnosis import NOT_ALLOWED, why_waiting
 from ._drive import Drive
@@ -403,19 +403,15 @@
     def _ask(self, step: StepRun, workers: list[Worker]) -> None:
         if step.question_open or not workers:
             return
-        if not self.desk.can_take(step, len(workers)):
+        question = self.desk.reserve(step, workers)
+        if question is None:
             return
-        step.question_open = True
-        task = asyncio.get_running_loop().create_task(self._ask_desk(step, workers))
+        task = asyncio.get_running_loop().create_task(self._ask_desk(question))
         self._questions.add(task)
         task.add_done_callback(self._questions.discard)
 
-    async def _ask_desk(self, step: StepRun, workers: list[Worker]) -> None:
-        try:
-            if not await self.desk.ask(step, workers):
-                await asyncio.sleep(self.cfg.retry_ms / 1000)
-        finally:
-            step.question_open = False
+    async def _ask_desk(self, question: Question) -> None:
+        await self.desk.ask(question)
         self.request_plan()
 
     async def _diagnose_loop(self) -> None:
