Replace a leader sooner that is silent on the direct link as well

Change: the watch that notices an ended process carries a sign of life each 150 ms. A leader that is silent there for 0.5 s is replaced after 0.7 s without a sign in the store; either way alone changes nothing. Candidates wait only for entries that live.

--- a/pimentomill/links/__init__.py
+++ b/pimentomill/links/__init__.py
@@ -1,5 +1,5 @@
 """Calls between the system's own entries."""
 
-from ._links import LinkServer, RemoteAdvisor, is_gone, relay_append
+from ._links import LifeSign, LinkServer, RemoteAdvisor, relay_append, watch_life
 
-__all__ = ["LinkServer", "RemoteAdvisor", "is_gone", "relay_append"]
+__all__ = ["LifeSign", "LinkServer", "RemoteAdvisor", "relay_append", "watch_life"]
--- a/pimentomill/links/_links.py
+++ b/pimentomill/links/_links.py
@@ -1,6 +1,8 @@
 """Calls between the system's own entries."""
 
 import asyncio
+import enum
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
@@ -17,7 +19,7 @@
 from ..replica import Relay
 from ..telemetry import PartLog
 
-__all__ = ["LinkServer", "RemoteAdvisor", "is_gone", "relay_append"]
+__all__ = ["LifeSign", "LinkServer", "RemoteAdvisor", "relay_append", "watch_life"]
 
 ASK_PATH = "/ask"
 APPEND_PATH = "/append"
@@ -26,6 +28,10 @@
 WATCH_PATH = "/watch/"
 WATCH_S = 20.0
 """Seconds for which a watch is held open; it ends earlier only with the process."""
+BEAT_S = 0.15
+"""Seconds between two signs of life on a watch; three fit into the silence below."""
+SILENCE_S = 0.5
+"""Seconds without one after which the other entry, or the way to it, is in trouble."""
 CONNECT_S = 0.3
 """Seconds to connect to another entry; a round trip takes about 1 ms."""
 CLOSE_S = 0.1
@@ -36,6 +42,14 @@
 _log = PartLog("links")
 
 
+class LifeSign(enum.Enum):
+    """How a watch of another entry's life ended."""
+
+    GONE = "gone"
+    SILENT = "silent"
+    OPEN = "open"
+
+
 class Question(msgspec.Struct, frozen=True):
     """Which of these workers may run a step."""
 
@@ -89,9 +103,9 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def _handle(self, req: web.BaseRequest) -> web.Response:
+    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         if req.path.startswith(WATCH_PATH):
-            return await self._watch(req.path[len(WATCH_PATH) :])
+            return await self._watch(req)
         if req.path == APPEND_PATH:
             return await self._append(req)
         if req.path != ASK_PATH:
@@ -120,12 +134,21 @@
             return web.Response(status=504, text=str(exc))
         return web.Response(status=200)
 
-    async def _watch(self, incarnation: str) -> web.Response:
-        """Hold the answer back for as long as the life that is meant goes on."""
-        if incarnation != self.incarnation:
+    async def _watch(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Give signs of life for as long as the life that is meant goes on."""
+        if req.path[len(WATCH_PATH) :] != self.incarnation:
             return web.Response(status=410)
-        await asyncio.sleep(WATCH_S)
-        return web.Response(status=200)
+        resp = web.StreamResponse()
+        await resp.prepare(req)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WATCH_S
+        try:
+            while loop.time() < until:
+                await resp.write(b".")
+                await asyncio.sleep(BEAT_S)
+        except ConnectionError as exc:
+            _log.info("Watch left", peer=req.remote, why=str(exc))
+        return resp
 
 
 async def relay_append(
@@ -157,10 +180,13 @@
     raise LogUnavailableError(f"{address} answers {status}")
 
 
-async def is_gone(
-    session: aiohttp.ClientSession, address: str, incarnation: str
-) -> bool:
-    """Watch a life of another entry until it may have ended.
+async def watch_life(
+    session: aiohttp.ClientSession,
+    address: str,
+    incarnation: str,
+    on_beat: Callable[[], None],
+) -> LifeSign:
+    """Watch a life of another entry until it ends or falls silent.
 
     Parameters
     ----------
@@ -170,22 +196,34 @@
         IP address and port of the entry.
     incarnation : str
         Life to watch.
+    on_beat : callable
+        Called at each sign of life.
 
     Returns
     -------
-    bool
-        Whether the life has ended for certain: another life answers, or nothing
-        listens at the address.
+    LifeSign
+        ``GONE`` if the life has ended for certain: another life answers, or nothing
+        listens at the address. ``SILENT`` if no sign came in time. ``OPEN`` if the
+        watch ended otherwise, which tells nothing.
     """
     url = f"http://{address}{WATCH_PATH}{incarnation}"
-    limit = aiohttp.ClientTimeout(total=2 * WATCH_S, sock_connect=CONNECT_S)
+    limit = aiohttp.ClientTimeout(
+        total=2 * WATCH_S, sock_connect=CONNECT_S, sock_read=SILENCE_S
+    )
     try:
         async with session.get(url, timeout=limit) as resp:
-            return resp.status == 410
+            if resp.status == 410:
+                return LifeSign.GONE
+            async for _ in resp.content.iter_any():
+                on_beat()
     except aiohttp.ClientConnectorError as exc:
-        return isinstance(exc.os_error, ConnectionRefusedError)
-    except (TimeoutError, aiohttp.ClientError, OSError):
-        return False
+        refused = isinstance(exc.os_error, ConnectionRefusedError)
+        return LifeSign.GONE if refused else LifeSign.OPEN
+    except TimeoutError:
+        return LifeSign.SILENT
+    except (aiohttp.ClientError, OSError) as exc:
+        _log.info("Watch broken", address=address, why=str(exc) or type(exc).__name__)
+    return LifeSign.OPEN
 
 
 class RemoteAdvisor:
--- a/pimentomill/links/tests/test_links.py
+++ b/pimentomill/links/tests/test_links.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 import aiohttp
 
@@ -9,7 +10,14 @@
     TransportError,
 )
 from pimentomill.jobs import KeyedRecord, StepKey
-from pimentomill.links import LinkServer, RemoteAdvisor, is_gone, relay_append
+from pimentomill.links import (
+    LifeSign,
+    LinkServer,
+    RemoteAdvisor,
+    _links,
+    relay_append,
+    watch_life,
+)
 
 STEP = StepKey("a" * 16, 0, 1)
 RECORDS = [KeyedRecord("k", b"\x00v")]
@@ -73,7 +81,23 @@
         with self.assertRaises(LogUnavailableError):
             await relay_append(self.session, self.address, RECORDS)
 
+    async def watch(self, life, on_beat=lambda: None):
+        return await watch_life(self.session, self.address, life, on_beat)
+
     async def test_an_ended_life_is_noticed(self):
-        self.assertTrue(await is_gone(self.session, self.address, "life-0"))
+        self.assertIs(await self.watch("life-0"), LifeSign.GONE)
         await self.server.stop()
-        self.assertTrue(await is_gone(self.session, self.address, "life-1"))
+        self.assertIs(await self.watch("life-1"), LifeSign.GONE)
+
+    async def test_a_life_gives_signs_until_it_falls_silent(self):
+        beats = []
+
+        def on_beat():
+            beats.append(1)
+            if len(beats) == 2:
+                self.frozen = mock.patch.object(_links, "BEAT_S", 60.0)
+                self.frozen.start()
+                self.addCleanup(self.frozen.stop)
+
+        self.assertIs(await self.watch("life-1", on_beat), LifeSign.SILENT)
+        self.assertGreaterEqual(len(beats), 2)
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -26,7 +26,7 @@
 from ..fleet import WorkerInfo, WorkerPort
 from ..intake import Intake
 from ..jobs import JobTable, KeyedRecord
-from ..links import RemoteAdvisor, is_gone, relay_append
+from ..links import LifeSign, RemoteAdvisor, relay_append, watch_life
 from ..replica import (
     LEADER_KEY,
     ElectionTiming,
@@ -89,6 +89,9 @@
         Age of the state up to which the entry takes new callers.
     silence_ms : int
         Milliseconds without a sign after which the leader is replaced.
+    silence_cut_off_ms : int
+        The same for a leader that is not heard on the direct link either; it is
+        longer than a sign of the leader and a read of it take.
     stagger_ms : int
         Milliseconds between two candidates.
     """
@@ -98,6 +101,7 @@
     key_term_ms: int
     ready_age_ms: int = 1500
     silence_ms: int = 1300
+    silence_cut_off_ms: int = 700
     stagger_ms: int = 30
 
 
@@ -161,7 +165,7 @@
         self.leader_: Leader | None = None
         self.is_stopping_ = False
         self.table = JobTable()
-        timing = ElectionTiming(cfg.silence_ms, cfg.stagger_ms)
+        timing = ElectionTiming(cfg.silence_ms, cfg.silence_cut_off_ms, cfg.stagger_ms)
         self.watch = LeaderWatch(self.incarnation, clock, timing)
         self.members: dict[str, tuple[MemberRecord, Instant]] = {}
         self._fleet: list[WorkerInfo] = []
@@ -327,10 +331,7 @@
             await asyncio.sleep(MEMBER_INTERVAL_MS / 1000)
 
     async def _watch_leader(self) -> None:
-        """Notice at once when the leader's process has ended.
-
-        A machine that falls silent is noticed by the missing signs alone.
-        """
+        """Notice at once when the leader's process has ended, or falls silent."""
         while True:
             await asyncio.sleep(ELECTION_TICK_MS / 1000)
             record = self.watch.record_
@@ -343,11 +344,31 @@
             if member is None or record.resigned:
                 continue
             began = self.clock.now()
-            if await is_gone(self.session, member[0].address, record.incarnation):
-                self.watch.note_gone(record.incarnation)
+            await self._watch_life(record, member[0].address)
             if self.clock.now() - began < WATCH_RETRY_MS:
                 await asyncio.sleep(WATCH_RETRY_MS / 1000)
 
+    async def _watch_life(self, record: LeaderRecord, address: str) -> None:
+        life = record.incarnation
+        sign = await watch_life(
+            self.session, address, life, lambda: self.watch.note_link(life, False)
+        )
+        if sign is LifeSign.GONE:
+            self.watch.note_gone(life)
+        elif sign is LifeSign.SILENT:
+            self.watch.note_link(life, True)
+        if sign is not LifeSign.OPEN:
+            _log.info("Leader not heard", leader=record.node, sign=sign.value)
+
+    def _other_lives(self) -> list[str]:
+        """Return the lives of the other entries that showed themselves lately."""
+        oldest = self.clock.now() - MEMBER_TERM_MS
+        return [
+            member.incarnation
+            for name, (member, seen_at) in self.members.items()
+            if name != self.cfg.node and seen_at >= oldest
+        ]
+
     async def _elect(self) -> None:
         while True:
             await asyncio.sleep(ELECTION_TICK_MS / 1000)
@@ -356,7 +377,7 @@
             epoch = self.watch.epoch
             if self.watch.is_led_by_me() and epoch > self._led_epoch:
                 await self._lead(epoch)
-            elif self.watch.claim_due(self.work.proven_at_):
+            elif self.watch.claim_due(self.work.proven_at_, self._other_lives()):
                 await self._claim(Epoch(epoch + 1))
 
     async def _claim(self, epoch: Epoch) -> None:
--- a/pimentomill/replica/_leases.py
+++ b/pimentomill/replica/_leases.py
@@ -1,5 +1,7 @@
 """Who leads the cell, by replay of the store's records."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from ..telemetry import PartLog
@@ -8,7 +10,6 @@
 __all__ = ["LEADER_KEY", "ElectionTiming", "LeaderRecord", "LeaderWatch"]
 
 LEADER_KEY = "leader"
-CANDIDATE_SLOTS = 8
 OUTAGE_MS = 700
 """Milliseconds between two proofs of the state from which on the store was away."""
 
@@ -43,12 +44,17 @@
     ----------
     silence_ms : int
         Milliseconds without a sign of the leader after which it is replaced.
+    silence_cut_off_ms : int
+        The same for a leader that is silent on the direct link as well.
     stagger_ms : int
         Milliseconds between two candidates, so that one is ahead of the others.
     """
 
-    def __init__(self, silence_ms: int, stagger_ms: int) -> None:
+    def __init__(
+        self, silence_ms: int, silence_cut_off_ms: int, stagger_ms: int
+    ) -> None:
         self.silence_ms = silence_ms
+        self.silence_cut_off_ms = silence_cut_off_ms
         self.stagger_ms = stagger_ms
 
 
@@ -79,6 +85,7 @@
         self.record_: LeaderRecord | None = None
         self.seen_at_ = clock.now()
         self._gone = ""
+        self._cut_off = ""
         self._proven_at = clock.now()
 
     @property
@@ -122,23 +129,35 @@
         """Take in that a life of an entry has ended."""
         self._gone = incarnation
 
-    def claim_due(self, proven_at: Instant) -> bool:
+    def note_link(self, incarnation: str, is_silent: bool) -> None:
+        """Take in whether a life of an entry is heard on the direct link.
+
+        Silence there proves nothing by itself: the link alone may be cut.
+        """
+        if is_silent:
+            self._cut_off = incarnation
+        elif self._cut_off == incarnation:
+            self._cut_off = ""
+
+    def claim_due(self, proven_at: Instant, others: Iterable[str] = ()) -> bool:
         """Return whether this process should try to take over now.
 
         Parameters
         ----------
         proven_at : Instant
             Time up to which the records are known to be complete.
+        others : iterable of str
+            Lives of the other entries that could take over.
         """
         self._note_outage(proven_at)
         if self.is_led_by_me():
             return False
-        wait = self._rank() * self.timing.stagger_ms
+        wait = self._rank(others) * self.timing.stagger_ms
         record = self.record_
         if record is not None and record.incarnation == self._gone:
             return True
         if record is not None and not record.resigned:
-            wait += self.timing.silence_ms
+            wait += self._silence_ms(record)
         return proven_at - self.seen_at_ >= wait
 
     def _note_outage(self, proven_at: Instant) -> None:
@@ -150,7 +169,19 @@
             self.seen_at_ = max(self.seen_at_, proven_at)
         self._proven_at = proven_at
 
-    def _rank(self) -> int:
+    def _silence_ms(self, record: LeaderRecord) -> int:
+        if record.incarnation == self._cut_off:
+            return self.timing.silence_cut_off_ms
+        return self.timing.silence_ms
+
+    def _rank(self, others: Iterable[str]) -> int:
+        """Return how many entries are ahead of this one as candidates."""
+
         # The order differs from epoch to epoch, so that a candidate that always
         # fails is not always the first.
-        return stable_hash(f"{self.incarnation}/{self.epoch}") % CANDIDATE_SLOTS
+        def place(incarnation: str) -> int:
+            return stable_hash(f"{incarnation}/{self.epoch}")
+
+        leader = self.record_.incarnation if self.record_ else ""
+        mine = place(self.incarnation)
+        return sum(1 for life in others if life != leader and place(life) < mine)
--- a/pimentomill/replica/tests/test_leases.py
+++ b/pimentomill/replica/tests/test_leases.py
@@ -9,7 +9,7 @@
 class TestLeaderWatch(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(1000)
-        self.watch = LeaderWatch("me", self.clock, ElectionTiming(1000, 10))
+        self.watch = LeaderWatch("me", self.clock, ElectionTiming(1000, 500, 10))
 
     def sign(self, epoch, incarnation, resigned=False):
         record = LeaderRecord(epoch, "node", incarnation, resigned)
@@ -61,3 +61,33 @@
     def test_an_unreadable_sign_is_ignored(self):
         self.watch.apply(b"\xff\x00")
         self.assertIsNone(self.watch.record_)
+
+    def test_a_leader_silent_on_both_ways_is_replaced_sooner(self):
+        self.sign(1, "other")
+        self.watch.note_link("other", True)
+        self.clock.advance(450)
+        self.assertFalse(self.due())
+        self.clock.advance(100)
+        self.assertTrue(self.due())
+
+    def test_a_cut_link_alone_replaces_nobody(self):
+        self.watch.note_link("other", True)
+        for _ in range(10):
+            self.sign(1, "other")
+            self.clock.advance(400)
+            self.assertFalse(self.due())
+
+    def test_a_leader_that_is_heard_again_has_the_usual_time(self):
+        self.sign(1, "other")
+        self.watch.note_link("other", True)
+        self.watch.note_link("other", False)
+        self.clock.advance(600)
+        self.assertFalse(self.due())
+
+    def test_only_entries_that_live_are_waited_for(self):
+        self.sign(1, "other", resigned=True)
+        ahead = [f"life-{number}" for number in range(40)]
+        self.assertTrue(self.watch.claim_due(self.clock.now(), ["other"]))
+        self.assertFalse(self.watch.claim_due(self.clock.now(), ["other", *ahead]))
+        self.clock.advance(410)
+        self.assertTrue(self.watch.claim_due(self.clock.now(), ["other", *ahead]))
