Pass callers on to entries that reach the store; tell the leader of hand-ins directly

Change: such an entry passes the whole request to one that can; the operators' settings never go back for its callers. Who appends tells the leader with the offsets, and a question about an unfinished job goes to the leader before the stream. The calls between entries share one client with the store's and workers'; links are split by side; an error inside another entry no longer counts as a refusal of an append.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -10,7 +10,7 @@
 from ..exceptions import FencedError
 from ..fleet import Worker, WorkerInfo, WorkerPort, lease_bound
 from ..jobs import JobTable, KeyedRecord, WorkerId
-from ..replica import Follower, FollowerTiming, LeaderRecord, RecordStore
+from ..replica import AppendedHook, Follower, FollowerTiming, LeaderRecord, RecordStore
 from ..telemetry import PartLog
 from ..utils import Clock, Instant, JobId, wait_set
 from ._advice import AdviceDesk, Question
@@ -82,6 +82,9 @@
         Settings.
     fleet : list of WorkerInfo
         Workers that the leader before had in use.
+    appended : callable, default=None
+        Called with the offset of the first record and the records of each append
+        that the store has acknowledged.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         clock: Clock,
         cfg: ControlSettings,
         fleet: list[WorkerInfo],
+        appended: AppendedHook | None = None,
     ) -> None:
         self.record = record
         self.store = store
@@ -107,7 +111,7 @@
         self.fleet = fleet
         self.book = CellBook(record.epoch, clock, table.find, desk.metrics)
         self.planner = Planner(self.book.quotas)
-        self.scribe = Scribe(store, self.book, record, sequence, clock, cfg)
+        self.scribe = Scribe(store, self.book, record, sequence, clock, cfg, appended)
         drive = Drive(self.book, port, clock, cfg, self.request_plan, self.step_down)
         self.orders = Orders(drive)
         self.holds = Holds(drive, self.scribe.durable, self._record_fleet)
--- a/pimentomill/control/_scribe.py
+++ b/pimentomill/control/_scribe.py
@@ -11,7 +11,7 @@
     OutOfSequenceError,
 )
 from ..jobs import KeyedRecord, encode_record, progress_key
-from ..replica import LEADER_KEY, LeaderRecord, RecordStore, Writer
+from ..replica import LEADER_KEY, AppendedHook, LeaderRecord, RecordStore, Writer
 from ..telemetry import PartLog
 from ..utils import Clock
 from ._book import CellBook
@@ -44,6 +44,9 @@
         Source of time.
     cfg : ControlSettings
         Settings.
+    appended : callable, default=None
+        Called with the offset of the first record and the records of each append
+        that the store has acknowledged.
 
     Attributes
     ----------
@@ -61,8 +64,10 @@
         sequence: int,
         clock: Clock,
         cfg: ControlSettings,
+        appended: AppendedHook | None = None,
     ) -> None:
         self.store = store
+        self.appended = appended
         self.book = book
         self.record = record
         self.sequence = sequence
@@ -134,7 +139,8 @@
         writer = Writer(LEADER_WRITER, self.record.epoch, self.sequence)
         while True:
             try:
-                await self.store.append(WORK_STREAM, records, writer)
+                done = await self.store.append(WORK_STREAM, records, writer)
+                self._note_appended(done.first, records)
                 break
             except OutOfSequenceError as exc:
                 if exc.expected != self.sequence + 1:
@@ -145,3 +151,7 @@
                 await asyncio.sleep(self.cfg.retry_ms / 1000)
         self.sequence += 1
         self.written_at_ = self.clock.now()
+
+    def _note_appended(self, first: int, records: list[KeyedRecord]) -> None:
+        if self.appended is not None:
+            self.appended(first, records)
--- a/pimentomill/platform/_http.py
+++ b/pimentomill/httpclient/_caller.py
@@ -1,4 +1,4 @@
-"""HTTP calls to the platform and to workers."""
+"""HTTP calls over kept connections."""
 
 from typing import NamedTuple
 
@@ -28,9 +28,17 @@
     ----------
     connections_per_host : int
         Most connections to one address.
+    connect_s : float, default=0.5
+        Seconds to connect.
+
+    Attributes
+    ----------
+    session : aiohttp.ClientSession
+        Connections, for answers that are read as they come.
     """
 
-    def __init__(self, connections_per_host: int) -> None:
+    def __init__(self, connections_per_host: int, connect_s: float = CONNECT_S) -> None:
+        self.connect_s = connect_s
         connector = aiohttp.TCPConnector(
             limit=0,
             limit_per_host=connections_per_host,
@@ -63,7 +71,9 @@
             If no whole answer came; `sent` tells whether the request may have
             been carried out.
         """
-        limit = aiohttp.ClientTimeout(total=timeout_ms / 1000, sock_connect=CONNECT_S)
+        limit = aiohttp.ClientTimeout(
+            total=timeout_ms / 1000, sock_connect=self.connect_s
+        )
         try:
             async with self.session.request(
                 method, url, data=body, headers=headers, timeout=limit
--- a/pimentomill/intake/_intake.py
+++ b/pimentomill/intake/_intake.py
@@ -1,6 +1,7 @@
 """Callers' requests about jobs, answered at any entry."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 from ..catalog import Queue
@@ -21,7 +22,7 @@
     cancelled_key,
     encode_record,
 )
-from ..replica import Follower, GroupAppender, RecordStore, Relay
+from ..replica import AppendedHook, Follower, GroupAppender, RecordStore, Relay
 from ..telemetry import PartLog
 from ..utils import Clock, Instant, JobId
 
@@ -32,11 +33,14 @@
 FRESH_WAIT_MS = 1000
 """Longest wait for the newest state; callers wait 3 s for an answer."""
 REFRESH_MS = 150
-"""Longest wait for newer records before a state is shown that may still change."""
+"""Longest wait for newer records before a state is shown that may still change, where
+the leader does not tell it."""
 APPEND_WAIT_MS = 1600
 """Milliseconds within which an append without an answer is repeated; callers wait 3 s
 and the last repeat takes up to 1 s more."""
 
+LeaderQuestion = Callable[[JobId], Awaitable[JobState | None]]
+
 _log = PartLog("intake")
 
 
@@ -66,6 +70,11 @@
         Source of time.
     relay : callable, default=None
         Appends through another entry.
+    appended : callable, default=None
+        Called with the offset of the first record and the records of each append
+        that the store has acknowledged.
+    ask_leader : callable, default=None
+        Returns what the leader knows of a job's state, None if it does not tell.
     """
 
     def __init__(
@@ -76,9 +85,12 @@
         follower: Follower,
         clock: Clock,
         relay: Relay | None = None,
+        appended: AppendedHook | None = None,
+        ask_leader: LeaderQuestion | None = None,
     ) -> None:
-        self.appender = GroupAppender(store, stream, clock, relay)
+        self.appender = GroupAppender(store, stream, clock, relay, appended)
         self.relay = relay
+        self.ask_leader = ask_leader
         self.table = table
         self.follower = follower
         self.clock = clock
@@ -121,9 +133,13 @@
             If that can't be told now.
         """
         entry = await self._find(queue, team, job)
-        if entry is not None and not entry.state.is_final:
-            await self.follower.refresh(REFRESH_MS)
-        return entry.state if entry is not None else None
+        if entry is None or entry.state.is_final:
+            return entry.state if entry is not None else None
+        told = await self.ask_leader(job) if self.ask_leader is not None else None
+        if told is not None:
+            return told
+        await self.follower.refresh(REFRESH_MS)
+        return entry.state
 
     def waiting(self, queue: Queue) -> int:
         """Return how many accepted jobs of a queue have not begun."""
--- a/pimentomill/intake/tests/test_intake.py
+++ b/pimentomill/intake/tests/test_intake.py
@@ -53,6 +53,26 @@
         self.assertIs(await self.submit(), Kept.KEPT)
         self.assertIs(await self.state(), JobState.QUEUED)
 
+    async def test_the_leader_tells_of_an_unfinished_job(self):
+        async def ask(job):
+            return JobState.COMPLETED
+
+        await self.submit()
+        await self.state()
+        self.intake.ask_leader = ask
+        self.assertIs(await self.state(), JobState.COMPLETED)
+        with self.assertRaises(StateUnavailableError):
+            self.store.is_down = True
+            await self.state(job="b" * 16)
+
+    async def test_without_the_leader_s_word_the_stream_is_read(self):
+        async def ask(job):
+            return None
+
+        self.intake.ask_leader = ask
+        await self.submit()
+        self.assertIs(await self.state(), JobState.QUEUED)
+
     async def test_a_repeat_is_the_same_job(self):
         await self.submit()
         await self.state()
--- a/pimentomill/links/__init__.py
+++ b/pimentomill/links/__init__.py
@@ -1,5 +1,15 @@
 """Calls between the system's own entries."""
 
-from ._links import LifeSign, LinkServer, RemoteAdvisor, relay_append, watch_life
+from ._client import EntryLinks, RemoteAdvisor
+from ._messages import CallerAnswer, CallerRequest, LifeSign
+from ._server import EntryServices, LinkServer
 
-__all__ = ["LifeSign", "LinkServer", "RemoteAdvisor", "relay_append", "watch_life"]
+__all__ = [
+    "CallerAnswer",
+    "CallerRequest",
+    "EntryLinks",
+    "EntryServices",
+    "LifeSign",
+    "LinkServer",
+    "RemoteAdvisor",
+]
--- a/pimentomill/node/__init__.py
+++ b/pimentomill/node/__init__.py
@@ -1,6 +1,7 @@
 """One entry of the cell."""
 
+from ._members import Members
 from ._node import CellNode, NodeSettings
 from ._records import MemberRecord
 
-__all__ = ["CellNode", "MemberRecord", "NodeSettings"]
+__all__ = ["CellNode", "MemberRecord", "Members", "NodeSettings"]
--- /dev/null
+++ b/pimentomill/node/_members.py
@@ -0,0 +1,76 @@
+"""The entries that live, by the signs that they leave in the store."""
+
+import msgspec
+
+from ..jobs import KeyedRecord
+from ..telemetry import PartLog
+from ..utils import Clock, Instant
+from ._records import MEMBER_PREFIX, MemberRecord
+
+__all__ = ["MEMBER_TERM_MS", "Members"]
+
+MEMBER_TERM_MS = 6000
+"""Milliseconds without a sign after which an entry is not asked any more."""
+
+_log = PartLog("node")
+
+
+class Members:
+    """Replays the signs of all entries.
+
+    Parameters
+    ----------
+    own : str
+        Name of this entry.
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    seen_ : dict of str to tuple of MemberRecord and Instant
+        Newest sign of each entry and when it was read.
+    """
+
+    def __init__(self, own: str, clock: Clock) -> None:
+        self.own = own
+        self.clock = clock
+        self.seen_: dict[str, tuple[MemberRecord, Instant]] = {}
+
+    def apply(self, record: KeyedRecord) -> None:
+        """Take in one record."""
+        name = record.key[len(MEMBER_PREFIX) :]
+        if not record.value:
+            self.seen_.pop(name, None)
+            return
+        try:
+            member = msgspec.msgpack.decode(record.value, type=MemberRecord)
+        except msgspec.DecodeError as exc:
+            _log.warning("Record ignored", key=record.key, why=str(exc))
+            return
+        self.seen_[name] = (member, self.clock.now())
+
+    def address_of(self, name: str) -> str | None:
+        """Return the address of an entry, None if it is not known."""
+        found = self.seen_.get(name)
+        return found[0].address if found is not None else None
+
+    def live_others(self) -> list[MemberRecord]:
+        """Return the other entries that showed themselves lately."""
+        oldest = self.clock.now() - MEMBER_TERM_MS
+        return [
+            member
+            for name, (member, seen_at) in self.seen_.items()
+            if name != self.own and seen_at >= oldest
+        ]
+
+    def others_by_recency(self) -> list[MemberRecord]:
+        """Return all other known entries, the one seen last first.
+
+        An entry that can't read the store sees no signs; the others may live on.
+        """
+        others = [
+            (seen_at, name)
+            for name, (_, seen_at) in self.seen_.items()
+            if name != self.own
+        ]
+        return [self.seen_[name][0] for _, name in sorted(others, reverse=True)]
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -4,7 +4,6 @@
 import secrets
 from collections.abc import Callable
 
-import aiohttp
 import msgspec
 
 from ..catalog import Catalog
@@ -22,11 +21,19 @@
     FencedError,
     LogUnavailableError,
     OutOfSequenceError,
+    StateUnavailableError,
+    TransportError,
 )
 from ..fleet import WorkerInfo, WorkerPort
 from ..intake import Intake
-from ..jobs import JobTable, KeyedRecord
-from ..links import LifeSign, RemoteAdvisor, relay_append, watch_life
+from ..jobs import JobState, JobTable, KeyedRecord
+from ..links import (
+    CallerAnswer,
+    CallerRequest,
+    EntryLinks,
+    LifeSign,
+    RemoteAdvisor,
+)
 from ..replica import (
     LEADER_KEY,
     ElectionTiming,
@@ -38,7 +45,9 @@
     Writer,
 )
 from ..telemetry import CellMetrics, PartLog
-from ..utils import Clock, Epoch, Instant
+from ..utils import Clock, Epoch, Instant, JobId
+from ._forwarding import Forwarder
+from ._members import Members
 from ._records import MEMBER_PREFIX, MemberRecord, member_key
 
 __all__ = ["CellNode", "NodeSettings"]
@@ -51,8 +60,6 @@
 """Entries through which an append is tried."""
 MEMBER_INTERVAL_MS = 2500
 """Milliseconds between two signs of an entry."""
-MEMBER_TERM_MS = 6000
-"""Milliseconds without a sign after which an entry is not asked any more."""
 RULES_WAIT_MS = 400
 """Milliseconds for which the store may hold a read of the operators' settings back.
 Each read that ends proves them current, so their age stays below twice it."""
@@ -63,6 +70,11 @@
 """Milliseconds for which the store may hold a read of the leader back."""
 LEAD_PAUSE_MS = 5
 """Milliseconds between two reads of the leader."""
+FORWARD_AGE_MS = 1000
+"""Age of a stream's copy above which callers are passed on to other entries; reads of
+the operators' settings prove them each 0.4 s."""
+NOTICES = 16
+"""Notices to the leader under way at once; more are left to the stream."""
 ELECTION_TICK_MS = 60
 """Milliseconds between two looks at the leader."""
 WATCH_RETRY_MS = 150
@@ -122,7 +134,7 @@
         How this entry asks queues' policies.
     read_rules, read_worker : callable
         Decode what operators and workers write.
-    session : aiohttp.ClientSession
+    links : EntryLinks
         Connections to other entries.
     clock : Clock
         Source of time.
@@ -146,7 +158,7 @@
         advisor: AdvicePort,
         read_rules: Callable[[bytes], Catalog | None],
         read_worker: Callable[[str, bytes], WorkerInfo | None],
-        session: aiohttp.ClientSession,
+        links: EntryLinks,
         clock: Clock,
         metrics: CellMetrics,
     ) -> None:
@@ -158,7 +170,7 @@
         self.advisor = advisor
         self.read_rules = read_rules
         self.read_worker = read_worker
-        self.session = session
+        self.links = links
         self.clock = clock
         self.incarnation = secrets.token_hex(6)
         self.catalog_: Catalog | None = None
@@ -167,7 +179,10 @@
         self.table = JobTable()
         timing = ElectionTiming(cfg.silence_ms, cfg.silence_cut_off_ms, cfg.stagger_ms)
         self.watch = LeaderWatch(self.incarnation, clock, timing)
-        self.members: dict[str, tuple[MemberRecord, Instant]] = {}
+        self.members = Members(cfg.node, clock)
+        self.forwarder = Forwarder(self.members, links, clock)
+        self._version_used = -1
+        self._notices: set[asyncio.Task] = set()
         self._fleet: list[WorkerInfo] = []
         self._claims: dict[int, int] = {}
         self._led_epoch = 0
@@ -188,7 +203,14 @@
             FollowerTiming(wait_ms=0, pause_ms=FOLLOW_PAUSE_MS),
         )
         self.intake = Intake(
-            store, WORK_STREAM, self.table, self.work, clock, self._relay
+            store,
+            WORK_STREAM,
+            self.table,
+            self.work,
+            clock,
+            self._relay,
+            self._tell_appended,
+            self._ask_leader,
         )
 
     # State
@@ -231,7 +253,9 @@
             self._apply_fleet(record.value)
             return
         if record.key.startswith(MEMBER_PREFIX):
-            self._apply_member(record)
+            self.members.apply(record)
+            if self.leader_ is not None:
+                self._set_ports(self.leader_.desk)
             return
         job = self.table.apply(record.key, record.value)
         if job is not None and self.leader_ is not None:
@@ -243,34 +267,140 @@
         except msgspec.DecodeError as exc:
             _log.warning("Record ignored", key=FLEET_KEY, why=str(exc))
 
-    def _apply_member(self, record: KeyedRecord) -> None:
-        name = record.key[len(MEMBER_PREFIX) :]
-        if not record.value:
-            self.members.pop(name, None)
-        else:
-            try:
-                member = msgspec.msgpack.decode(record.value, type=MemberRecord)
-            except msgspec.DecodeError as exc:
-                _log.warning("Record ignored", key=record.key, why=str(exc))
-                return
-            self.members[name] = (member, self.clock.now())
-        if self.leader_ is not None:
-            self._set_ports(self.leader_.desk)
-
     def _set_ports(self, desk: AdviceDesk) -> None:
         """Let the leader ask through all entries that live."""
-        oldest = self.clock.now() - MEMBER_TERM_MS
         ports: dict[str, AdvicePort] = {self.cfg.node: self.advisor}
-        for name, (member, seen_at) in self.members.items():
-            if name == self.cfg.node or seen_at < oldest:
-                continue
-            known = desk.ports.get(name)
+        for member in self.members.live_others():
+            known = desk.ports.get(member.node)
             if isinstance(known, RemoteAdvisor) and known.address == member.address:
-                ports[name] = known
+                ports[member.node] = known
             else:
-                ports[name] = RemoteAdvisor(name, member.address, self.session)
+                ports[member.node] = RemoteAdvisor(
+                    member.node, member.address, self.links
+                )
         desk.ports = ports
 
+    # Records ahead of the stream
+
+    def note_appended(self, first: int, records: list[KeyedRecord]) -> None:
+        """Take in records that the store has acknowledged.
+
+        A record that the stream has already brought is left out: its key may have
+        been dropped since.
+
+        Parameters
+        ----------
+        first : int
+            Offset of the first record.
+        records : list of KeyedRecord
+            Records at successive offsets.
+        """
+        reached = self.work.offset_
+        if reached is None:
+            return
+        for record in records[max(0, reached - first) :]:
+            job = self.table.apply(record.key, record.value)
+            if job is not None and self.leader_ is not None:
+                self.leader_.note_job(job)
+
+    def _tell_appended(self, first: int, records: list[KeyedRecord]) -> None:
+        """Take in what this entry has appended, and let the leader know at once."""
+        self.note_appended(first, records)
+        record = self.watch.record_
+        if self.leader_ is not None or record is None or len(self._notices) >= NOTICES:
+            return
+        address = self.members.address_of(record.node)
+        if address is None:
+            return
+        notice = self._send_notice(address, first, records)
+        task = asyncio.get_running_loop().create_task(notice)
+        self._notices.add(task)
+        task.add_done_callback(self._notices.discard)
+
+    async def _send_notice(
+        self, address: str, first: int, records: list[KeyedRecord]
+    ) -> None:
+        try:
+            await self.links.tell_appended(address, first, records)
+        except TransportError as exc:
+            _log.info("Leader not told", records=len(records), why=str(exc))
+
+    async def _ask_leader(self, job: JobId) -> JobState | None:
+        """Return what the leader knows of a job, None if it does not tell."""
+        if self.leader_ is not None:
+            entry = self.table.find(job)
+            return entry.state if entry is not None else None
+        record = self.watch.record_
+        address = self.members.address_of(record.node) if record is not None else None
+        if address is None:
+            return None
+        try:
+            return await self.links.state(address, job)
+        except TransportError as exc:
+            _log.info("Leader does not tell", job=job, why=str(exc))
+            return None
+
+    def state_for(self, job: JobId) -> JobState | None:
+        """Return a job's state to another entry.
+
+        Raises
+        ------
+        StateUnavailableError
+            If this entry does not lead.
+        """
+        if self.leader_ is None:
+            raise StateUnavailableError("another entry leads")
+        entry = self.table.find(job)
+        return entry.state if entry is not None else None
+
+    # Callers
+
+    def is_store_lost(self) -> bool:
+        """Return whether this entry can't follow the store."""
+        return any(
+            not follower.is_reachable_ or follower.age_ms() > FORWARD_AGE_MS
+            for follower in (self.rules, self.work)
+        )
+
+    async def forward(self, req: CallerRequest) -> CallerAnswer | None:
+        """Let an entry that reaches the store answer a caller.
+
+        Returns
+        -------
+        CallerAnswer or None
+            None if this entry has to answer itself.
+        """
+        if not self.is_store_lost():
+            return None
+        version = max(self._version_used, self.version)
+        answer = await self.forwarder.forward(
+            msgspec.structs.replace(req, version=version)
+        )
+        if answer is not None:
+            self._version_used = max(self._version_used, answer.version)
+        return answer
+
+    @property
+    def version(self) -> int:
+        """Version of the operators' settings that are known, -1 without any."""
+        return self.catalog_.version if self.catalog_ is not None else -1
+
+    def check_answerable(self, version: int = -1) -> None:
+        """Check that this entry's settings are no step back for a caller.
+
+        Parameters
+        ----------
+        version : int
+            Version that another entry has acted by for this caller.
+
+        Raises
+        ------
+        StateUnavailableError
+            If earlier requests were answered by later settings than it knows.
+        """
+        if self.version < max(self._version_used, version):
+            raise StateUnavailableError("later settings of operators are in force")
+
     # Appends through other entries
 
     async def append_for(self, records: list[KeyedRecord]) -> None:
@@ -281,20 +411,12 @@
 
     async def _relay(self, records: list[KeyedRecord]) -> None:
         """Append through entries that showed themselves lately, one after another."""
-        recent = sorted(
-            (
-                (seen_at, member.address)
-                for name, (member, seen_at) in self.members.items()
-                if name != self.cfg.node
-            ),
-            reverse=True,
-        )
-        for _, address in recent[:RELAY_TRIES]:
+        for member in self.members.others_by_recency()[:RELAY_TRIES]:
             try:
-                await relay_append(self.session, address, records)
+                await self.links.append(member.address, records)
                 return
             except LogUnavailableError as exc:
-                _log.warning("Entry can't append", address=address, why=str(exc))
+                _log.warning("Entry can't append", entry=member.node, why=str(exc))
         raise LogUnavailableError("no other entry could append")
 
     # Duties
@@ -340,18 +462,18 @@
             if record.node == self.cfg.node:
                 self.watch.note_gone(record.incarnation)
                 continue
-            member = self.members.get(record.node)
-            if member is None or record.resigned:
+            address = self.members.address_of(record.node)
+            if address is None or record.resigned:
                 continue
             began = self.clock.now()
-            await self._watch_life(record, member[0].address)
+            await self._watch_life(record, address)
             if self.clock.now() - began < WATCH_RETRY_MS:
                 await asyncio.sleep(WATCH_RETRY_MS / 1000)
 
     async def _watch_life(self, record: LeaderRecord, address: str) -> None:
         life = record.incarnation
-        sign = await watch_life(
-            self.session, address, life, lambda: self.watch.note_link(life, False)
+        sign = await self.links.watch_life(
+            address, life, lambda: self.watch.note_link(life, False)
         )
         if sign is LifeSign.GONE:
             self.watch.note_gone(life)
@@ -360,15 +482,6 @@
         if sign is not LifeSign.OPEN:
             _log.info("Leader not heard", leader=record.node, sign=sign.value)
 
-    def _other_lives(self) -> list[str]:
-        """Return the lives of the other entries that showed themselves lately."""
-        oldest = self.clock.now() - MEMBER_TERM_MS
-        return [
-            member.incarnation
-            for name, (member, seen_at) in self.members.items()
-            if name != self.cfg.node and seen_at >= oldest
-        ]
-
     async def _elect(self) -> None:
         while True:
             await asyncio.sleep(ELECTION_TICK_MS / 1000)
@@ -377,7 +490,10 @@
             epoch = self.watch.epoch
             if self.watch.is_led_by_me() and epoch > self._led_epoch:
                 await self._lead(epoch)
-            elif self.watch.claim_due(self.work.proven_at_, self._other_lives()):
+            elif self.watch.claim_due(
+                self.work.proven_at_,
+                (member.incarnation for member in self.members.live_others()),
+            ):
                 await self._claim(Epoch(epoch + 1))
 
     async def _claim(self, epoch: Epoch) -> None:
@@ -426,6 +542,7 @@
             self.clock,
             self.control,
             self._fleet,
+            self.note_appended,
         )
         if self.catalog_ is not None:
             leader.set_catalog(self.catalog_)
--- /dev/null
+++ b/pimentomill/node/tests/test_forwarding.py
@@ -0,0 +1,79 @@
+import unittest
+
+import msgspec
+
+from pimentomill.exceptions import StateUnavailableError, TransportError
+from pimentomill.jobs import KeyedRecord
+from pimentomill.links import CallerAnswer, CallerRequest
+from pimentomill.node import MemberRecord, Members
+from pimentomill.node._forwarding import Forwarder
+from pimentomill.utils import ManualClock
+
+GET = CallerRequest("GET", "h", "/q/1", "key", b"")
+POST = CallerRequest("POST", "h", "/q/1", "key", b"{}")
+DONE = CallerAnswer(200, b"ok")
+
+
+class FakeLinks:
+    def __init__(self):
+        self.tried = []
+        self.errors = {}
+        self.answer = DONE
+
+    async def forward(self, address, req):
+        self.tried.append(address)
+        if address in self.errors:
+            raise self.errors[address]
+        return self.answer
+
+
+class TestForwarder(unittest.IsolatedAsyncioTestCase):
+    """The store turns some entries away and serves the others."""
+
+    def setUp(self):
+        self.clock = ManualClock(1000)
+        self.members = Members("n0", self.clock)
+        for number in range(4):
+            member = MemberRecord(f"n{number}", f"a{number}", f"life-{number}")
+            value = msgspec.msgpack.encode(member)
+            self.members.apply(KeyedRecord(f"m:n{number}", value))
+            self.clock.advance(10)
+        self.links = FakeLinks()
+        self.forwarder = Forwarder(self.members, self.links, self.clock)
+
+    async def test_the_entry_seen_last_answers_and_is_kept(self):
+        self.assertEqual(await self.forwarder.forward(GET), DONE)
+        self.assertEqual(self.links.tried, ["a3"])
+        self.links.errors["a3"] = StateUnavailableError("lost here too")
+        await self.forwarder.forward(GET)
+        await self.forwarder.forward(GET)
+        self.assertEqual(self.links.tried, ["a3", "a3", "a2", "a2"])
+
+    async def test_nobody_is_asked_for_a_while_after_nobody_could_help(self):
+        for number in range(1, 4):
+            self.links.errors[f"a{number}"] = StateUnavailableError("lost here too")
+        for _ in range(3):
+            self.assertIsNone(await self.forwarder.forward(POST))
+        self.assertEqual(len(self.links.tried), 3)
+        self.clock.advance(600)
+        self.links.errors.clear()
+        self.assertEqual(await self.forwarder.forward(POST), DONE)
+
+    async def test_no_answer_to_a_change_is_no_refusal(self):
+        for number in range(1, 4):
+            self.links.errors[f"a{number}"] = TransportError("silent", sent=True)
+        self.assertEqual((await self.forwarder.forward(POST)).status, 504)
+
+    async def test_no_answer_to_a_question_leaves_it_to_this_entry(self):
+        for number in range(1, 4):
+            self.links.errors[f"a{number}"] = TransportError("silent", sent=True)
+        self.assertIsNone(await self.forwarder.forward(GET))
+
+    async def test_a_second_entry_settles_what_the_first_left_open(self):
+        self.links.errors["a3"] = TransportError("silent", sent=True)
+        self.assertEqual(await self.forwarder.forward(POST), DONE)
+
+    async def test_a_refusal_elsewhere_does_not_undo_what_was_left_open(self):
+        self.links.errors["a3"] = TransportError("silent", sent=True)
+        self.links.answer = CallerAnswer(503, why="the store can't be reached")
+        self.assertEqual((await self.forwarder.forward(POST)).status, 504)
--- /dev/null
+++ b/pimentomill/node/tests/test_node.py
@@ -0,0 +1,100 @@
+import unittest
+
+import msgspec
+
+from pimentomill.control import ControlSettings
+from pimentomill.dispatch.tests.samples import accepted, step
+from pimentomill.exceptions import StateUnavailableError, TransportError
+from pimentomill.jobs import (
+    JobState,
+    KeyedRecord,
+    accepted_key,
+    encode_record,
+)
+from pimentomill.node import CellNode, MemberRecord, NodeSettings
+from pimentomill.replica import LEADER_KEY, LeaderRecord
+from pimentomill.standins import MemoryStore, MemoryWorkers
+from pimentomill.telemetry import CellMetrics
+from pimentomill.utils import ManualClock
+
+JOB = "a" * 16
+
+
+class FakeLinks:
+    def __init__(self):
+        self.told = []
+        self.state_ = JobState.RUNNING
+
+    async def tell_appended(self, address, first, records):
+        self.told.append((address, first))
+
+    async def state(self, address, job):
+        if self.state_ is None:
+            raise TransportError("silent", sent=True)
+        return self.state_
+
+
+class TestRecordsAheadOfTheStream(unittest.IsolatedAsyncioTestCase):
+    """The store holds its readers back while jobs are handed in."""
+
+    def setUp(self):
+        self.links = FakeLinks()
+        self.node = CellNode(
+            NodeSettings("n1", "127.0.0.1:1", key_term_ms=1000),
+            ControlSettings(),
+            MemoryStore(),
+            MemoryWorkers(),
+            None,
+            lambda value: None,
+            lambda key, value: None,
+            self.links,
+            ManualClock(1000),
+            CellMetrics(),
+        )
+        self.node.work.offset_ = 5
+        record = accepted(steps=[step()])
+        self.record = KeyedRecord(accepted_key(JOB), encode_record(record))
+
+    def hear_of_leader(self):
+        sign = msgspec.msgpack.encode(LeaderRecord(1, "n2", "life-2"))
+        member = msgspec.msgpack.encode(MemberRecord("n2", "a2", "life-2"))
+        self.node._apply_work(KeyedRecord(LEADER_KEY, sign))
+        self.node._apply_work(KeyedRecord("m:n2", member))
+
+    def test_a_record_is_known_before_the_stream_brings_it(self):
+        self.node.note_appended(5, [self.record])
+        self.assertIsNotNone(self.node.table.find(JOB))
+
+    def test_a_record_that_the_stream_has_passed_is_left_out(self):
+        self.node.note_appended(4, [self.record])
+        self.assertIsNone(self.node.table.find(JOB))
+
+    def test_the_first_records_of_a_batch_may_be_known_already(self):
+        other = KeyedRecord("x", b"1")
+        self.node.note_appended(4, [other, self.record])
+        self.assertIsNotNone(self.node.table.find(JOB))
+
+    async def test_the_leader_is_told_of_what_was_appended(self):
+        self.node._tell_appended(5, [self.record])
+        self.hear_of_leader()
+        self.node._tell_appended(6, [self.record])
+        for notice in list(self.node._notices):
+            await notice
+        self.assertEqual(self.links.told, [("a2", 6)])
+
+    async def test_the_leader_is_asked_about_a_job(self):
+        self.hear_of_leader()
+        self.assertIs(await self.node._ask_leader(JOB), JobState.RUNNING)
+        self.links.state_ = None
+        self.assertIsNone(await self.node._ask_leader(JOB))
+
+    def test_only_a_leader_tells_of_jobs(self):
+        with self.assertRaises(StateUnavailableError):
+            self.node.state_for(JOB)
+
+    def test_a_later_version_used_elsewhere_bars_earlier_settings(self):
+        with self.assertRaises(StateUnavailableError):
+            self.node.check_answerable(3)
+        self.node._version_used = 4
+        with self.assertRaises(StateUnavailableError):
+            self.node.check_answerable()
--- a/pimentomill/platform/_advice.py
+++ b/pimentomill/platform/_advice.py
@@ -6,8 +6,8 @@
 
 from ..control import AdviceGiven
 from ..exceptions import TransportError
+from ..httpclient import HttpCaller
 from ..jobs import StepKey, WorkerId
-from ._http import HttpCaller
 from ._tasks import format_step
 
 __all__ = ["PlatformAdvisor"]
--- a/pimentomill/platform/_daemon.py
+++ b/pimentomill/platform/_daemon.py
@@ -5,13 +5,14 @@
 import signal
 
 from ..control import ControlSettings
-from ..links import LinkServer
+from ..httpclient import HttpCaller
+from ..links import EntryLinks, LinkServer
 from ..node import CellNode, NodeSettings
 from ..telemetry import CellMetrics, PartLog, log_to_stdout
 from ..utils import SystemClock
 from ._advice import PlatformAdvisor
+from ._callers import Callers
 from ._front import Front
-from ._http import HttpCaller
 from ._rules import decode_rules
 from ._settings import NODE_FILE_VARIABLE, NodeFile, load_node_file
 from ._store import PlatformStore
@@ -32,6 +33,10 @@
 """Port for scrapers, as the deploy file names it."""
 WORKER_CONNECTIONS = 12
 """Connections to one worker, of the 64 that it takes from all entries."""
+LINK_CONNECTIONS = 24
+"""Connections to another entry: callers that are passed on, notices, a watch."""
+LINK_CONNECT_S = 0.3
+"""Seconds to connect to another entry; a round trip takes about 1 ms."""
 STORE_CONNECTIONS = 24
 """Connections to the store: a few reads that wait, and appends."""
 DRAIN_POLL_S = 0.05
@@ -67,12 +72,13 @@
         advisor,
         decode_rules,
         decode_worker,
-        store_http.session,
+        EntryLinks(HttpCaller(LINK_CONNECTIONS, LINK_CONNECT_S)),
         clock,
         metrics,
     )
-    front = Front(node)
-    links = LinkServer(advisor, node.incarnation, node.append_for)
+    callers = Callers(node)
+    front = Front(callers)
+    links = LinkServer(advisor, node.incarnation, callers)
     await front.start(
         split_address(cfg.listen.callers),
         split_address(cfg.listen.readiness),
--- a/pimentomill/platform/_store.py
+++ b/pimentomill/platform/_store.py
@@ -15,10 +15,10 @@
     RecordsForgottenError,
     TransportError,
 )
+from ..httpclient import HttpCaller, HttpReply
 from ..jobs import KeyedRecord
 from ..replica import Appended, NewestPage, Slice, Writer
 from ..telemetry import CellMetrics
-from ._http import HttpCaller, HttpReply
 
 __all__ = ["TOPICS", "PlatformStore", "decode_slice", "encode_keyed", "read_newest"]
 
--- a/pimentomill/platform/_workers.py
+++ b/pimentomill/platform/_workers.py
@@ -14,10 +14,10 @@
     WorkerInfo,
     WorkerReport,
 )
+from ..httpclient import HttpCaller, HttpReply
 from ..jobs import TaskKey
 from ..telemetry import PartLog
 from ..utils import Epoch, Resources
-from ._http import HttpCaller, HttpReply
 from ._tasks import format_task, parse_task
 
 __all__ = ["PlatformWorkers", "decode_worker"]
--- a/pimentomill/platform/tests/test_front.py
+++ b/pimentomill/platform/tests/test_front.py
@@ -11,7 +11,8 @@
 from pimentomill.intake import _intake
 from pimentomill.jobs import KeyedRecord
 from pimentomill.node import CellNode, NodeSettings
-from pimentomill.platform import _front
+from pimentomill.platform import _callers
+from pimentomill.platform._callers import Callers
 from pimentomill.platform._front import Front
 from pimentomill.standins import MemoryStore, MemoryWorkers
 from pimentomill.telemetry import CellMetrics
@@ -51,11 +52,11 @@
             SystemClock(),
             CellMetrics(),
         )
-        for module, name in ((_front, "DOUBT_AGE_MS"), (_intake, "OUTAGE_AGE_MS")):
+        for module, name in ((_callers, "DOUBT_AGE_MS"), (_intake, "OUTAGE_AGE_MS")):
             patched = mock.patch.object(module, name, LONG_MS - 1)
             patched.start()
             self.addCleanup(patched.stop)
-        self.front = Front(self.node)
+        self.front = Front(Callers(self.node))
         await self.front.start(*[("127.0.0.1", 0)] * 3)
         callers, readiness, metrics = (
             runner.addresses[0] for runner in self.front._runners
--- a/pimentomill/platform/tests/test_store.py
+++ b/pimentomill/platform/tests/test_store.py
@@ -11,9 +11,9 @@
     OutOfSequenceError,
     RecordsForgottenError,
 )
+from pimentomill.httpclient import HttpCaller
 from pimentomill.jobs import KeyedRecord
 from pimentomill.platform import _store
-from pimentomill.platform._http import HttpCaller
 from pimentomill.platform._store import PlatformStore, decode_slice, encode_keyed
 from pimentomill.replica import Writer
 from pimentomill.telemetry import CellMetrics
--- a/pimentomill/platform/tests/test_workers.py
+++ b/pimentomill/platform/tests/test_workers.py
@@ -4,8 +4,8 @@
 from pimentomill.dispatch.tests.samples import info
 from pimentomill.exceptions import ConflictError, FencedError, TransportError
 from pimentomill.fleet import EndKind, HoldOrder, StartOrder, StartOutcome
+from pimentomill.httpclient import HttpCaller
 from pimentomill.jobs import TaskKey
-from pimentomill.platform._http import HttpCaller
 from pimentomill.platform._workers import PlatformWorkers, decode_worker
 
 from .fake_wire import FakeWire
--- a/pimentomill/replica/__init__.py
+++ b/pimentomill/replica/__init__.py
@@ -1,6 +1,6 @@
 """Copies of the store's streams, and who leads by them."""
 
-from ._appender import GroupAppender, Relay
+from ._appender import AppendedHook, GroupAppender, Relay
 from ._follower import Follower, FollowerTiming
 from ._leases import LEADER_KEY, ElectionTiming, LeaderRecord, LeaderWatch
 from ._ports import Appended, NewestPage, RecordStore, Slice, Writer
@@ -8,6 +8,7 @@
 __all__ = [
     "LEADER_KEY",
     "Appended",
+    "AppendedHook",
     "ElectionTiming",
     "Follower",
     "FollowerTiming",
--- a/pimentomill/replica/_appender.py
+++ b/pimentomill/replica/_appender.py
@@ -9,9 +9,10 @@
 from ..utils import Clock, Instant
 from ._ports import RecordStore
 
-__all__ = ["GroupAppender"]
+__all__ = ["AppendedHook", "GroupAppender", "Relay"]
 
 Relay = Callable[[list[KeyedRecord]], Awaitable[None]]
+AppendedHook = Callable[[int, list[KeyedRecord]], None]
 
 MAX_BATCH_BYTES = 512 * 1024
 """Bytes of one append, a quarter of what the platform takes."""
@@ -58,6 +59,9 @@
     relay : callable, default=None
         Appends through another entry where this one has no answer or is turned
         away; raises `LogUnavailableError` or `AppendUnknownError`.
+    appended : callable, default=None
+        Called with the offset of the first record and the records once the store
+        has acknowledged them here.
     """
 
     def __init__(
@@ -66,11 +70,13 @@
         stream: str,
         clock: Clock,
         relay: Relay | None = None,
+        appended: AppendedHook | None = None,
     ) -> None:
         self.store = store
         self.stream = stream
         self.clock = clock
         self.relay = relay
+        self.appended = appended
         self._waiting: list[_Waiting] = []
         self._task: asyncio.Task | None = None
 
@@ -107,11 +113,14 @@
 
     async def _append(self, records: list[KeyedRecord]) -> None:
         try:
-            await self.store.append(self.stream, records)
+            done = await self.store.append(self.stream, records)
         except (LogUnavailableError, AppendUnknownError) as exc:
             if self.relay is None:
                 raise
             await self._append_elsewhere(records, exc)
+            return
+        if self.appended is not None:
+            self.appended(done.first, records)
 
     async def _append_elsewhere(
         self, records: list[KeyedRecord], exc: LogUnavailableError | AppendUnknownError
--- a/pimentomill/replica/tests/test_appender.py
+++ b/pimentomill/replica/tests/test_appender.py
@@ -25,6 +25,18 @@
         self.assertEqual(len(self.store.records("work")), 20)
         self.assertLessEqual(self.store.calls, 2)
 
+    async def test_acknowledged_records_are_told_with_their_offset(self):
+        told = []
+        self.appender.appended = lambda first, records: told.append(
+            (first, [record.key for record in records])
+        )
+        await self.put("a")
+        await asyncio.gather(self.put("b"), self.put("c"))
+        self.store.is_down = True
+        with self.assertRaises(LogUnavailableError):
+            await self.put("d")
+        self.assertEqual(told, [(0, ["a"]), (1, ["b", "c"])])
+
     async def test_a_lost_answer_is_settled_by_a_repeat(self):
         self.store.lose_answers = 1
         await self.put("a")
