--- a/pimentomill/dispatch/__init__.py
+++ b/pimentomill/dispatch/__init__.py
@@ -1,6 +1,14 @@
 """Which waiting work starts where: order, limits of teams, placement."""
 
-from ._order import LATE_FACTOR, chain_ms, is_in_time, objective_ms, order_key
+from ._order import (
+    LATE_FACTOR,
+    Prospect,
+    chain_ms,
+    is_in_time,
+    objective_ms,
+    order_key,
+    prospect,
+)
 from ._planner import Placement, Plan, Planner
 from ._preemption import choose_victims
 from ._quota import QuotaBook, ShareMeter
@@ -16,7 +24,9 @@
     "ShareMeter",
     "StepRun",
     "Ticket",
+    "Prospect",
     "chain_ms",
+    "prospect",
     "choose_victims",
     "is_in_time",
     "objective_ms",
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -7,6 +7,7 @@
 from ..fleet import Worker
 from ..jobs import StepKey, WorkerId
 from ..utils import ZERO, Instant, Resources, dominant_fraction
+from ._order import Prospect, prospect
 from ._quota import QuotaBook
 from ._state import StepRun
 
@@ -327,6 +328,8 @@
         """Keep workers free of later steps for tasks that take most of one."""
         if step.job.over_share or not _could_fit(step, rooms):
             return
+        if prospect(step, self.now) is Prospect.TOO_LATE:
+            return
         need = step.spec.reserved
         wide = []
         for room in rooms:
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -197,6 +197,9 @@
         Steps of the occurrences that are due.
     state : JobState
         State to be stored.
+    tails_ms : list of int
+        Declared milliseconds from the start of each step to the end of its job, by
+        the longest chain of steps that depend on it.
     """
 
     def __init__(self, accepted: Accepted, first_run: int, seen_at: Instant) -> None:
@@ -208,6 +211,7 @@
         self.next_occurrence = 0
         self.state = JobState.QUEUED
         self.over_share = False
+        self.tails_ms = _tails_ms(accepted.spec.steps)
         self.stored_steps: dict[tuple[int, int], StepProgress] = {}
 
     @property
@@ -252,3 +256,14 @@
     def _step_progress(self) -> tuple[StepProgress, ...]:
         found = (step.progress() for step in self.steps.values())
         return tuple(item for item in found if item is not None)
+
+
+def _tails_ms(specs: tuple[StepSpec, ...]) -> list[int]:
+    """Return the declared time from each step's start to the end of the job."""
+    after = [0] * len(specs)
+    tails = [0] * len(specs)
+    for number in reversed(range(len(specs))):
+        tails[number] = specs[number].estimate_ms + after[number]
+        for earlier in specs[number].depends_on:
+            after[earlier] = max(after[earlier], tails[number])
+    return tails
--- /dev/null
+++ b/pimentomill/dispatch/tests/test_order.py
@@ -0,0 +1,78 @@
+import unittest
+
+from pimentomill.dispatch import Prospect, objective_ms, order_key, prospect
+from pimentomill.dispatch.tests.samples import first_step, job_run, queue, step
+
+TASK_MS = 1000
+EVERY_MS = 600
+JOBS = 200
+
+
+def by_due_time(waiting, now):
+    """Order as if every job could still be in time."""
+    return (waiting.job.queue.priority, waiting.job.seen_at + objective_ms(waiting.job))
+
+
+class TestProspect(unittest.TestCase):
+    def test_the_steps_to_come_count(self):
+        specs = [
+            step(estimate_ms=500),
+            step(estimate_ms=2000, depends_on=(0,)),
+            step(estimate_ms=100),
+        ]
+        run = job_run(steps=specs, of=queue(stretch=2.0, target_ms=0))
+        self.assertEqual(run.tails_ms, [2500, 2000, 100])
+        first, _, alone = run.steps.values()
+        self.assertIs(prospect(first, 2500), Prospect.IN_TIME)
+        self.assertIs(prospect(first, 2501), Prospect.LATE)
+        self.assertIs(prospect(alone, 4900), Prospect.IN_TIME)
+        self.assertIs(prospect(first, 12_501), Prospect.TOO_LATE)
+
+    def test_work_that_lasts_is_never_too_late(self):
+        lasting = first_step(steps=[step(estimate_ms=10, long_running=True)])
+        self.assertIs(prospect(lasting, 10**9), Prospect.IN_TIME)
+
+
+class TestOrder(unittest.TestCase):
+    def test_what_can_reach_nothing_comes_after_less_urgent_work(self):
+        urgent = queue("u", priority=0, stretch=2.0, target_ms=0)
+        other = queue("o", priority=2, stretch=2.0, target_ms=0)
+        spec = step(estimate_ms=1000)
+        hopeless = first_step("a" * 16, [spec], of=urgent)
+        late = first_step("b" * 16, [spec], of=urgent, seen_at=3000)
+        beyond = first_step("c" * 16, [spec], of=urgent, seen_at=5500)
+        beyond.job.over_share = True
+        fresh = first_step("d" * 16, [spec], of=other, seen_at=5500)
+        order = sorted(
+            [hopeless, beyond, fresh, late], key=lambda s: order_key(s, 6000)
+        )
+        self.assertEqual([s.key.job[0] for s in order], ["b", "d", "c", "a"])
+
+
+class TestLongOverload(unittest.TestCase):
+    """Two thirds more work than there is room for, for two minutes, one priority."""
+
+    def in_time(self, key):
+        """Return how many jobs one place serves in time, in an order."""
+        arrivals = [number * EVERY_MS for number in range(JOBS)]
+        waiting, served, now = [], 0, 0
+        while arrivals or waiting:
+            while arrivals and arrivals[0] <= now:
+                at = arrivals.pop(0)
+                name = f"{at:016d}"
+                spec = [step(estimate_ms=TASK_MS)]
+                waiting.append(first_step(name, spec, seen_at=at))
+            if not waiting:
+                now = arrivals[0]
+                continue
+            chosen = min(waiting, key=lambda found: key(found, now))
+            waiting.remove(chosen)
+            now += TASK_MS
+            served += now - chosen.job.seen_at <= objective_ms(chosen.job)
+        return served
+
+    def test_room_is_not_spent_on_work_that_will_be_late(self):
+        naive = self.in_time(by_due_time)
+        served = self.in_time(order_key)
+        self.assertGreaterEqual(served, 5 * naive)
+        self.assertGreaterEqual(served, 0.95 * JOBS * EVERY_MS / TASK_MS)
