--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -68,8 +68,8 @@
 unfinished job is answered by a read of its own; the rest can wait."""
 LEAD_WAIT_MS = 800
 """Milliseconds for which the store may hold a read of the leader back."""
-LEAD_PAUSE_MS = 5
-"""Milliseconds between two reads of the leader."""
+LEAD_PAUSE_MS = 60
+"""Milliseconds between two reads of the leader; it is told of hand-ins directly."""
 FORWARD_AGE_MS = 1000
 """Age of a stream's copy above which callers are passed on to other entries; reads of
 the operators' settings prove them each 0.4 s."""
@@ -548,7 +548,6 @@
             leader.set_catalog(self.catalog_)
         self.leader_ = leader
         self.metrics.note_term()
-        # The leader reads the stream almost without a pause: each record may be work.
         usual = self.work.timing
         self.work.timing = FollowerTiming(LEAD_WAIT_MS, LEAD_PAUSE_MS)
         try:
