Tell a slow store from a lost leader; gather hand-ins while appends are slow

Change: the watch of the leader also says whether its appends are acknowledged. A leader that is heard and writes has 3 s, one that can't write or is silent 0.7 s, unknown 1.3 s. While appends usually take over 150 ms, entries send their records to the leader, which appends them together; relayed records are gathered there.

--- a/pimentomill/control/_scribe.py
+++ b/pimentomill/control/_scribe.py
@@ -63,6 +63,8 @@
         When the last append was answered.
     durable : asyncio.Event
         Set each time ends have become durable.
+    is_failing_ : bool
+        Whether the last append was not acknowledged.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self.clock = clock
         self.cfg = cfg
         self.written_at_ = clock.now()
+        self.is_failing_ = False
         self.durable = asyncio.Event()
         self.extra: list[KeyedRecord] = []
         self._wake = asyncio.Event()
@@ -162,8 +165,10 @@
                     raise FencedError(f"another leader writes: {exc}") from exc
                 break
             except (LogUnavailableError, AppendUnknownError) as exc:
+                self.is_failing_ = True
                 _log.warning("Append repeated", sequence=self.sequence, why=str(exc))
                 await asyncio.sleep(self.cfg.retry_ms / 1000)
+        self.is_failing_ = False
         self.sequence += 1
         self.written_at_ = self.clock.now()
 
--- a/pimentomill/links/_client.py
+++ b/pimentomill/links/_client.py
@@ -18,6 +18,7 @@
 from ..telemetry import PartLog
 from ..utils import JobId
 from ._messages import (
+    BEAT,
     AppendedRecords,
     CallerAnswer,
     CallerRequest,
@@ -135,7 +136,7 @@
         return _decode(address, reply, CallerAnswer)
 
     async def watch_life(
-        self, address: str, incarnation: str, on_beat: Callable[[], None]
+        self, address: str, incarnation: str, on_beat: Callable[[bool], None]
     ) -> LifeSign:
         """Watch a life of another entry until it ends or falls silent.
 
@@ -146,7 +147,7 @@
         incarnation : str
             Life to watch.
         on_beat : callable
-            Called at each sign of life.
+            Called at each sign of life with whether the entry can write.
 
         Returns
         -------
@@ -163,8 +164,8 @@
             async with self.http.session.get(url, timeout=limit) as resp:
                 if resp.status == 410:
                     return LifeSign.GONE
-                async for _ in resp.content.iter_any():
-                    on_beat()
+                async for beats in resp.content.iter_any():
+                    on_beat(beats.endswith(BEAT))
         except aiohttp.ClientConnectorError as exc:
             refused = isinstance(exc.os_error, ConnectionRefusedError)
             return LifeSign.GONE if refused else LifeSign.OPEN
--- a/pimentomill/links/_messages.py
+++ b/pimentomill/links/_messages.py
@@ -8,6 +8,8 @@
 from ..utils import JobId
 
 __all__ = [
+    "BEAT",
+    "TROUBLED_BEAT",
     "AppendedRecords",
     "CallerAnswer",
     "CallerRequest",
@@ -21,6 +23,11 @@
 ]
 
 
+BEAT = b"."
+TROUBLED_BEAT = b"!"
+"""Sign of life of an entry whose appends fail."""
+
+
 class Path(enum.StrEnum):
     """Where an entry takes the calls of others."""
 
--- a/pimentomill/links/_server.py
+++ b/pimentomill/links/_server.py
@@ -18,6 +18,8 @@
 from ..telemetry import PartLog
 from ..utils import JobId
 from ._messages import (
+    BEAT,
+    TROUBLED_BEAT,
     AppendedRecords,
     CallerAnswer,
     CallerRequest,
@@ -55,6 +57,9 @@
     def state_for(self, job: JobId) -> JobState | None:
         """Return a job's state; raises `StateUnavailableError` unless it leads."""
 
+    def is_writing(self) -> bool:
+        """Return whether what this entry appends is acknowledged."""
+
     async def answer_for(self, req: CallerRequest) -> CallerAnswer:
         """Answer a caller; raises `StateUnavailableError` if it can't help."""
 
@@ -151,7 +156,7 @@
         until = loop.time() + WATCH_S
         try:
             while loop.time() < until:
-                await resp.write(b".")
+                await resp.write(BEAT if self.services.is_writing() else TROUBLED_BEAT)
                 await asyncio.sleep(BEAT_S)
         except ConnectionError as exc:
             _log.info("Watch left", peer=req.remote, why=str(exc))
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -39,8 +39,10 @@
     ElectionTiming,
     Follower,
     FollowerTiming,
+    GroupAppender,
     LeaderRecord,
     LeaderWatch,
+    LinkView,
     RecordStore,
     Writer,
 )
@@ -56,6 +58,8 @@
 RULES_KEY = "config"
 FIRST_SEQUENCE_SPAN = 1 << 30
 """Range of a claim's first sequence number: two claims must not look alike."""
+RELAYED_APPEND_MS = 1000
+"""Milliseconds for an append for another entry, which waits for 1.2 s."""
 RELAY_TRIES = 2
 """Entries through which an append is tried."""
 MEMBER_INTERVAL_MS = 2500
@@ -104,6 +108,9 @@
     silence_cut_off_ms : int
         The same for a leader that is not heard on the direct link either; it is
         longer than a sign of the leader and a read of it take.
+    silence_heard_ms : int
+        The same for a leader that says on the direct link that it is well; its
+        signs take up to 1.7 s to be read where the store is slow.
     stagger_ms : int
         Milliseconds between two candidates.
     """
@@ -114,6 +121,7 @@
     ready_age_ms: int = 1500
     silence_ms: int = 1300
     silence_cut_off_ms: int = 700
+    silence_heard_ms: int = 3000
     stagger_ms: int = 30
 
 
@@ -177,11 +185,19 @@
         self.leader_: Leader | None = None
         self.is_stopping_ = False
         self.table = JobTable()
-        timing = ElectionTiming(cfg.silence_ms, cfg.silence_cut_off_ms, cfg.stagger_ms)
+        timing = ElectionTiming(
+            cfg.silence_ms,
+            cfg.silence_cut_off_ms,
+            cfg.silence_heard_ms,
+            cfg.stagger_ms,
+        )
         self.watch = LeaderWatch(self.incarnation, clock, timing)
         self.members = Members(cfg.node, clock)
         self.forwarder = Forwarder(self.members, links, clock)
         self._version_used = -1
+        self._relayed = GroupAppender(
+            store, WORK_STREAM, clock, appended=self._tell_appended
+        )
         self._notices: set[asyncio.Task] = set()
         self._fleet: list[WorkerInfo] = []
         self._claims: dict[int, int] = {}
@@ -407,12 +423,16 @@
         """Append records that another entry can't append itself."""
         if self.intake.is_store_lost():
             raise LogUnavailableError("the store is out of reach here too")
-        done = await self.store.append(WORK_STREAM, records)
-        self._tell_appended(done.first, records)
+        deadline = Instant(self.clock.now() + RELAYED_APPEND_MS)
+        await self._relayed.append_all(records, deadline)
 
     async def _relay(self, records: list[KeyedRecord]) -> None:
-        """Append through entries that showed themselves lately, one after another."""
-        for member in self.members.others_by_recency()[:RELAY_TRIES]:
+        """Append through the leader or another entry that showed itself lately."""
+        record = self.watch.record_
+        leader = record.node if record is not None else ""
+        others = self.members.others_by_recency()
+        others.sort(key=lambda member: member.node != leader)
+        for member in others[:RELAY_TRIES]:
             try:
                 await self.links.append(member.address, records)
                 return
@@ -474,15 +494,25 @@
     async def _watch_life(self, record: LeaderRecord, address: str) -> None:
         life = record.incarnation
         sign = await self.links.watch_life(
-            address, life, lambda: self.watch.note_link(life, False)
+            address, life, lambda writes: self._note_beat(life, writes)
         )
         if sign is LifeSign.GONE:
             self.watch.note_gone(life)
         elif sign is LifeSign.SILENT:
-            self.watch.note_link(life, True)
+            self.watch.note_link(life, LinkView.SILENT)
+        else:
+            self.watch.note_link(life, LinkView.UNKNOWN)
         if sign is not LifeSign.OPEN:
             _log.info("Leader not heard", leader=record.node, sign=sign.value)
 
+    def _note_beat(self, life: str, writes: bool) -> None:
+        view = LinkView.WELL if writes else LinkView.NOT_WRITING
+        self.watch.note_link(life, view)
+
+    def is_writing(self) -> bool:
+        """Return whether what this entry appends as the leader is acknowledged."""
+        return self.leader_ is None or not self.leader_.scribe.is_failing_
+
     async def _elect(self) -> None:
         while True:
             await asyncio.sleep(ELECTION_TICK_MS / 1000)
--- a/pimentomill/platform/_callers.py
+++ b/pimentomill/platform/_callers.py
@@ -64,6 +64,10 @@
         """Return a job's state to another entry."""
         return self.node.state_for(job)
 
+    def is_writing(self):
+        """Return whether what this entry appends is acknowledged."""
+        return self.node.is_writing()
+
     async def answer_for(self, req: CallerRequest) -> CallerAnswer:
         """Answer a caller of an entry that can't reach the store.
 
--- a/pimentomill/replica/__init__.py
+++ b/pimentomill/replica/__init__.py
@@ -3,7 +3,7 @@
 from ._appender import AppendedHook, GroupAppender, Relay
 from ._follower import Follower, FollowerTiming
 from ._hedge import Hedge
-from ._leases import LEADER_KEY, ElectionTiming, LeaderRecord, LeaderWatch
+from ._leases import LEADER_KEY, ElectionTiming, LeaderRecord, LeaderWatch, LinkView
 from ._ports import Appended, NewestPage, RecordStore, Slice, Writer
 
 __all__ = [
@@ -17,6 +17,7 @@
     "Hedge",
     "LeaderRecord",
     "LeaderWatch",
+    "LinkView",
     "NewestPage",
     "RecordStore",
     "Relay",
--- a/pimentomill/replica/_appender.py
+++ b/pimentomill/replica/_appender.py
@@ -82,6 +82,10 @@
         self._waiting: list[_Waiting] = []
         self._task: asyncio.Task | None = None
 
+    async def append_all(self, records: list[KeyedRecord], deadline: Instant) -> None:
+        """Append records with others that wait; see `append`."""
+        await asyncio.gather(*(self.append(record, deadline) for record in records))
+
     async def append(self, record: KeyedRecord, deadline: Instant) -> None:
         """Append a record with others that wait.
 
@@ -126,6 +130,13 @@
             await self.relay(records)
             _log.info("Appended through another entry", records=len(records))
 
+        if self.relay is not None and self.hedge.is_slow():
+            # One entry gathers the records of all, so that fewer appends queue up.
+            try:
+                await self.hedge.timed(second)
+                return
+            except LogUnavailableError as exc:
+                _log.info("No other entry gathers", why=str(exc))
         try:
             await self.hedge.run(lambda: self._append_here(records), second)
         except (LogUnavailableError, AppendUnknownError) as exc:
--- a/pimentomill/replica/_hedge.py
+++ b/pimentomill/replica/_hedge.py
@@ -5,7 +5,7 @@
 from typing import TypeVar
 
 from ..exceptions import AppendUnknownError, LogUnavailableError
-from ..utils import Clock
+from ..utils import Clock, Instant
 
 __all__ = ["Hedge"]
 
@@ -16,6 +16,8 @@
 """Multiple of the usual time after which the second try starts."""
 MIN_DELAY_MS = 60.0
 """Shortest time before it, above the spread of a store that is well."""
+SLOW_MS = 150.0
+"""Usual time from which the store counts as slow; it is below 20 where it is well."""
 SMOOTHING = 0.2
 """Weight of the newest time in the usual one."""
 
@@ -72,10 +74,25 @@
             await self._settle(tries)
         finally:
             self._leave(tries)
-            took = self.clock.now() - began
-            self.usual_ms_ += SMOOTHING * (took - self.usual_ms_)
+            self._note(began)
         return _outcome(tries)
 
+    def is_slow(self) -> bool:
+        """Return whether appends usually take long."""
+        return self.usual_ms_ >= SLOW_MS
+
+    async def timed(self, only: Callable[[], Awaitable[T]]) -> T:
+        """Run one try and let its time count."""
+        began = self.clock.now()
+        try:
+            return await only()
+        finally:
+            self._note(began)
+
+    def _note(self, began: Instant) -> None:
+        took = self.clock.now() - began
+        self.usual_ms_ += SMOOTHING * (took - self.usual_ms_)
+
     @staticmethod
     async def _settle(tries: list[asyncio.Task]) -> None:
         """Wait until one try has succeeded or all have failed."""
--- a/pimentomill/replica/_leases.py
+++ b/pimentomill/replica/_leases.py
@@ -1,5 +1,6 @@
 """Who leads the cell, by replay of the store's records."""
 
+import enum
 from collections.abc import Iterable
 
 import msgspec
@@ -7,7 +8,13 @@
 from ..telemetry import PartLog
 from ..utils import Clock, Epoch, Instant, stable_hash
 
-__all__ = ["LEADER_KEY", "ElectionTiming", "LeaderRecord", "LeaderWatch"]
+__all__ = [
+    "LEADER_KEY",
+    "ElectionTiming",
+    "LeaderRecord",
+    "LeaderWatch",
+    "LinkView",
+]
 
 LEADER_KEY = "leader"
 OUTAGE_MS = 700
@@ -16,6 +23,15 @@
 _log = PartLog("election")
 
 
+class LinkView(enum.Enum):
+    """What the direct link to a leader tells of it."""
+
+    UNKNOWN = "unknown"
+    WELL = "well"
+    NOT_WRITING = "not writing"
+    SILENT = "silent"
+
+
 class LeaderRecord(msgspec.Struct, frozen=True):
     """A leader shows that it lives, or that it resigns.
 
@@ -45,15 +61,23 @@
     silence_ms : int
         Milliseconds without a sign of the leader after which it is replaced.
     silence_cut_off_ms : int
-        The same for a leader that is silent on the direct link as well.
+        The same for a leader that is silent on the direct link as well, or says
+        there that it can't write.
+    silence_heard_ms : int
+        The same for a leader that says there that it is well: its signs are slow.
     stagger_ms : int
         Milliseconds between two candidates, so that one is ahead of the others.
     """
 
     def __init__(
-        self, silence_ms: int, silence_cut_off_ms: int, stagger_ms: int
+        self,
+        silence_ms: int,
+        silence_cut_off_ms: int,
+        silence_heard_ms: int,
+        stagger_ms: int,
     ) -> None:
         self.silence_ms = silence_ms
+        self.silence_heard_ms = silence_heard_ms
         self.silence_cut_off_ms = silence_cut_off_ms
         self.stagger_ms = stagger_ms
 
@@ -85,7 +109,7 @@
         self.record_: LeaderRecord | None = None
         self.seen_at_ = clock.now()
         self._gone = ""
-        self._cut_off = ""
+        self._link = ("", LinkView.UNKNOWN)
         self._proven_at = clock.now()
 
     @property
@@ -129,15 +153,12 @@
         """Take in that a life of an entry has ended."""
         self._gone = incarnation
 
-    def note_link(self, incarnation: str, is_silent: bool) -> None:
-        """Take in whether a life of an entry is heard on the direct link.
+    def note_link(self, incarnation: str, view: LinkView) -> None:
+        """Take in what the direct link tells of a life of an entry.
 
         Silence there proves nothing by itself: the link alone may be cut.
         """
-        if is_silent:
-            self._cut_off = incarnation
-        elif self._cut_off == incarnation:
-            self._cut_off = ""
+        self._link = (incarnation, view)
 
     def claim_due(self, proven_at: Instant, others: Iterable[str] = ()) -> bool:
         """Return whether this process should try to take over now.
@@ -170,9 +191,12 @@
         self._proven_at = proven_at
 
     def _silence_ms(self, record: LeaderRecord) -> int:
-        if record.incarnation == self._cut_off:
-            return self.timing.silence_cut_off_ms
-        return self.timing.silence_ms
+        incarnation, view = self._link
+        if incarnation != record.incarnation or view is LinkView.UNKNOWN:
+            return self.timing.silence_ms
+        if view is LinkView.WELL:
+            return self.timing.silence_heard_ms
+        return self.timing.silence_cut_off_ms
 
     def _rank(self, others: Iterable[str]) -> int:
         """Return how many entries are ahead of this one as candidates."""
--- a/pimentomill/replica/tests/test_appender.py
+++ b/pimentomill/replica/tests/test_appender.py
@@ -73,6 +73,22 @@
         await self.put("a")
         self.assertEqual([record.key for record in relayed], ["a"])
 
+    async def test_one_entry_gathers_all_records_while_the_store_is_slow(self):
+        relayed = []
+
+        async def relay(records):
+            relayed.extend(records)
+
+        self.appender.relay = relay
+        self.appender.hedge.usual_ms_ = 500.0
+        await self.put("a")
+        self.assertEqual([record.key for record in relayed], ["a"])
+        self.assertEqual(self.store.calls, 0)
+        while self.appender.hedge.is_slow():
+            await self.put("b")
+        await self.put("c")
+        self.assertEqual(self.store.calls, 1)
+
     async def test_a_lost_answer_stays_unknown_if_no_other_entry_can_append(self):
         async def relay(records):
             raise LogUnavailableError("no other entry")
