Give the election a part of its own; forget finished jobs with their records

Candidate watches the leader and claims; tests of it without network. CellBook.finished grew for a leader's whole term: it is cleared when the store drops a job's records (test fails before).

--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -138,7 +138,11 @@
         inherited : bool
             Whether an earlier leader may have started tasks of it.
         """
-        if entry is None or entry.accepted_ is None or job_id in self.finished:
+        if entry is None or entry.accepted_ is None:
+            # Its records have been dropped, long after its end.
+            self.finished.discard(job_id)
+            return
+        if job_id in self.finished:
             return
         job = self.jobs.get(job_id)
         if job is None:
--- a/pimentomill/control/tests/test_book.py
+++ b/pimentomill/control/tests/test_book.py
@@ -124,6 +124,17 @@
         self.end(attempt, EndKind.STOPPED)
         self.assertNotIn(attempt.task, attempt.worker.attempts)
 
+    def test_a_finished_job_is_remembered_only_until_its_records_are_dropped(self):
+        job = self.hand_in([step()])
+        self.end(self.start(job), EndKind.DONE)
+        self.book.take_dirty()
+        self.assertEqual(self.book.finished, {JOB})
+        self.book.sync_job(JOB, self.table.find(JOB), False)
+        self.assertEqual(self.book.jobs, {})
+        self.table.apply(accepted_key(JOB), b"")
+        self.book.sync_job(JOB, self.table.find(JOB), False)
+        self.assertEqual(self.book.finished, set())
+
     def test_an_occurrence_opens_when_it_is_due(self):
         self.hand_in([step()], occurrences=2, first_due_ms=1500, interval_ms=1000)
         self.book.open_due()
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -9,7 +9,6 @@
 from ..catalog import Catalog
 from ..control import (
     FLEET_KEY,
-    LEADER_WRITER,
     WORK_STREAM,
     AdviceDesk,
     AdvicePort,
@@ -18,9 +17,7 @@
 )
 from ..exceptions import (
     AppendUnknownError,
-    FencedError,
     LogUnavailableError,
-    OutOfSequenceError,
     StateUnavailableError,
     TransportError,
 )
@@ -31,7 +28,6 @@
     CallerAnswer,
     CallerRequest,
     EntryLinks,
-    LifeSign,
     RemoteAdvisor,
 )
 from ..replica import (
@@ -42,12 +38,11 @@
     GroupAppender,
     LeaderRecord,
     LeaderWatch,
-    LinkView,
     RecordStore,
-    Writer,
 )
 from ..telemetry import CellMetrics, PartLog
 from ..utils import Clock, Epoch, Instant, JobId
+from ._election import Candidate
 from ._forwarding import Forwarder
 from ._members import Members
 from ._records import MEMBER_PREFIX, MemberRecord, member_key
@@ -56,8 +51,6 @@
 
 RULES_STREAM = "rules"
 RULES_KEY = "config"
-FIRST_SEQUENCE_SPAN = 1 << 30
-"""Range of a claim's first sequence number: two claims must not look alike."""
 RELAYED_APPEND_MS = 1000
 """Milliseconds for an append for another entry, which waits for 1.2 s."""
 GATHER_MS = 2000
@@ -82,12 +75,6 @@
 prove the operators' settings each 0.4 s, each 1 s where the store is slow for all."""
 NOTICES = 16
 """Notices to the leader under way at once; more are left to the stream."""
-ELECTION_TICK_MS = 60
-"""Milliseconds between two looks at the leader."""
-WATCH_RETRY_MS = 150
-"""Milliseconds between two watches of a leader that end at once."""
-CLAIM_WAIT_MS = 1500
-"""Milliseconds to wait until a claim shows in the replay."""
 
 _log = PartLog("node")
 
@@ -203,8 +190,6 @@
         )
         self._notices: set[asyncio.Task] = set()
         self._fleet: list[WorkerInfo] = []
-        self._claims: dict[int, int] = {}
-        self._led_epoch = 0
         self.rules = Follower(
             store,
             RULES_STREAM,
@@ -221,6 +206,17 @@
             clock,
             FollowerTiming(wait_ms=0, pause_ms=FOLLOW_PAUSE_MS),
         )
+        self._candidate = Candidate(
+            LeaderRecord(Epoch(0), cfg.node, self.incarnation),
+            store,
+            self.work,
+            self.watch,
+            self.members,
+            links,
+            clock,
+            self._may_stand,
+            self._lead,
+        )
         self.intake = Intake(
             store,
             WORK_STREAM,
@@ -460,8 +456,7 @@
             self.rules.run(),
             self.work.run(),
             self._announce(),
-            self._elect(),
-            self._watch_leader(),
+            self._candidate.run(),
         )
 
     async def stop(self) -> None:
@@ -485,93 +480,20 @@
                 _log.warning("Sign not written", why=str(exc))
             await asyncio.sleep(MEMBER_INTERVAL_MS / 1000)
 
-    async def _watch_leader(self) -> None:
-        """Notice at once when the leader's process has ended, or falls silent."""
-        while True:
-            await asyncio.sleep(ELECTION_TICK_MS / 1000)
-            record = self.watch.record_
-            if record is None or record.incarnation == self.incarnation:
-                continue
-            if record.node == self.cfg.node:
-                self.watch.note_gone(record.incarnation)
-                continue
-            address = self.members.address_of(record.node)
-            if address is None or record.resigned:
-                continue
-            began = self.clock.now()
-            await self._watch_life(record, address)
-            if self.clock.now() - began < WATCH_RETRY_MS:
-                await asyncio.sleep(WATCH_RETRY_MS / 1000)
-
-    async def _watch_life(self, record: LeaderRecord, address: str) -> None:
-        life = record.incarnation
-        sign = await self.links.watch_life(
-            address, life, lambda writes: self._note_beat(life, writes)
-        )
-        if sign is LifeSign.GONE:
-            self.watch.note_gone(life)
-        elif sign is LifeSign.SILENT:
-            self.watch.note_link(life, LinkView.SILENT)
-        else:
-            self.watch.note_link(life, LinkView.UNKNOWN)
-        if sign is not LifeSign.OPEN:
-            _log.info("Leader not heard", leader=record.node, sign=sign.value)
-
-    def _note_beat(self, life: str, writes: bool) -> None:
-        view = LinkView.WELL if writes else LinkView.NOT_WRITING
-        self.watch.note_link(life, view)
-
     def is_writing(self) -> bool:
         """Return whether what this entry appends as the leader is acknowledged."""
         return self.leader_ is None or not self.leader_.scribe.is_failing_
 
-    async def _elect(self) -> None:
-        while True:
-            await asyncio.sleep(ELECTION_TICK_MS / 1000)
-            if self.work.offset_ is None or self.catalog_ is None or self.is_stopping_:
-                continue
-            epoch = self.watch.epoch
-            if self.watch.is_led_by_me() and epoch > self._led_epoch:
-                await self._lead(epoch)
-            elif self.watch.claim_due(
-                self.work.proven_at_,
-                (member.incarnation for member in self.members.live_others()),
-            ):
-                await self._claim(Epoch(epoch + 1))
-
-    async def _claim(self, epoch: Epoch) -> None:
-        """Try to become the leader of an epoch."""
-        # A claim whose answer was lost is repeated as it was, so that the store
-        # knows it again.
-        sequence = self._claims.setdefault(
-            epoch, secrets.randbelow(FIRST_SEQUENCE_SPAN)
+    def _may_stand(self) -> bool:
+        """Return whether this entry could lead now."""
+        return (
+            self.work.offset_ is not None
+            and self.catalog_ is not None
+            and not self.is_stopping_
         )
-        record = LeaderRecord(epoch, self.cfg.node, self.incarnation)
-        _log.info("Claims", epoch=epoch, silent_ms=self._silent_ms())
-        try:
-            await self.store.append(
-                WORK_STREAM,
-                [KeyedRecord(LEADER_KEY, msgspec.msgpack.encode(record))],
-                Writer(LEADER_WRITER, epoch, sequence),
-            )
-        except (FencedError, OutOfSequenceError) as exc:
-            _log.info("Claim lost", epoch=epoch, why=str(exc))
-        except LogUnavailableError as exc:
-            _log.warning("Claim not made", epoch=epoch, why=str(exc))
-            return
-        except AppendUnknownError as exc:
-            _log.warning("Claim in doubt", epoch=epoch, why=str(exc))
-        deadline = Instant(self.clock.now() + CLAIM_WAIT_MS)
-        await self.work.wait_current(deadline)
-
-    def _silent_ms(self) -> int:
-        return self.clock.now() - self.watch.seen_at_
-
-    async def _lead(self, epoch: Epoch) -> None:
-        self._led_epoch = epoch
-        sequence = self._claims.get(epoch)
-        if sequence is None:
-            return
+
+    async def _lead(self, epoch: Epoch, sequence: int) -> None:
+        """Lead under an epoch; the claim had this sequence number."""
         desk = AdviceDesk(self.clock, self.control.advice_margin_ms, self.metrics)
         self._set_ports(desk)
         leader = Leader(
--- /dev/null
+++ b/pimentomill/node/tests/test_election.py
@@ -0,0 +1,117 @@
+import asyncio
+import unittest
+from unittest import mock
+
+from pimentomill.links import LifeSign
+from pimentomill.node import Members
+from pimentomill.node import _election as election
+from pimentomill.replica import (
+    LEADER_KEY,
+    ElectionTiming,
+    Follower,
+    FollowerTiming,
+    LeaderRecord,
+    LeaderWatch,
+)
+from pimentomill.standins import MemoryStore
+from pimentomill.utils import SystemClock
+
+LIMIT_S = 30.0
+
+
+class FakeLinks:
+    def __init__(self):
+        self.sign = LifeSign.OPEN
+
+    async def watch_life(self, address, incarnation, on_beat):
+        return self.sign
+
+
+class Entry:
+    """A candidate with a replay of its own."""
+
+    def __init__(self, name, store):
+        clock = SystemClock()
+        self.name = name
+        self.led = []
+        self.stands = True
+        self.watch = LeaderWatch(
+            f"life-{name}", clock, ElectionTiming(60_000, 60_000, 60_000, 1)
+        )
+        self.work = Follower(
+            store, "work", self.apply, lambda: None, clock, FollowerTiming(0, 5, 5)
+        )
+        self.candidate = election.Candidate(
+            LeaderRecord(0, name, f"life-{name}"),
+            store,
+            self.work,
+            self.watch,
+            Members(name, clock),
+            FakeLinks(),
+            clock,
+            lambda: self.stands and self.work.offset_ is not None,
+            self.lead,
+        )
+
+    def apply(self, record):
+        if record.key == LEADER_KEY:
+            self.watch.apply(record.value)
+
+    async def lead(self, epoch, sequence):
+        self.led.append(epoch)
+        await asyncio.sleep(LIMIT_S)
+
+    def run(self):
+        return [
+            asyncio.ensure_future(loop)
+            for loop in (self.work.run(), self.candidate.run())
+        ]
+
+
+class TestCandidate(unittest.IsolatedAsyncioTestCase):
+    """Several entries start, and the one that leads ends later."""
+
+    def setUp(self):
+        quick = mock.patch.object(election, "ELECTION_TICK_MS", 5)
+        quick.start()
+        self.addCleanup(quick.stop)
+        self.store = MemoryStore()
+        self.entries = [Entry(name, self.store) for name in "abc"]
+        self.tasks = []
+
+    async def asyncTearDown(self):
+        for task in self.tasks:
+            task.cancel()
+
+    async def until(self, condition):
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    def leaders(self):
+        return [entry for entry in self.entries if entry.led]
+
+    async def test_one_of_several_leads(self):
+        for entry in self.entries:
+            self.tasks += entry.run()
+        await self.until(lambda: self.leaders())
+        await self.until(lambda: all(entry.watch.epoch for entry in self.entries))
+        self.assertEqual([entry.led for entry in self.leaders()], [[1]])
+
+    async def test_a_leader_whose_process_has_ended_is_replaced(self):
+        for entry in self.entries:
+            self.tasks += entry.run()
+        await self.until(lambda: self.leaders())
+        gone = self.leaders()[0]
+        others = [entry for entry in self.entries if entry is not gone]
+        for entry in others:
+            entry.watch.note_gone(f"life-{gone.name}")
+        await self.until(lambda: any(entry.led for entry in others))
+        self.assertEqual([entry.led for entry in others if entry.led], [[2]])
+
+    async def test_an_entry_that_may_not_stand_claims_nothing(self):
+        self.entries[0].stands = False
+        self.tasks += self.entries[0].run()
+        await self.until(lambda: self.entries[0].work.offset_ is not None)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.store.records("work"), [])
