--- a/pimentomill/node/_forwarding.py
+++ b/pimentomill/node/_forwarding.py
@@ -60,6 +60,7 @@
                 self._note_unhelpful(address, exc)
                 continue
             self._helper = address
+            self._note_passed(req, address, answer)
             if in_doubt and answer.status in REFUSED:
                 break
             return answer
@@ -78,6 +79,19 @@
         usable.sort(key=lambda address: address != self._helper)
         return usable[:TRIES]
 
+    @staticmethod
+    def _note_passed(req: CallerRequest, address: str, answer: CallerAnswer) -> None:
+        if req.method == "GET" and answer.status == 200:
+            return
+        _log.info(
+            "Request passed on",
+            method=req.method,
+            path=req.path,
+            entry=address,
+            status=answer.status,
+            version=answer.version,
+        )
+
     def _note_unhelpful(self, address: str, exc: Exception) -> None:
         self._rest_until[address] = Instant(self.clock.now() + REST_MS)
         _log.warning("Entry can't help", address=address, why=str(exc))
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -73,6 +73,9 @@
 FORWARD_AGE_MS = 1600
 """Age of a stream's copy above which callers are passed on to other entries. Reads
 prove the operators' settings each 0.4 s, each 1 s where the store is slow for all."""
+LEADER_REST_MS = 200
+"""Milliseconds for which a leader that did not tell is not asked: a takeover takes
+about as long, and the stream is read meanwhile."""
 NOTICES = 16
 """Notices to the leader under way at once; more are left to the stream."""
 
@@ -185,6 +188,7 @@
         self.members = Members(cfg.node, clock)
         self.forwarder = Forwarder(self.members, links, clock)
         self._version_used = -1
+        self._ask_from = clock.now()
         self._relayed = GroupAppender(
             store, WORK_STREAM, clock, appended=self._tell_appended
         )
@@ -348,11 +352,12 @@
             return entry.state if entry is not None else None
         record = self.watch.record_
         address = self.members.address_of(record.node) if record is not None else None
-        if address is None:
+        if address is None or self.clock.now() < self._ask_from:
             return None
         try:
             return await self.links.state(address, job)
         except TransportError as exc:
+            self._ask_from = Instant(self.clock.now() + LEADER_REST_MS)
             _log.info("Leader does not tell", job=job, why=str(exc))
             return None
 
--- a/pimentomill/node/tests/test_node.py
+++ b/pimentomill/node/tests/test_node.py
@@ -87,6 +87,10 @@
         self.assertIs(await self.node._ask_leader(JOB), JobState.RUNNING)
         self.links.state_ = None
         self.assertIsNone(await self.node._ask_leader(JOB))
+        self.links.state_ = JobState.RUNNING
+        self.assertIsNone(await self.node._ask_leader(JOB))
+        self.node.clock.advance(200)
+        self.assertIs(await self.node._ask_leader(JOB), JobState.RUNNING)
 
     def test_only_a_leader_tells_of_jobs(self):
         with self.assertRaises(StateUnavailableError):
