Let a replaced leader learn of no job accepted after its successor's claim

The successor starts jobs accepted after its claim at once. Change: Follower.push applies a record only once all before it are known, in the order of the stream, and advances the replay; reads skip what was applied. Entries tell of their signs as well, so that few gaps wait for a read. Tests fail before: test_node (replaced leader), test_follower.

--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -305,8 +305,9 @@
     def note_appended(self, first: int, records: list[KeyedRecord]) -> None:
         """Take in records that the store has acknowledged.
 
-        A record that the stream has already brought is left out: its key may have
-        been dropped since.
+        They wait until all records before them are known. So a leader that has been
+        replaced, and can't read that, learns of no job that was accepted later; its
+        successor starts such a job without asking what runs.
 
         Parameters
         ----------
@@ -315,13 +316,7 @@
         records : list of KeyedRecord
             Records at successive offsets.
         """
-        reached = self.work.offset_
-        if reached is None:
-            return
-        for record in records[max(0, reached - first) :]:
-            job = self.table.apply(record.key, record.value)
-            if job is not None and self.leader_ is not None:
-                self.leader_.note_job(job)
+        self.work.push(first, records)
 
     def _tell_appended(self, first: int, records: list[KeyedRecord]) -> None:
         """Take in what this entry has appended, and let the leader know at once."""
@@ -479,8 +474,9 @@
         value = msgspec.msgpack.encode(member)
         while not self.is_stopping_:
             try:
-                record = KeyedRecord(member_key(self.cfg.node), value)
-                await self.store.append(WORK_STREAM, [record])
+                records = [KeyedRecord(member_key(self.cfg.node), value)]
+                done = await self.store.append(WORK_STREAM, records)
+                self._tell_appended(done.first, records)
             except (LogUnavailableError, AppendUnknownError) as exc:
                 _log.warning("Sign not written", why=str(exc))
             await asyncio.sleep(MEMBER_INTERVAL_MS / 1000)
--- a/pimentomill/node/tests/test_node.py
+++ b/pimentomill/node/tests/test_node.py
@@ -69,9 +69,13 @@
         self.node.note_appended(4, [self.record])
         self.assertIsNone(self.node.table.find(JOB))
 
-    def test_the_first_records_of_a_batch_may_be_known_already(self):
-        other = KeyedRecord("x", b"1")
-        self.node.note_appended(4, [other, self.record])
+    def test_a_replaced_leader_learns_of_no_job_accepted_after_the_claim(self):
+        """The claim lies at an offset that this entry has not read."""
+        self.node.note_appended(6, [self.record])
+        self.assertIsNone(self.node.table.find(JOB))
+        claim = msgspec.msgpack.encode(LeaderRecord(2, "n3", "life-3"))
+        self.node.note_appended(5, [KeyedRecord(LEADER_KEY, claim)])
+        self.assertEqual(self.node.watch.epoch, 2)
         self.assertIsNotNone(self.node.table.find(JOB))
 
     async def test_the_leader_is_told_of_what_was_appended(self):
--- a/pimentomill/replica/_follower.py
+++ b/pimentomill/replica/_follower.py
@@ -11,6 +11,9 @@
 
 __all__ = ["Follower", "FollowerTiming"]
 
+MAX_AHEAD = 2000
+"""Records that are kept until those before them are known; a read brings them within
+a second, and a leader takes in some hundred a second."""
 NEVER = Instant(-(10**12))
 
 _log = PartLog("replica")
@@ -89,6 +92,7 @@
         self._wake = asyncio.Event()
         self._progress = asyncio.Condition()
         self._fresh_wanted = False
+        self._ahead: dict[int, KeyedRecord] = {}
 
     def age_ms(self) -> int:
         """Return for how long the state has not been proven current."""
@@ -124,13 +128,13 @@
         self._fresh_wanted = False
         began = self.clock.now()
         self._listening = wait_ms > 0
+        first = self.offset_
         try:
-            part = await self.store.read(self.stream, self.offset_, wait_ms)
+            part = await self.store.read(self.stream, first, wait_ms)
         finally:
             self._listening = False
-        for record in part.records:
-            self.apply(record)
-        self.offset_ = part.next_offset
+        self._apply_from(first, part.records)
+        self._apply_ahead()
         if self.offset_ >= part.end:
             self.proven_at_ = began
         await self._announce(bool(part.records))
@@ -138,6 +142,40 @@
         if self.offset_ >= part.end and not waited:
             await self._pause()
 
+    def push(self, first: int, records: list[KeyedRecord]) -> None:
+        """Take in records that the store has acknowledged before a read brings them.
+
+        A record is applied only once all before it are known, so that the state is
+        always one that the stream had: what another leader has written in between
+        is never skipped.
+
+        Parameters
+        ----------
+        first : int
+            Offset of the first record.
+        records : list of KeyedRecord
+            Records at successive offsets.
+        """
+        if self.offset_ is None or len(self._ahead) > MAX_AHEAD:
+            return
+        self._ahead.update(enumerate(records, first))
+        self._apply_ahead()
+
+    def _apply_from(self, first: int, records: list[KeyedRecord]) -> None:
+        """Apply records from an offset on, but for those that have been applied."""
+        for offset, record in enumerate(records, first):
+            if offset == self.offset_:
+                self.offset_ = offset + 1
+                self.apply(record)
+
+    def _apply_ahead(self) -> None:
+        """Apply the pushed records that follow without a gap."""
+        while (record := self._ahead.pop(self.offset_, None)) is not None:
+            self.offset_ += 1
+            self.apply(record)
+        for offset in [key for key in self._ahead if key < self.offset_]:
+            del self._ahead[offset]
+
     async def _pause(self) -> None:
         """Let records gather, unless somebody waits for the newest state."""
         if self.timing.pause_ms <= 0 or self._fresh_wanted:
@@ -158,6 +196,7 @@
                 break
             page = await self.store.newest(self.stream, page.more_after)
         self.offset_ = start
+        self._apply_ahead()
         # Pages are no snapshot: the state is current only once the records that
         # came while they were read have been replayed.
         if start >= page.end:
--- a/pimentomill/replica/tests/test_follower.py
+++ b/pimentomill/replica/tests/test_follower.py
@@ -76,3 +76,58 @@
         self.assertFalse(await self.current(wait_ms=60))
         self.assertFalse(self.follower.is_reachable_)
         self.assertGreater(self.follower.age_ms(), 50)
+
+
+class TestPush(unittest.IsolatedAsyncioTestCase):
+    """Entries tell of records while reads of the stream lag behind."""
+
+    def setUp(self):
+        self.store = MemoryStore()
+        self.seen = []
+        self.follower = Follower(
+            self.store,
+            "work",
+            lambda record: self.seen.append(record.key),
+            lambda: None,
+            ManualClock(),
+            FollowerTiming(wait_ms=0, pause_ms=0),
+        )
+        self.follower.offset_ = 0
+
+    def push(self, first, keys):
+        self.follower.push(first, [KeyedRecord(key, b"1") for key in keys])
+
+    async def test_records_are_applied_once_and_in_the_order_of_the_stream(self):
+        await self.store.append("work", [KeyedRecord(key, b"1") for key in "abcd"])
+        self.push(2, "c")
+        self.push(0, "ab")
+        self.push(1, "b")
+        self.assertEqual(self.seen, ["a", "b", "c"])
+        await self.follower._step()
+        self.assertEqual(self.seen, ["a", "b", "c", "d"])
+
+    async def test_a_gap_is_filled_by_the_next_read(self):
+        await self.store.append("work", [KeyedRecord(key, b"1") for key in "abc"])
+        self.push(1, "bc")
+        self.assertEqual(self.seen, [])
+        await self.follower._step()
+        self.assertEqual(self.seen, ["a", "b", "c"])
+        self.assertEqual(self.follower.offset_, 3)
+
+    async def test_what_is_pushed_during_a_read_is_not_applied_twice(self):
+        await self.store.append("work", [KeyedRecord(key, b"1") for key in "ab"])
+        read = self.store.read
+
+        async def slow_read(stream, offset, wait_ms):
+            part = await read(stream, offset, wait_ms)
+            self.push(0, "abc")
+            return part
+
+        self.store.read = slow_read
+        await self.follower._step()
+        self.assertEqual(self.seen, ["a", "b", "c"])
+
+    def test_nothing_is_taken_in_before_the_first_load(self):
+        self.follower.offset_ = None
+        self.push(0, "a")
+        self.assertEqual(self.seen, [])
