Bound the time and size of callers' headers as operators set them

The limits of the configuration were decoded but not used: half-sent headers stayed for 75 s, any header up to 16 KB was taken, and bodies over 1 MB were refused whatever was set. Tests: test_front, three.

--- a/pimentomill/platform/_front.py
+++ b/pimentomill/platform/_front.py
@@ -8,6 +8,7 @@
 from ..links import CallerAnswer, CallerRequest
 from ..telemetry import PartLog
 from ._callers import Callers, Refusal
+from ._connections import CallerServer
 
 __all__ = ["Front"]
 
@@ -20,8 +21,8 @@
 """Seconds for which an idle connection is kept, longer than callers keep theirs."""
 CLOSE_S = 0.3
 """Seconds for which a stop waits for callers that are still being answered."""
-MAX_LINE_BYTES = 16384
-"""Longest request line and header field."""
+MAX_LINE_BYTES = 65536
+"""Longest request line and header field that is parsed at all; operators set less."""
 
 _log = PartLog("front")
 
@@ -53,8 +54,9 @@
             (self._handle_ready, readiness),
             (self._handle_metrics, metrics),
         ):
-            server = web.Server(
+            server = CallerServer(
                 handler,
+                lambda: self._limits().header_timeout_ms / 1000,
                 access_log=None,
                 keepalive_timeout=KEEPALIVE_S,
                 max_line_size=MAX_LINE_BYTES,
@@ -93,6 +95,7 @@
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
         try:
+            self._check_header(req)
             body = await self._body(req) if req.method == "POST" else b""
         except Refusal as exc:
             _log.info("Request", path=req.path, status=exc.status, why=str(exc))
@@ -107,20 +110,30 @@
         return _encode(await self.callers.answer(message))
 
     async def _body(self, req: web.BaseRequest) -> bytes:
-        catalog = self.node.catalog_
-        limits = catalog.limits if catalog is not None else RequestLimits()
+        limits = self._limits()
         if (req.content_length or 0) > limits.body_bytes:
             raise Refusal(413, "body too large")
+        body = bytearray()
         try:
             async with asyncio.timeout(limits.idle_timeout_ms / 1000):
-                body = await req.read()
+                async for part in req.content.iter_any():
+                    body += part
+                    if len(body) > limits.body_bytes:
+                        raise Refusal(413, "body too large")
         except TimeoutError as exc:
             raise Refusal(408, "body not sent in time") from exc
-        except web.HTTPRequestEntityTooLarge as exc:
-            raise Refusal(413, "body too large") from exc
-        if len(body) > limits.body_bytes:
-            raise Refusal(413, "body too large")
-        return body
+        return bytes(body)
+
+    def _limits(self) -> RequestLimits:
+        catalog = self.node.catalog_
+        return catalog.limits if catalog is not None else RequestLimits()
+
+    def _check_header(self, req: web.BaseRequest) -> None:
+        lines = len(req.path_qs) + sum(
+            len(name) + len(value) for name, value in req.raw_headers
+        )
+        if lines > self._limits().header_bytes:
+            raise Refusal(431, "header too large")
 
 
 def _encode(answer: CallerAnswer) -> web.Response:
--- a/pimentomill/platform/tests/test_front.py
+++ b/pimentomill/platform/tests/test_front.py
@@ -29,7 +29,7 @@
 
 def catalog(version=1, keys=None, queues=None):
     known = queues or [queue("a"), queue("b", public=True)]
-    limits = RequestLimits(body_bytes=500)
+    limits = RequestLimits(header_bytes=2000, body_bytes=500, header_timeout_ms=300)
     names = {"k1": "t", "k2": "u"} if keys is None else keys
     return Catalog(version, known, [Team("t"), Team("u")], names, ["planting"], limits)
 
@@ -132,6 +132,27 @@
         self.assertEqual(await self.status("POST", "/a/short", BODY), 404)
         self.assertEqual(self.store.records("work"), [])
 
+    async def test_a_header_that_is_too_long_is_refused(self):
+        long = {**KEY, "X-Long": "x" * 2000}
+        self.assertEqual(await self.status("GET", "/a/", headers=long), 431)
+        self.assertEqual(await self.status("GET", "/a/"), 200)
+
+    async def test_a_connection_without_a_whole_header_is_closed(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address[1])
+        writer.write(b"GET /a/ HTTP/1.1\r\nHost: h\r\nX")
+        async with asyncio.timeout(HELD_UP_S):
+            self.assertEqual(await reader.read(), b"")
+        writer.close()
+
+    async def test_an_answered_connection_stays_open(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.address[1])
+        for _ in range(2):
+            writer.write(b"GET /b/ HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.assertIn(b" 200 ", await reader.readline())
+            await reader.readuntil(b'{"Waiting":0}')
+            await asyncio.sleep(0.4)
+        writer.close()
+
     async def test_half_sent_requests_delay_nobody(self):
         writers = []
         for _ in range(HALF_SENT):
