--- a/pimentomill/platform/tests/test_jobs_and_rules.py
+++ b/pimentomill/platform/tests/test_jobs_and_rules.py
@@ -125,6 +125,11 @@
         self.assertEqual(cfg.node, "edge-golfo-a-1")
         self.assertEqual(cfg.listen.entries, "10.1.0.5:8688")
         self.assertEqual(cfg.bounds.key_withdrawal_ms, 5000)
+        self.assertEqual(cfg.limits.cores, 1.0)
+
+    def test_the_processor_is_the_share_of_a_faster_core(self):
+        cfg = self.load(NODE_FILE + "[Limits]\nCpuShare = 0.5\nCores = 3\n")
+        self.assertEqual(cfg.limits.cores, 1.5)
 
     def test_errors_name_the_field(self):
         with self.assertRaisesRegex(SettingsError, "NodeName"):
