Soak real entries with faults from outside

Entries run as processes of their own against stand-ins of the store and of workers, in the platform's form, through loopback proxies that delay, reset, silence or lose answers; processes are killed, terminated, paused and restarted; the store goes away, workers are replaced, settings change.

--- /dev/null
+++ b/pimentomill/platform/tests/soak/_cell.py
@@ -0,0 +1,191 @@
+"""Real entries as processes, and the stand-ins around them."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+
+from ._ledger import Ledger
+from ._proxy import Proxy
+from ._store import WireStore
+from ._worker import WireWorker
+
+__all__ = ["Cell", "Entry"]
+
+ROOT = Path(__file__).resolve().parents[4]
+KEYS = {"t": "key-t", "u": "key-u"}
+CAPACITY = 4000
+READY_S = 60.0
+"""Seconds until all entries are ready on a machine that is busy with other work."""
+
+
+def node_file(number, ip, store_port, ports):
+    front, ready, control = ports
+    return f"""
+NodeName = "n{number}"
+Zone = "z1"
+Ip = "{ip}"
+[ListenAddrs]
+Front = "{ip}:{front}"
+Ready = "{ip}:{ready}"
+Control = "{ip}:{control}"
+[Bounds]
+GraceS = 6
+[platform]
+Address = "127.0.0.1:{store_port}"
+"""
+
+
+class Entry:
+    """One entry and its own way to the store."""
+
+    def __init__(self, number, folder, offset):
+        self.number = number
+        # Loopback addresses of its own keep fixed ports apart.
+        self.ip = f"127.{offset}.0.{number + 1}"
+        self.ports = (18686, 18689, 18688)
+        self.proxy = Proxy()
+        self.path = folder / f"n{number}.toml"
+        self.log = folder / f"n{number}.log"
+        self.process = None
+
+    @property
+    def front(self):
+        return f"http://{self.ip}:{self.ports[0]}"
+
+    async def start(self):
+        env = {
+            "PATH": os.environ["PATH"],
+            "PIMENTOMILL_NODE_FILE": str(self.path),
+            "PYTHONPATH": str(ROOT),
+        }
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "pimentomill.platform",
+                stdout=log,
+                stderr=log,
+                env=env,
+                cwd=ROOT,
+            )
+
+    def send(self, number):
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number=signal.SIGKILL):
+        self.send(number)
+        await self.process.wait()
+
+
+class Cell:
+    """Store, workers and entries of one run.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs are put.
+    rng : random.Random
+        Source of the run's choices.
+    entries, workers : int
+        How many.
+    """
+
+    def __init__(self, folder, rng, entries=3, workers=4):
+        self.rng = rng
+        self.ledger = Ledger()
+        self.store = WireStore()
+        self.costs = {}
+        self.lives = 0
+        self.version = 0
+        offset = 1 + os.getpid() % 250
+        self.entries = [Entry(number, folder, offset) for number in range(entries)]
+        self.worker_count = workers
+        self.workers = {}
+        self.proxies = {}
+        self.session = None
+
+    async def start(self):
+        self.session = aiohttp.ClientSession()
+        await self.store.start()
+        self.configure()
+        for _ in range(self.worker_count):
+            await self.add_worker()
+        for entry in self.entries:
+            await entry.proxy.start(("127.0.0.1", self.store.port))
+            text = node_file(entry.number, entry.ip, entry.proxy.port, entry.ports)
+            entry.path.write_text(text)
+            await entry.start()
+        async with asyncio.timeout(READY_S):
+            for entry in self.entries:
+                while not await self.is_ready(entry):
+                    await asyncio.sleep(0.1)
+
+    async def stop(self):
+        for entry in self.entries:
+            entry.send(signal.SIGCONT)
+            if entry.process is not None:
+                await entry.end()
+            entry.proxy.stop()
+        for name in list(self.workers):
+            await self.remove_worker(name)
+        await self.session.close()
+        await self.store.stop()
+
+    async def is_ready(self, entry):
+        url = f"http://{entry.ip}:{entry.ports[1]}/ready"
+        try:
+            async with self.session.get(url) as resp:
+                return resp.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    def configure(self, keys=KEYS):
+        """Publish the next version of the operators' settings."""
+        self.version += 1
+        route = {"Name": "q", "Host": "h", "PathPrefix": "/q/", "Service": "s"}
+        teams = [{"Name": name, "ApiKeys": [key]} for name, key in keys.items()]
+        message = {
+            "Version": self.version,
+            "Routes": [{**route, "MaxAttempts": 3, "Stretch": 2.0}],
+            "Services": [{"Name": "s"}],
+            "Tenants": teams,
+        }
+        self.store.put("keyed.op", "config", message)
+
+    async def add_worker(self):
+        """Let a worker come under a new name."""
+        self.lives += 1
+        name = f"w{self.lives}"
+        worker = WireWorker(
+            name,
+            self.ledger,
+            lambda: self.rng.uniform(0.05, 0.6),
+            CAPACITY,
+            self.costs,
+        )
+        await worker.start()
+        proxy = Proxy()
+        await proxy.start(("127.0.0.1", worker.port))
+        self.workers[name] = worker
+        self.proxies[name] = proxy
+        entry = {
+            "Service": "s",
+            "Address": f"127.0.0.1:{proxy.port}",
+            "State": "ready",
+            "Capacity": {"Cpu": CAPACITY, "MemMb": 1000},
+            "Labels": ["kind", "r1"],
+            "born": 1,
+        }
+        self.store.put("keyed.servers", name, entry)
+
+    async def remove_worker(self, name):
+        """Let a worker crash, and its entry go."""
+        worker = self.workers.pop(name)
+        self.proxies.pop(name).stop()
+        await worker.crash()
+        self.store.put("keyed.servers", name, None)
