--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo lint format bench soak proofs
+.PHONY: test demo lint format bench soak fault-soak proofs
 
 SEED ?= 1
 STEPS ?= 100000
+SEEDS ?= 50
 
 $(STAMP): pyproject.toml
 	python3 -m venv $(VENV)
@@ -32,5 +33,8 @@
 soak: $(STAMP)
 	$(PYTHON) -m proofs.soak --seed $(SEED) --steps $(STEPS)
 
+fault-soak: $(STAMP)
+	$(PYTHON) -m pimentomill.platform.tests.soak --seed $(SEED) --seeds $(SEEDS)
+
 proofs: $(STAMP)
 	$(PYTHON) -m proofs.points
