Call a batch that was kept in part no refusal

Found in review: records appended for another entry that fell into two batches were reported as refused if the second was, so that a job of the first could be told never to run. Test fails before.

--- a/pimentomill/replica/_appender.py
+++ b/pimentomill/replica/_appender.py
@@ -88,8 +88,24 @@
         self._task: asyncio.Task | None = None
 
     async def append_all(self, records: list[KeyedRecord], deadline: Instant) -> None:
-        """Append records with others that wait; see `append`."""
-        await asyncio.gather(*(self.append(record, deadline) for record in records))
+        """Append records with others that wait.
+
+        Raises
+        ------
+        LogUnavailableError
+            If none of them was kept.
+        AppendUnknownError
+            If some may have been kept, now or later.
+        """
+        tries = (self.append(record, deadline) for record in records)
+        errors = await asyncio.gather(*tries, return_exceptions=True)
+        failed = [exc for exc in errors if exc is not None]
+        if not failed:
+            return
+        refused = [exc for exc in failed if isinstance(exc, LogUnavailableError)]
+        if len(refused) == len(records):
+            raise refused[0]
+        raise AppendUnknownError(f"not all records were kept: {failed[0]}")
 
     async def append(self, record: KeyedRecord, deadline: Instant) -> None:
         """Append a record with others that wait.
--- a/pimentomill/replica/tests/test_appender.py
+++ b/pimentomill/replica/tests/test_appender.py
@@ -98,6 +98,22 @@
         await self.put("a")
         self.assertEqual(self.store.calls, 1)
 
+    async def test_a_batch_that_was_kept_in_part_is_no_refusal(self):
+        append = self.store.append
+
+        async def append_once(*args):
+            done = await append(*args)
+            self.store.is_down = True
+            return done
+
+        self.store.append = append_once
+        records = [KeyedRecord(key, b"1" * 600_000) for key in "ab"]
+        with self.assertRaises(AppendUnknownError):
+            await self.appender.append_all(records, Instant(1000))
+        self.assertEqual(len(self.store.records("work")), 1)
+        with self.assertRaises(LogUnavailableError):
+            await self.appender.append_all(records, Instant(1000))
+
     async def test_a_lost_answer_stays_unknown_if_no_other_entry_can_append(self):
         async def relay(records):
             raise LogUnavailableError("no other entry")
