Make one piece of code serve where the change had written it twice

The leader's address, a job's state and a resignation stood two or three times in the node; Callers passed five calls of other entries on to the node, which now answers them itself; a relayed append was logged and sent in two places; an idle entry for a question was looked for twice; bodies were read within bounds by two ways (utils.read_body serves both servers now); three stand-ins of tests started their server by the same lines.

--- a/pimentomill/control/_advice.py
+++ b/pimentomill/control/_advice.py
@@ -135,11 +135,18 @@
 
     def can_take(self, step: StepRun, workers: int) -> bool:
         """Return whether a question of this length could be asked now."""
+        return self._find(step, workers) is not None
+
+    def _find(self, step: StepRun, workers: int) -> AdvicePort | None:
+        """Return an entry that could take a question of this length now."""
         policy = step.job.queue.advice
-        is_short = policy is not None and policy.duration_ms(workers) <= SHORT_MS
-        if policy is None or self._choose(is_short) is None:
-            return False
-        return is_short or self._has_room_for_long()
+        if policy is None:
+            return None
+        is_short = policy.duration_ms(workers) <= SHORT_MS
+        port = self._choose(is_short)
+        if port is None or is_short or self._has_room_for_long():
+            return port
+        return None
 
     def _has_room_for_long(self) -> bool:
         """Return whether a long question leaves an entry for short ones.
@@ -166,10 +173,10 @@
             None if no entry is idle.
         """
         names = [worker.info.worker for worker in workers[:MAX_WORKERS]]
-        if not self.can_take(step, len(names)):
+        port = self._find(step, len(names))
+        if port is None:
             return None
         takes = step.job.queue.advice.duration_ms(len(names))
-        port = self._choose(takes <= SHORT_MS)
         self._busy[port.name] = takes > SHORT_MS
         step.question_open = True
         return Question(step, names, port, takes)
--- a/pimentomill/exceptions.py
+++ b/pimentomill/exceptions.py
@@ -7,6 +7,7 @@
 __all__ = [
     "AdmissionError",
     "AppendUnknownError",
+    "BodyTooLargeError",
     "CapacityError",
     "ConflictError",
     "FencedError",
@@ -38,6 +39,10 @@
     """A value given by a caller breaks a stated rule."""
 
 
+class BodyTooLargeError(ValidationError):
+    """A request's body is longer than what is taken."""
+
+
 class QuerySyntaxError(ValidationError):
     """A command of the operators' language can't be parsed.
 
--- a/pimentomill/http/_server.py
+++ b/pimentomill/http/_server.py
@@ -8,7 +8,9 @@
 
 from aiohttp import web
 
+from ..exceptions import BodyTooLargeError
 from ..settings import TlsSettings
+from ..utils import read_body
 from ._app import HttpRequest, HttpResponse, Router
 from ._errors import ErrorBody
 
@@ -111,20 +113,8 @@
         await runner.cleanup()
 
     def _make_server(self) -> web.Server:
-        def make_request(message, payload, protocol, writer, task):
-            return web.BaseRequest(
-                message,
-                payload,
-                protocol,
-                writer,
-                task,
-                self._loop,
-                client_max_size=self.max_body_bytes,
-            )
-
         return web.Server(
             self._handle,
-            request_factory=make_request,
             access_log=None,
             auto_decompress=False,
             keepalive_timeout=self.timeout_ms / 1000,
@@ -144,16 +134,13 @@
         await site.start()
 
     async def _handle(self, req: web.BaseRequest) -> web.Response:
+        limit_s = self.timeout_ms / 1000
         try:
-            async with asyncio.timeout(self.timeout_ms / 1000):
-                body = await req.read()
+            body = await read_body(req.content.iter_any(), self.max_body_bytes, limit_s)
         except TimeoutError:
             return _refuse(HTTPStatus.REQUEST_TIMEOUT, "the body did not arrive whole")
-        except web.HTTPRequestEntityTooLarge:
-            return _refuse(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                f"the body is longer than {self.max_body_bytes} bytes",
-            )
+        except BodyTooLargeError as exc:
+            return _refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, str(exc))
         if self._in_flight >= self.threads + self.backlog:
             return _refuse(HTTPStatus.SERVICE_UNAVAILABLE, "too many requests wait")
         headers = {name.lower(): value for name, value in req.headers.items()}
--- a/pimentomill/jobs/_table.py
+++ b/pimentomill/jobs/_table.py
@@ -99,6 +99,11 @@
         entry = self.entries_.get(job)
         return entry if entry is not None and entry.accepted_ is not None else None
 
+    def state_of(self, job: JobId) -> JobState | None:
+        """Return the state of an accepted job, None if there is none."""
+        entry = self.find(job)
+        return entry.state if entry is not None else None
+
     def accepted(self) -> Iterator[JobEntry]:
         """Yield all accepted jobs."""
         return (entry for entry in self.entries_.values() if entry.accepted_)
--- a/pimentomill/links/_server.py
+++ b/pimentomill/links/_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Protocol, TypeVar
+from typing import Protocol
 
 import msgspec
 from aiohttp import web
@@ -33,7 +33,6 @@
 
 __all__ = ["EntryServices", "LinkServer"]
 
-T = TypeVar("T")
 WATCH_S = 20.0
 """Seconds for which a watch is held open; it ends earlier only with the process."""
 BEAT_S = 0.15
@@ -60,11 +59,9 @@
     def is_writing(self) -> bool:
         """Return whether what this entry appends is acknowledged."""
 
-    def has_resigned(self) -> bool:
-        """Return whether this entry has led and leads no more by its own will."""
-
-    async def answer_for(self, req: CallerRequest) -> CallerAnswer:
-        """Answer a caller; raises `StateUnavailableError` if it can't help."""
+    @property
+    def has_resigned_(self) -> bool:
+        """Whether this entry has led and leads no more by its own will."""
 
 
 class LinkServer:
@@ -78,11 +75,19 @@
         Life of this process.
     services : EntryServices
         What is done for others.
+    answer : callable
+        Answers a caller of another entry; raises `StateUnavailableError` if it
+        can't help.
     """
 
     def __init__(
-        self, advisor: AdvicePort, incarnation: str, services: EntryServices
+        self,
+        advisor: AdvicePort,
+        incarnation: str,
+        services: EntryServices,
+        answer: Callable[[CallerRequest], Awaitable[CallerAnswer]],
     ) -> None:
+        self.answer = answer
         self.advisor = advisor
         self.incarnation = incarnation
         self.services = services
@@ -147,7 +152,7 @@
 
     async def _caller(self, body: bytes) -> web.Response:
         req = msgspec.msgpack.decode(body, type=CallerRequest)
-        return _encode(await self.services.answer_for(req))
+        return _encode(await self.answer(req))
 
     async def _watch(self, req: web.BaseRequest) -> web.StreamResponse:
         """Give signs of life for as long as the life that is meant goes on."""
@@ -158,7 +163,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + WATCH_S
         try:
-            while loop.time() < until and not self.services.has_resigned():
+            while loop.time() < until and not self.services.has_resigned_:
                 await resp.write(BEAT if self.services.is_writing() else TROUBLED_BEAT)
                 await asyncio.sleep(BEAT_S)
         except ConnectionError as exc:
--- a/pimentomill/links/tests/test_links.py
+++ b/pimentomill/links/tests/test_links.py
@@ -43,10 +43,7 @@
         self.noted = []
         self.error = None
         self.writing = True
-        self.resigned = False
-
-    def has_resigned(self):
-        return self.resigned
+        self.has_resigned_ = False
 
     def is_writing(self):
         return self.writing
@@ -75,7 +72,9 @@
     async def asyncSetUp(self):
         self.advisor = FakeAdvisor()
         self.services = FakeServices()
-        self.server = LinkServer(self.advisor, "life-1", self.services)
+        self.server = LinkServer(
+            self.advisor, "life-1", self.services, self.services.answer_for
+        )
         await self.server.start("127.0.0.1", 0)
         port = self.server._runner.addresses[0][1]
         self.address = f"127.0.0.1:{port}"
@@ -144,7 +143,7 @@
 
     async def test_the_watch_of_a_leader_that_resigns_ends(self):
         def on_beat(is_writing):
-            self.services.resigned = True
+            self.services.has_resigned_ = True
 
         self.assertIs(await self.watch("life-1", on_beat), LifeSign.OPEN)
 
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -332,17 +332,21 @@
     def _tell_appended(self, first: int, records: list[KeyedRecord]) -> None:
         """Take in what this entry has appended, and let the leader know at once."""
         self.note_appended(first, records)
-        record = self.watch.record_
-        if self.leader_ is not None or record is None or len(self._notices) >= NOTICES:
-            return
-        address = self.members.address_of(record.node)
-        if address is None:
+        address = self._leader_address()
+        if address is None or len(self._notices) >= NOTICES:
             return
         notice = self._send_notice(address, first, records)
         task = asyncio.get_running_loop().create_task(notice)
         self._notices.add(task)
         task.add_done_callback(self._notices.discard)
 
+    def _leader_address(self) -> str | None:
+        """Return where another entry leads, None if this one does or it is unknown."""
+        record = self.watch.record_
+        if self.leader_ is not None or record is None:
+            return None
+        return self.members.address_of(record.node)
+
     async def _send_notice(
         self, address: str, first: int, records: list[KeyedRecord]
     ) -> None:
@@ -354,10 +358,8 @@
     async def _ask_leader(self, job: JobId) -> JobState | None:
         """Return what the leader knows of a job, None if it does not tell."""
         if self.leader_ is not None:
-            entry = self.table.find(job)
-            return entry.state if entry is not None else None
-        record = self.watch.record_
-        address = self.members.address_of(record.node) if record is not None else None
+            return self.table.state_of(job)
+        address = self._leader_address()
         if address is None or self.clock.now() < self._ask_from:
             return None
         try:
@@ -377,8 +379,7 @@
         """
         if self.leader_ is None:
             raise StateUnavailableError("another entry leads")
-        entry = self.table.find(job)
-        return entry.state if entry is not None else None
+        return self.table.state_of(job)
 
     # Callers
 
@@ -453,9 +454,8 @@
 
     async def _gather(self, records: list[KeyedRecord]) -> None:
         """Append through the leader, which appends the records of all together."""
-        record = self.watch.record_
-        address = self.members.address_of(record.node) if record is not None else None
-        if self.leader_ is not None or address is None:
+        address = self._leader_address()
+        if address is None:
             raise LogUnavailableError("no other entry leads")
         await self.links.append(address, records, GATHER_MS)
 
@@ -477,10 +477,12 @@
         The leader goes on until a successor may take over.
         """
         self.is_stopping_ = True
-        leader = self.leader_
-        if leader is not None:
-            await leader.resign()
-            self.has_resigned_ = True
+        if self.leader_ is not None:
+            await self._resign(self.leader_)
+
+    async def _resign(self, leader: Leader) -> None:
+        await leader.resign()
+        self.has_resigned_ = True
 
     async def _yield_to_larger(self) -> None:
         """Hand over to an entry with clearly more processor, now and then."""
@@ -496,8 +498,7 @@
             ]
             if larger:
                 _log.info("Hands over", cores=self.cfg.cores, larger=len(larger))
-                await leader.resign()
-                self.has_resigned_ = True
+                await self._resign(leader)
 
     async def _announce(self) -> None:
         member = MemberRecord(
--- a/pimentomill/platform/_callers.py
+++ b/pimentomill/platform/_callers.py
@@ -50,28 +50,6 @@
     def __init__(self, node: CellNode) -> None:
         self.node = node
 
-    # Calls of other entries, see `EntryServices`.
-
-    async def append_for(self, records):
-        """Append records for another entry."""
-        await self.node.append_for(records)
-
-    def note_appended(self, first, records):
-        """Take in records that another entry has appended."""
-        self.node.note_appended(first, records)
-
-    def state_for(self, job):
-        """Return a job's state to another entry."""
-        return self.node.state_for(job)
-
-    def is_writing(self):
-        """Return whether what this entry appends is acknowledged."""
-        return self.node.is_writing()
-
-    def has_resigned(self):
-        """Return whether this entry has given the leadership up."""
-        return self.node.has_resigned_
-
     async def answer_for(self, req: CallerRequest) -> CallerAnswer:
         """Answer a caller of an entry that can't reach the store.
 
@@ -85,8 +63,6 @@
         self.node.check_answerable(req.version)
         return await self._answer_here(req)
 
-    # Callers
-
     async def answer(self, req: CallerRequest) -> CallerAnswer:
         """Return the final answer to a caller."""
         passed_on = await self.node.forward(req)
--- a/pimentomill/platform/_daemon.py
+++ b/pimentomill/platform/_daemon.py
@@ -81,7 +81,7 @@
     )
     callers = Callers(node)
     front = Front(callers)
-    links = LinkServer(advisor, node.incarnation, callers)
+    links = LinkServer(advisor, node.incarnation, node, callers.answer_for)
     await front.start(
         split_address(cfg.listen.callers),
         split_address(cfg.listen.readiness),
--- a/pimentomill/platform/_front.py
+++ b/pimentomill/platform/_front.py
@@ -1,12 +1,12 @@
 """The callers' interface and the readiness check."""
 
-import asyncio
-
 from aiohttp import web
 
 from ..catalog import RequestLimits
+from ..exceptions import BodyTooLargeError
 from ..links import CallerAnswer, CallerRequest
 from ..telemetry import PartLog
+from ..utils import read_body
 from ._callers import Callers, Refusal
 from ._connections import CallerServer
 
@@ -113,16 +113,13 @@
         limits = self._limits()
         if (req.content_length or 0) > limits.body_bytes:
             raise Refusal(413, "body too large")
-        body = bytearray()
+        limit_s = limits.idle_timeout_ms / 1000
         try:
-            async with asyncio.timeout(limits.idle_timeout_ms / 1000):
-                async for part in req.content.iter_any():
-                    body += part
-                    if len(body) > limits.body_bytes:
-                        raise Refusal(413, "body too large")
+            return await read_body(req.content.iter_any(), limits.body_bytes, limit_s)
+        except BodyTooLargeError as exc:
+            raise Refusal(413, "body too large") from exc
         except TimeoutError as exc:
             raise Refusal(408, "body not sent in time") from exc
-        return bytes(body)
 
     def _limits(self) -> RequestLimits:
         catalog = self.node.catalog_
--- a/pimentomill/platform/tests/fake_wire.py
+++ b/pimentomill/platform/tests/fake_wire.py
@@ -5,7 +5,33 @@
 from aiohttp import web
 
 
-class FakeWire:
+class LoopbackServer:
+    """HTTP server on a free port; what it answers is for those derived from it.
+
+    Attributes
+    ----------
+    port : int
+        Port, 0 before the start.
+    """
+
+    def __init__(self):
+        self.port = 0
+        self._runner = None
+
+    async def start(self):
+        self._runner = web.ServerRunner(web.Server(self._handle), shutdown_timeout=0)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        self.port = self._runner.addresses[0][1]
+
+    async def stop(self):
+        await self._runner.cleanup()
+
+    async def _handle(self, req):
+        raise NotImplementedError
+
+
+class FakeWire(LoopbackServer):
     """HTTP server with one prepared answer a path.
 
     Attributes
@@ -19,23 +45,15 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.answers = {}
         self.seen = []
         self.mute = set()
-        self.port = 0
-        self._runner = None
         self._closing = asyncio.Event()
 
-    async def start(self):
-        self._runner = web.ServerRunner(web.Server(self._handle), shutdown_timeout=0)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = site._server.sockets[0].getsockname()[1]
-
     async def stop(self):
         self._closing.set()
-        await self._runner.cleanup()
+        await super().stop()
 
     @property
     def address(self):
--- a/pimentomill/platform/tests/soak/_store.py
+++ b/pimentomill/platform/tests/soak/_store.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from pimentomill.platform.tests.fake_wire import LoopbackServer
+
 __all__ = ["WireStore"]
 
 LENGTH = struct.Struct(">I")
@@ -53,7 +55,7 @@
         return {key_and_value(item)[0]: item for item in self.records}
 
 
-class WireStore:
+class WireStore(LoopbackServer):
     """Answers appends and reads.
 
     Attributes
@@ -63,10 +65,9 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.is_down = False
         self.topics = {}
-        self.port = 0
-        self._runner = None
 
     def topic(self, name):
         return self.topics.setdefault(name, Partition())
@@ -77,16 +78,6 @@
         content = frame(key, value)[LENGTH.size :]
         self.topic(topic).append([content])
 
-    async def start(self):
-        self._runner = web.ServerRunner(web.Server(self._handle), shutdown_timeout=0)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = site._server.sockets[0].getsockname()[1]
-
-    async def stop(self):
-        await self._runner.cleanup()
-
     async def _handle(self, req):
         body = await req.read()
         if self.is_down:
--- a/pimentomill/platform/tests/soak/_worker.py
+++ b/pimentomill/platform/tests/soak/_worker.py
@@ -4,12 +4,14 @@
 
 from aiohttp import web
 
+from pimentomill.platform.tests.fake_wire import LoopbackServer
+
 __all__ = ["WireWorker"]
 
 LONGEST_LEASE_S = 6.0
 
 
-class WireWorker:
+class WireWorker(LoopbackServer):
     """Runs tasks for a while, under a lease and a fencing token.
 
     Parameters
@@ -27,12 +29,12 @@
     """
 
     def __init__(self, name, ledger, seconds, capacity, costs):
+        super().__init__()
         self.name = name
         self.ledger = ledger
         self.seconds = seconds
         self.capacity = capacity
         self.costs = costs
-        self.port = 0
         self.running = {}
         self.highest = {}
         self.ends = []
@@ -40,23 +42,15 @@
         self.token = 0
         self.lease_until = 0.0
         self.ended = asyncio.Event()
-        self._runner = None
 
     def now(self):
         return asyncio.get_running_loop().time()
 
-    async def start(self):
-        self._runner = web.ServerRunner(web.Server(self._handle), shutdown_timeout=0)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = site._server.sockets[0].getsockname()[1]
-
     async def crash(self):
         """End this life with all that runs."""
         for task in list(self.running):
             self._end(task, "lapsed", listed=False)
-        await self._runner.cleanup()
+        await self.stop()
 
     def _check_lease(self):
         if self.running and self.now() > self.lease_until:
--- a/pimentomill/replica/_appender.py
+++ b/pimentomill/replica/_appender.py
@@ -148,8 +148,7 @@
                 await self._append_here(records)
                 return
             relayed = True
-            await self.relay(records)
-            _log.info("Appended through another entry", records=len(records))
+            await self._append_elsewhere(records, "no answer yet")
 
         if self.gather is not None and self.hedge.is_slow():
             # Fewer appends queue up at the store.
@@ -163,22 +162,20 @@
         except (LogUnavailableError, AppendUnknownError) as exc:
             if self.relay is None or relayed:
                 raise
-            await self._append_elsewhere(records, exc)
+            try:
+                await self._append_elsewhere(records, str(exc))
+            except LogUnavailableError as second_exc:
+                # The first try decides whether anything may have been kept.
+                raise exc from second_exc
 
     async def _append_here(self, records: list[KeyedRecord]) -> None:
         done = await self.store.append(self.stream, records)
         if self.appended is not None:
             self.appended(done.first, records)
 
-    async def _append_elsewhere(
-        self, records: list[KeyedRecord], exc: LogUnavailableError | AppendUnknownError
-    ) -> None:
-        try:
-            await self.relay(records)
-        except LogUnavailableError as second:
-            # The first try decides whether anything may have been kept.
-            raise exc from second
-        _log.info("Appended through another entry", records=len(records), why=str(exc))
+    async def _append_elsewhere(self, records: list[KeyedRecord], why: str) -> None:
+        await self.relay(records)
+        _log.info("Appended through another entry", records=len(records), why=why)
 
     def _take_batch(self) -> list[_Waiting]:
         size = 0
--- a/pimentomill/utils/__init__.py
+++ b/pimentomill/utils/__init__.py
@@ -1,5 +1,6 @@
 """Small helpers shared by all parts."""
 
+from ._body import read_body
 from ._clock import Clock, Instant, ManualClock, SystemClock
 from ._ids import (
     Epoch,
@@ -47,6 +48,7 @@
     "dominant_fraction",
     "header_bytes",
     "new_id",
+    "read_body",
     "stable_hash",
     "wait_set",
 ]
