Tell a resignation from a later leader in the log

A leader's own resignation reaches its replay at once since records are taken in ahead of the stream, and was logged as 'a later leader is on record'. Test fails before.

--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -278,7 +278,9 @@
         if record.key == LEADER_KEY:
             self.watch.apply(record.value)
             if self.leader_ is not None and not self.watch.is_led_by_me():
-                self.leader_.step_down("a later leader is on record")
+                own = self.watch.record_.incarnation == self.incarnation
+                why = "resigned" if own else "a later leader is on record"
+                self.leader_.step_down(why)
             return
         if record.key == FLEET_KEY:
             self._apply_fleet(record.value)
--- a/pimentomill/node/tests/test_node.py
+++ b/pimentomill/node/tests/test_node.py
@@ -117,6 +117,23 @@
             async with asyncio.timeout(30):
                 await resigned.wait()
 
+    def test_the_log_tells_a_resignation_from_a_later_leader(self):
+        reasons = []
+
+        class FakeLeader:
+            def step_down(self, why):
+                reasons.append(why)
+
+        self.node.leader_ = FakeLeader()
+        for epoch, life, resigned in (
+            (1, self.node.incarnation, True),
+            (2, "life-2", False),
+        ):
+            record = LeaderRecord(epoch, "n", life, resigned)
+            value = msgspec.msgpack.encode(record)
+            self.node._apply_work(KeyedRecord(LEADER_KEY, value))
+        self.assertEqual(reasons, ["resigned", "a later leader is on record"])
+
     def sign(self, name, cores):
         record = MemberRecord(name, f"a-{name}", f"life-{name}", cores)
         value = msgspec.msgpack.encode(record)
