Log loads of a stream that fail, and how many bytes of an answer came

A load now logs pages, records and time, or why it failed (once a second at most), and a call that runs out of time says how many bytes had come. Pages of newest records are counted apart from reads of the stream.

--- a/pimentomill/httpclient/_caller.py
+++ b/pimentomill/httpclient/_caller.py
@@ -74,18 +74,22 @@
         limit = aiohttp.ClientTimeout(
             total=timeout_ms / 1000, sock_connect=self.connect_s
         )
+        content = bytearray()
         try:
             async with self.session.request(
                 method, url, data=body, headers=headers, timeout=limit
             ) as resp:
-                content = await resp.read()
-                return HttpReply(resp.status, content)
+                async for part in resp.content.iter_any():
+                    content += part
+                return HttpReply(resp.status, bytes(content))
         except aiohttp.ConnectionTimeoutError as exc:
             raise TransportError("connecting took too long", sent=False) from exc
         except aiohttp.ClientConnectorError as exc:
             raise TransportError(f"can't connect: {exc.os_error}", sent=False) from exc
         except TimeoutError as exc:
             why = f"no answer within {timeout_ms:.0f} ms"
+            if content:
+                why = f"{len(content)} bytes, but no whole {why[3:]}"
             raise TransportError(why, sent=True) from exc
         except (aiohttp.ClientError, OSError) as exc:
             why = str(exc) or type(exc).__name__
--- a/pimentomill/platform/_store.py
+++ b/pimentomill/platform/_store.py
@@ -204,7 +204,8 @@
             "From": offset,
             "WaitMs": wait_ms,
         }
-        reply = await self._get("/log-read", query, READ_TIMEOUT_MS + wait_ms)
+        limit = READ_TIMEOUT_MS + wait_ms
+        reply = await self._get("read", "/log-read", query, limit)
         if reply.status == 410:
             raise RecordsForgottenError(f"records at {offset} are gone")
         if reply.status != 200:
@@ -218,7 +219,7 @@
             # The platform names the key after which a page begins like the
             # field of a step's dependencies.
             query["DependsOn"] = after
-        reply = await self._get("/log-newest", query, READ_TIMEOUT_MS)
+        reply = await self._get("newest", "/log-newest", query, READ_TIMEOUT_MS)
         if reply.status != 200:
             raise LogUnavailableError(f"newest refused with {reply.status}")
         try:
@@ -232,7 +233,9 @@
         more = records[-1].key if body.has_more and records else None
         return NewestPage(records, more, body.end)
 
-    async def _get(self, path: str, query: dict, timeout_ms: int) -> HttpReply:
+    async def _get(
+        self, call: str, path: str, query: dict, timeout_ms: int
+    ) -> HttpReply:
         url = f"{self.base}{path}?{urlencode(query)}"
         began = time.monotonic()
         outcome = "no answer"
@@ -243,7 +246,7 @@
             raise LogUnavailableError(str(exc)) from exc
         finally:
             took = (time.monotonic() - began) * 1000
-            self.metrics.note_store("read", outcome, took)
+            self.metrics.note_store(call, outcome, took)
         return reply
 
 
--- a/pimentomill/replica/_follower.py
+++ b/pimentomill/replica/_follower.py
@@ -15,6 +15,9 @@
 """Records that are kept until those before them are known; a read brings them within
 a second, and a leader takes in some hundred a second."""
 NEVER = Instant(-(10**12))
+FAILURE_LOG_MS = 1000
+"""Milliseconds between two log lines about loads that fail; a store that refuses at
+once would fill the log."""
 
 _log = PartLog("replica")
 
@@ -93,6 +96,7 @@
         self._progress = asyncio.Condition()
         self._fresh_wanted = False
         self._ahead: dict[int, KeyedRecord] = {}
+        self._failure_logged_at = NEVER
 
     def age_ms(self) -> int:
         """Return for how long the state has not been proven current."""
@@ -186,24 +190,51 @@
     async def _load(self) -> None:
         """Read the newest record of every key."""
         began = self.clock.now()
-        page = await self.store.newest(self.stream, None)
-        self.reload()
-        start = page.end
-        while True:
-            for record in page.records:
-                self.apply(record)
-            if page.more_after is None:
-                break
-            page = await self.store.newest(self.stream, page.more_after)
+        pages = records = 0
+        try:
+            page = await self.store.newest(self.stream, None)
+            self.reload()
+            start = page.end
+            while True:
+                pages += 1
+                records += len(page.records)
+                for record in page.records:
+                    self.apply(record)
+                if page.more_after is None:
+                    break
+                page = await self.store.newest(self.stream, page.more_after)
+        except LogUnavailableError as exc:
+            self._log_failed_load(began, pages, str(exc))
+            raise
         self.offset_ = start
         self._apply_ahead()
         # Pages are no snapshot: the state is current only once the records that
         # came while they were read have been replayed.
         if start >= page.end:
             self.proven_at_ = began
-        _log.info("Stream loaded", stream=self.stream, offset=start)
+        _log.info(
+            "Stream loaded",
+            stream=self.stream,
+            offset=start,
+            pages=pages,
+            records=records,
+            took_ms=self.clock.now() - began,
+        )
         await self._announce(True)
 
+    def _log_failed_load(self, began: Instant, pages: int, why: str) -> None:
+        now = self.clock.now()
+        if now - self._failure_logged_at < FAILURE_LOG_MS:
+            return
+        self._failure_logged_at = now
+        _log.warning(
+            "Stream not loaded",
+            stream=self.stream,
+            pages=pages,
+            took_ms=now - began,
+            why=why,
+        )
+
     async def _announce(self, changed: bool) -> None:
         if changed:
             self.changed()
