--- a/pimentomill/platform/tests/fake_wire.py
+++ b/pimentomill/platform/tests/fake_wire.py
@@ -42,6 +42,10 @@
         Method, path with query, body and headers of each request.
     mute : set of str
         Paths that are never answered.
+    paced : dict of str to (int, float)
+        Bytes a part and seconds before the next one, by path, as over a small link.
+    stalled : set of str
+        Paths whose answers stop after the first part.
     """
 
     def __init__(self):
@@ -49,6 +53,8 @@
         self.answers = {}
         self.seen = []
         self.mute = set()
+        self.paced = {}
+        self.stalled = set()
         self._closing = asyncio.Event()
 
     async def stop(self):
@@ -65,4 +71,18 @@
         if req.path in self.mute:
             await self._closing.wait()
         status, content = self.answers.get(req.path, (404, b""))
+        if req.path in self.paced:
+            return await self._send_paced(req, status, content)
         return web.Response(status=status, body=content)
+
+    async def _send_paced(self, req, status, content):
+        size, gap_s = self.paced[req.path]
+        resp = web.StreamResponse(status=status)
+        resp.content_length = len(content)
+        await resp.prepare(req)
+        for start in range(0, len(content), size):
+            await resp.write(content[start : start + size])
+            if req.path in self.stalled:
+                await self._closing.wait()
+            await asyncio.sleep(gap_s)
+        return resp
--- a/pimentomill/platform/tests/test_store.py
+++ b/pimentomill/platform/tests/test_store.py
@@ -129,3 +129,41 @@
             self.answer("/log-newest", 200, body)
             with self.assertRaises(LogUnavailableError):
                 await self.store.newest("work", None)
+
+
+class TestSmallLink(StoreCase):
+    """An entry restarts on a link that carries a page in longer than a usual read."""
+
+    PARTS = 10
+    GAP_S = 0.2
+
+    def pace(self, path, content):
+        self.answer(path, 200, content)
+        self.wire.paced[path] = (len(content) // self.PARTS + 1, self.GAP_S)
+
+    def page(self):
+        value = base64.b64encode(bytes(1000)).decode()
+        items = [{"Key": f"j:{number}", "Value": value} for number in range(50)]
+        return json.dumps({"items": items, "End": 50}).encode()
+
+    # Guards against an entry that never gets its state, as each page is given up
+    # while it is still coming in.
+    async def test_a_page_that_keeps_coming_is_read_to_its_end(self):
+        self.pace("/log-newest", self.page())
+        self.assertGreater(self.PARTS * self.GAP_S * 1000, _store.READ_TIMEOUT_MS)
+        page = await self.store.newest("work", None)
+        self.assertEqual(len(page.records), 50)
+
+    # Guards against an entry that fell behind and never catches up.
+    async def test_a_slice_that_keeps_coming_is_read_to_its_end(self):
+        self.pace("/log-read", struct.pack(">QQ", 2, 0) + encode_keyed(RECORDS))
+        part = await self.store.read("work", 0, 0)
+        self.assertEqual(part.records, RECORDS)
+
+    async def test_an_answer_that_falls_silent_is_given_up(self):
+        self.pace("/log-newest", self.page())
+        self.wire.stalled.add("/log-newest")
+        patience = mock.patch.object(_store, "READ_TIMEOUT_MS", 200)
+        with patience, self.assertRaises(LogUnavailableError) as caught:
+            await self.store.newest("work", None)
+        self.assertIn("bytes", str(caught.exception))
--- a/pimentomill/replica/tests/test_follower.py
+++ b/pimentomill/replica/tests/test_follower.py
@@ -1,12 +1,14 @@
 import asyncio
 import unittest
 
+from pimentomill.exceptions import LogUnavailableError
 from pimentomill.jobs import KeyedRecord
 from pimentomill.replica import Follower, FollowerTiming
 from pimentomill.standins import MemoryStore
 from pimentomill.utils import Instant, ManualClock, SystemClock
 
 WAIT_MS = 20_000
+LOAD_WAIT_MS = 2_000
 
 
 class TestFollower(unittest.IsolatedAsyncioTestCase):
@@ -68,6 +70,24 @@
         self.assertTrue(await self.current())
         self.assertEqual(sorted(self.state), ["a", "b", "c"])
 
+    # Guards against a load that begins anew after each failure and never ends.
+    async def test_a_load_goes_on_with_the_page_that_failed(self):
+        await self.put("a", "b", "c", "d", "e")
+        newest = self.store.newest
+        calls = 0
+
+        async def every_second_fails(stream, after):
+            nonlocal calls
+            calls += 1
+            if calls % 2 == 0:
+                raise LogUnavailableError("no whole answer")
+            return await newest(stream, after)
+
+        self.store.newest = every_second_fails
+        self.follow()
+        self.assertTrue(await self.current(wait_ms=LOAD_WAIT_MS))
+        self.assertEqual(sorted(self.state), list("abcde"))
+
     async def test_nothing_is_current_while_the_store_is_down(self):
         self.follow()
         self.assertTrue(await self.current())
