Give up an answer of the store that falls silent, not one that keeps coming

Cause: a read had 1.5 s in all. A page of newest records is up to 1 MB, 1.3 MB on the wire, and takes over 2 s on a link of 5 Mbit/s; the entry gave up each page while it was coming in and asked for it again, without end. A read now ends after 1.5 s without a byte, which is what shows a lost answer or a silent connection, and after 20 s in all, when the history that would follow the answer is dropped.

--- a/pimentomill/httpclient/_caller.py
+++ b/pimentomill/httpclient/_caller.py
@@ -62,9 +62,24 @@
         timeout_ms: float,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        silence_ms: float | None = None,
     ) -> HttpReply:
         """Send a request and return the whole answer.
 
+        Parameters
+        ----------
+        method, url : str
+            What is called.
+        timeout_ms : float
+            Milliseconds for the whole answer.
+        body : bytes, default=None
+            What is sent.
+        headers : dict of str to str, default=None
+            Further headers.
+        silence_ms : float, default=None
+            Milliseconds without any byte after which the answer counts as lost; only
+            the whole time is bounded if None.
+
         Raises
         ------
         TransportError
@@ -72,7 +87,9 @@
             been carried out.
         """
         limit = aiohttp.ClientTimeout(
-            total=timeout_ms / 1000, sock_connect=self.connect_s
+            total=timeout_ms / 1000,
+            sock_connect=self.connect_s,
+            sock_read=silence_ms / 1000 if silence_ms is not None else None,
         )
         content = bytearray()
         try:
@@ -86,6 +103,11 @@
             raise TransportError("connecting took too long", sent=False) from exc
         except aiohttp.ClientConnectorError as exc:
             raise TransportError(f"can't connect: {exc.os_error}", sent=False) from exc
+        except aiohttp.SocketTimeoutError as exc:
+            why = f"no answer for {silence_ms:.0f} ms"
+            if content:
+                why = f"{len(content)} bytes, then none for {silence_ms:.0f} ms"
+            raise TransportError(why, sent=True) from exc
         except TimeoutError as exc:
             why = f"no answer within {timeout_ms:.0f} ms"
             if content:
--- a/pimentomill/platform/_store.py
+++ b/pimentomill/platform/_store.py
@@ -33,8 +33,12 @@
 """Multiple of the usual time after which an answer counts as lost."""
 SMOOTHING = 0.2
 """Weight of the newest append in the usual time."""
-READ_TIMEOUT_MS = 1500
-"""Milliseconds for a read, beyond the time that it may wait."""
+READ_SILENCE_MS = 1500
+"""Milliseconds without a byte of an answer, beyond the time that a read may wait, after
+which it counts as lost. A page of 1 MB takes longer over a link of 5 Mbit/s."""
+MAX_READ_MS = 20_000
+"""Longest time of a read. The store keeps about as much history, so what follows an
+older answer is forgotten."""
 LENGTH = struct.Struct(">I")
 HEADER = struct.Struct(">QQ")
 
@@ -204,8 +208,8 @@
             "From": offset,
             "WaitMs": wait_ms,
         }
-        limit = READ_TIMEOUT_MS + wait_ms
-        reply = await self._get("read", "/log-read", query, limit)
+        silence_ms = READ_SILENCE_MS + wait_ms
+        reply = await self._get("read", "/log-read", query, silence_ms)
         if reply.status == 410:
             raise RecordsForgottenError(f"records at {offset} are gone")
         if reply.status != 200:
@@ -219,7 +223,7 @@
             # The platform names the key after which a page begins like the
             # field of a step's dependencies.
             query["DependsOn"] = after
-        reply = await self._get("newest", "/log-newest", query, READ_TIMEOUT_MS)
+        reply = await self._get("newest", "/log-newest", query, READ_SILENCE_MS)
         if reply.status != 200:
             raise LogUnavailableError(f"newest refused with {reply.status}")
         try:
@@ -234,13 +238,13 @@
         return NewestPage(records, more, body.end)
 
     async def _get(
-        self, call: str, path: str, query: dict, timeout_ms: int
+        self, call: str, path: str, query: dict, silence_ms: int
     ) -> HttpReply:
         url = f"{self.base}{path}?{urlencode(query)}"
         began = time.monotonic()
         outcome = "no answer"
         try:
-            reply = await self.http.call("GET", url, timeout_ms)
+            reply = await self.http.call("GET", url, MAX_READ_MS, silence_ms=silence_ms)
             outcome = str(reply.status)
         except TransportError as exc:
             raise LogUnavailableError(str(exc)) from exc
