Go on with the page of a load that failed

The pages read before are kept now; the replay begins where the stream ended at the first page, and if that has been forgotten the whole load is done anew, as after any gap.

--- a/pimentomill/replica/_follower.py
+++ b/pimentomill/replica/_follower.py
@@ -7,7 +7,7 @@
 from ..jobs import KeyedRecord
 from ..telemetry import PartLog
 from ..utils import Clock, Instant, wait_set
-from ._ports import RecordStore
+from ._ports import NewestPage, RecordStore
 
 __all__ = ["Follower", "FollowerTiming"]
 
@@ -41,6 +41,45 @@
         self.retry_ms = retry_ms
 
 
+class _Load:
+    """How far the reading of all keys has come.
+
+    A page that fails is asked for again; the pages before it are kept, as the replay
+    begins where the stream ended when the first one was read.
+
+    Attributes
+    ----------
+    began_at : Instant
+        When the first page was asked for.
+    start, end : int
+        Ends of the stream at the first and the last page.
+    after : str or None
+        Key after which the next page begins.
+    pages, records : int
+        What has been read.
+    is_complete : bool
+        Whether the last page has been read.
+    """
+
+    def __init__(self, began_at: Instant) -> None:
+        self.began_at = began_at
+        self.start = self.end = 0
+        self.after: str | None = None
+        self.pages = 0
+        self.records = 0
+        self.is_complete = False
+
+    def note(self, page: NewestPage) -> None:
+        """Take in that a page was read."""
+        if self.pages == 0:
+            self.start = page.end
+        self.end = page.end
+        self.pages += 1
+        self.records += len(page.records)
+        self.after = page.more_after
+        self.is_complete = page.more_after is None
+
+
 class Follower:
     """Replays one stream into a state that is handed in.
 
@@ -97,6 +136,7 @@
         self._fresh_wanted = False
         self._ahead: dict[int, KeyedRecord] = {}
         self._failure_logged_at = NEVER
+        self._loading: _Load | None = None
 
     def age_ms(self) -> int:
         """Return for how long the state has not been proven current."""
@@ -189,40 +229,38 @@
 
     async def _load(self) -> None:
         """Read the newest record of every key."""
+        load = self._loading or _Load(self.clock.now())
         began = self.clock.now()
-        pages = records = 0
         try:
-            page = await self.store.newest(self.stream, None)
-            self.reload()
-            start = page.end
-            while True:
-                pages += 1
-                records += len(page.records)
+            while not load.is_complete:
+                page = await self.store.newest(self.stream, load.after)
+                if load.pages == 0:
+                    self.reload()
+                    self._loading = load
                 for record in page.records:
                     self.apply(record)
-                if page.more_after is None:
-                    break
-                page = await self.store.newest(self.stream, page.more_after)
+                load.note(page)
         except LogUnavailableError as exc:
-            self._log_failed_load(began, pages, str(exc))
+            self._log_failed_load(load, str(exc))
             raise
-        self.offset_ = start
+        self._loading = None
+        self.offset_ = load.start
         self._apply_ahead()
         # Pages are no snapshot: the state is current only once the records that
         # came while they were read have been replayed.
-        if start >= page.end:
+        if load.start >= load.end:
             self.proven_at_ = began
         _log.info(
             "Stream loaded",
             stream=self.stream,
-            offset=start,
-            pages=pages,
-            records=records,
-            took_ms=self.clock.now() - began,
+            offset=load.start,
+            pages=load.pages,
+            records=load.records,
+            took_ms=self.clock.now() - load.began_at,
         )
         await self._announce(True)
 
-    def _log_failed_load(self, began: Instant, pages: int, why: str) -> None:
+    def _log_failed_load(self, load: _Load, why: str) -> None:
         now = self.clock.now()
         if now - self._failure_logged_at < FAILURE_LOG_MS:
             return
@@ -230,8 +268,8 @@
         _log.warning(
             "Stream not loaded",
             stream=self.stream,
-            pages=pages,
-            took_ms=now - began,
+            pages=load.pages,
+            took_ms=now - load.began_at,
             why=why,
         )
 
