--- a/pimentomill/control/tests/test_scribe.py
+++ b/pimentomill/control/tests/test_scribe.py
@@ -1,12 +1,14 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from pimentomill.control import CellBook
 from pimentomill.control._scribe import Scribe
 from pimentomill.control._settings import ControlSettings
 from pimentomill.exceptions import FencedError
 from pimentomill.jobs import KeyedRecord
-from pimentomill.replica import LeaderRecord, Writer
+from pimentomill.replica import LEADER_KEY, MAX_BATCH_BYTES, LeaderRecord, Writer
 from pimentomill.standins import MemoryStore
 from pimentomill.utils import ManualClock
 
@@ -50,3 +52,34 @@
         with self.assertRaises(FencedError):
             await self.scribe.flush()
         self.assertNotIn("x", self.keys())
+
+    # Guards against a leader that writes nothing any more after an outage: all that
+    # gathered meanwhile in one append takes longer than the time that an append has.
+    async def test_what_gathered_in_an_outage_is_written_in_parts(self):
+        sizes = []
+        append = self.store.append
+
+        async def note_size(stream, records, writer=None):
+            sizes.append(sum(len(record.value) for record in records))
+            return await append(stream, records, writer)
+
+        self.store.append = note_size
+        self.scribe.extra = [
+            KeyedRecord(f"p:{number}", bytes(8000)) for number in range(200)
+        ]
+        await self.scribe.flush(resign=True)
+        self.assertLessEqual(max(sizes), MAX_BATCH_BYTES + 8000)
+        self.assertEqual(len(set(self.keys())), 201)
+
+    async def test_a_resignation_is_the_last_that_is_written(self):
+        self.scribe.extra = [
+            KeyedRecord(f"p:{number}", bytes(8000)) for number in range(200)
+        ]
+        await self.scribe.flush(resign=True)
+        signs = [
+            offset
+            for offset, record in enumerate(self.store.records("work"))
+            if record.key == LEADER_KEY
+            and msgspec.msgpack.decode(record.value, type=LeaderRecord).resigned
+        ]
+        self.assertEqual(signs, [len(self.store.records("work")) - 1])
--- a/pimentomill/platform/tests/test_store.py
+++ b/pimentomill/platform/tests/test_store.py
@@ -15,7 +15,7 @@
 from pimentomill.jobs import KeyedRecord
 from pimentomill.platform import _store
 from pimentomill.platform._store import PlatformStore, decode_slice, encode_keyed
-from pimentomill.replica import Writer
+from pimentomill.replica import MAX_BATCH_BYTES, Writer
 from pimentomill.telemetry import CellMetrics
 
 from .fake_wire import FakeWire
@@ -131,6 +131,16 @@
                 await self.store.newest("work", None)
 
 
+class TestBatchSize(unittest.TestCase):
+    SMALLEST_LINK_BYTES_A_MS = 625
+    """Of the users' deployments: 5 Mbit/s."""
+
+    # Guards against an append that is given up while it is still being sent.
+    def test_a_batch_takes_half_of_the_shortest_time_for_an_append(self):
+        takes_ms = MAX_BATCH_BYTES / self.SMALLEST_LINK_BYTES_A_MS
+        self.assertLessEqual(takes_ms, _store.MIN_APPEND_MS / 2)
+
+
 class TestSmallLink(StoreCase):
     """An entry restarts on a link that carries a page in longer than a usual read."""
 
--- a/pimentomill/replica/__init__.py
+++ b/pimentomill/replica/__init__.py
@@ -1,6 +1,6 @@
 """Copies of the store's streams, and who leads by them."""
 
-from ._appender import AppendedHook, GroupAppender, Relay
+from ._appender import MAX_BATCH_BYTES, AppendedHook, GroupAppender, Relay
 from ._follower import Follower, FollowerTiming
 from ._hedge import Hedge
 from ._leases import (
@@ -15,6 +15,7 @@
 
 __all__ = [
     "LEADER_KEY",
+    "MAX_BATCH_BYTES",
     "Appended",
     "AppendedHook",
     "ElectionTiming",
