--- a/pimentomill/intake/tests/test_intake.py
+++ b/pimentomill/intake/tests/test_intake.py
@@ -5,7 +5,13 @@
 from pimentomill.dispatch.tests.samples import accepted, queue, step
 from pimentomill.exceptions import StateUnavailableError
 from pimentomill.intake import Intake, Kept, _intake
-from pimentomill.jobs import JobState, JobTable, KeyedRecord
+from pimentomill.jobs import (
+    JobState,
+    JobTable,
+    KeyedRecord,
+    accepted_key,
+    encode_record,
+)
 from pimentomill.replica import Follower, FollowerTiming
 from pimentomill.standins import MemoryStore
 from pimentomill.utils import Instant, SystemClock
@@ -39,6 +45,19 @@
     async def asyncTearDown(self):
         self.task.cancel()
 
+    def unloaded(self):
+        """Return an intake whose state has not been loaded yet."""
+        table = JobTable()
+        follower = Follower(
+            self.store,
+            "work",
+            lambda record: None,
+            lambda: None,
+            SystemClock(),
+            FollowerTiming(wait_ms=30, pause_ms=1),
+        )
+        return Intake(self.store, "work", table, follower, follower.clock)
+
     async def current(self):
         deadline = Instant(self.follower.clock.now() + WAIT_MS)
         self.assertTrue(await self.follower.wait_current(deadline))
@@ -120,6 +139,27 @@
         self.assertEqual(self.intake.waiting(self.queue), 1)
         self.assertEqual(self.intake.waiting(queue(name="other")), 0)
 
+    # Guards against an entry that has just started and counts no job at all.
+    async def test_jobs_are_not_counted_before_they_are_loaded(self):
+        intake = self.unloaded()
+        with self.assertRaises(StateUnavailableError):
+            intake.waiting(self.queue)
+
+    # Guards against a finished job shown as queued while its progress is loaded.
+    async def test_a_job_that_is_loaded_in_part_is_shown_as_the_leader_tells(self):
+        intake = self.unloaded()
+        record = accepted(JOB, steps=[step()])
+        intake.table.apply(accepted_key(JOB), encode_record(record))
+        with self.assertRaises(StateUnavailableError):
+            await intake.state(record.queue, record.team, JOB)
+
+        async def ask(job):
+            return JobState.RUNNING
+
+        intake.ask_leader = ask
+        shown = await intake.state(record.queue, record.team, JOB)
+        self.assertIs(shown, JobState.RUNNING)
+
     async def test_unreadable_records_are_passed_over(self):
         await self.store.append("work", [KeyedRecord("j:" + JOB, b"\xc1")])
         await self.submit()
