Answer nothing from a state that is still being loaded

Callers that asked an entry for the count of waiting jobs while it loaded its state got an answer of 0, and a finished job could be shown as queued: the table is filled key by key, and a job's progress comes after its acceptance.

--- a/pimentomill/intake/_intake.py
+++ b/pimentomill/intake/_intake.py
@@ -141,16 +141,29 @@
         told = await self.ask_leader(job) if self.ask_leader is not None else None
         if told is not None:
             return told
+        self._check_loaded()
         await self.follower.refresh(REFRESH_MS)
         return entry.state
 
     def waiting(self, queue: Queue) -> int:
-        """Return how many accepted jobs of a queue have not begun."""
+        """Return how many accepted jobs of a queue have not begun.
+
+        Raises
+        ------
+        StateUnavailableError
+            If that can't be told now.
+        """
+        self._check_loaded()
         return sum(
             entry.state is JobState.QUEUED and entry.accepted_.queue.name == queue.name
             for entry in self.table.accepted()
         )
 
+    def _check_loaded(self) -> None:
+        """Check that no record of a job is still missing since the start."""
+        if not self.follower.is_loaded_:
+            raise StateUnavailableError("the state is still being loaded")
+
     async def _find(self, queue: Queue, team: str, job: JobId) -> JobEntry | None:
         entry = self.table.find(job)
         if entry is None:
--- a/pimentomill/replica/_follower.py
+++ b/pimentomill/replica/_follower.py
@@ -108,6 +108,8 @@
         Offset up to which records have been applied; None before the first load.
     is_reachable_ : bool
         Whether the last read was answered.
+    is_loaded_ : bool
+        Whether all keys have been read at least once.
     """
 
     def __init__(
@@ -130,6 +132,7 @@
         self.proven_at_ = NEVER
         self.offset_: int | None = None
         self.is_reachable_ = False
+        self.is_loaded_ = False
         self._listening = False
         self._wake = asyncio.Event()
         self._progress = asyncio.Condition()
@@ -244,6 +247,7 @@
             self._log_failed_load(load, str(exc))
             raise
         self._loading = None
+        self.is_loaded_ = True
         self.offset_ = load.start
         self._apply_ahead()
         # Pages are no snapshot: the state is current only once the records that
