--- a/pimentomill/platform/tests/test_store.py
+++ b/pimentomill/platform/tests/test_store.py
@@ -15,7 +15,7 @@
 from pimentomill.jobs import KeyedRecord
 from pimentomill.platform import _store
 from pimentomill.platform._store import PlatformStore, decode_slice, encode_keyed
-from pimentomill.replica import Writer
+from pimentomill.replica import MAX_BATCH_BYTES, Writer
 from pimentomill.telemetry import CellMetrics
 
 from .fake_wire import FakeWire
@@ -131,6 +131,16 @@
                 await self.store.newest("work", None)
 
 
+class TestBatchSize(unittest.TestCase):
+    SMALLEST_LINK_BYTES_A_MS = 625
+    """Of the users' deployments: 5 Mbit/s."""
+
+    # Guards against an append that is given up while it is still being sent.
+    def test_a_batch_takes_half_of_the_shortest_time_for_an_append(self):
+        takes_ms = MAX_BATCH_BYTES / self.SMALLEST_LINK_BYTES_A_MS
+        self.assertLessEqual(takes_ms, _store.MIN_APPEND_MS / 2)
+
+
 class TestSmallLink(StoreCase):
     """An entry restarts on a link that carries a page in longer than a usual read."""
 
@@ -150,7 +160,7 @@
     # while it is still coming in.
     async def test_a_page_that_keeps_coming_is_read_to_its_end(self):
         self.pace("/log-newest", self.page())
-        self.assertGreater(self.PARTS * self.GAP_S * 1000, _store.READ_TIMEOUT_MS)
+        self.assertGreater(self.PARTS * self.GAP_S * 1000, _store.READ_SILENCE_MS)
         page = await self.store.newest("work", None)
         self.assertEqual(len(page.records), 50)
 
@@ -163,7 +173,7 @@
     async def test_an_answer_that_falls_silent_is_given_up(self):
         self.pace("/log-newest", self.page())
         self.wire.stalled.add("/log-newest")
-        patience = mock.patch.object(_store, "READ_TIMEOUT_MS", 200)
+        patience = mock.patch.object(_store, "READ_SILENCE_MS", 200)
         with patience, self.assertRaises(LogUnavailableError) as caught:
             await self.store.newest("work", None)
         self.assertIn("bytes", str(caught.exception))
--- a/pimentomill/replica/__init__.py
+++ b/pimentomill/replica/__init__.py
@@ -1,6 +1,12 @@
 """Copies of the store's streams, and who leads by them."""
 
-from ._appender import AppendedHook, GroupAppender, Relay
+from ._appender import (
+    MAX_BATCH_BYTES,
+    AppendedHook,
+    GroupAppender,
+    Relay,
+    split_batches,
+)
 from ._follower import Follower, FollowerTiming
 from ._hedge import Hedge
 from ._leases import (
@@ -15,6 +21,7 @@
 
 __all__ = [
     "LEADER_KEY",
+    "MAX_BATCH_BYTES",
     "Appended",
     "AppendedHook",
     "ElectionTiming",
@@ -31,4 +38,5 @@
     "Rival",
     "Slice",
     "Writer",
+    "split_batches",
 ]
