--- a/pimentomill/platform/tests/soak/_faults.py
+++ b/pimentomill/platform/tests/soak/_faults.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Faults"]
 
-HARMS = (Harm.DELAY, Harm.RESET, Harm.SILENT, Harm.ANSWERS_LOST)
+HARMS = (Harm.DELAY, Harm.RESET, Harm.SILENT, Harm.ANSWERS_LOST, Harm.SMALL_LINK)
 
 
 class Faults:
--- a/pimentomill/platform/tests/soak/_proxy.py
+++ b/pimentomill/platform/tests/soak/_proxy.py
@@ -8,6 +8,9 @@
 
 CHUNK_BYTES = 65536
 DELAY_S = 0.25
+SMALL_LINK_BYTES_A_S = 100_000
+SMALL_LINK_PART_S = 0.05
+"""Seconds between two parts over a small link."""
 
 
 class Harm(Enum):
@@ -18,6 +21,7 @@
     RESET = "reset"
     SILENT = "silent"
     ANSWERS_LOST = "answers lost"
+    SMALL_LINK = "small link"
 
 
 class Proxy:
@@ -70,16 +74,23 @@
         )
         self._writers -= {writer, far_writer}
 
+    def _part_bytes(self):
+        if self.harm is Harm.SMALL_LINK:
+            return round(SMALL_LINK_BYTES_A_S * SMALL_LINK_PART_S)
+        return CHUNK_BYTES
+
     async def _pump(self, reader, writer, is_answer):
         """Pass bytes on in one direction; what is lost once is lost for good."""
         with contextlib.suppress(OSError, asyncio.CancelledError):
-            while data := await reader.read(CHUNK_BYTES):
+            while data := await reader.read(self._part_bytes()):
                 if self.harm is Harm.SILENT:
                     continue
                 if self.harm is Harm.ANSWERS_LOST and is_answer:
                     continue
                 if self.harm is Harm.DELAY:
                     await asyncio.sleep(DELAY_S)
+                if self.harm is Harm.SMALL_LINK:
+                    await asyncio.sleep(SMALL_LINK_PART_S)
                 writer.write(data)
                 await writer.drain()
         writer.close()
--- a/pimentomill/platform/tests/soak/test_soak.py
+++ b/pimentomill/platform/tests/soak/test_soak.py
@@ -1,8 +1,11 @@
 import asyncio
+import random
 import tempfile
 import unittest
 from pathlib import Path
 
+from pimentomill.platform.tests.soak._cell import Cell
+from pimentomill.platform.tests.soak._proxy import Harm
 from pimentomill.platform.tests.soak._soak import play
 
 SEEDS = (1,)
@@ -14,3 +17,19 @@
         for seed in SEEDS:
             with tempfile.TemporaryDirectory() as name:
                 self.assertEqual(asyncio.run(play(seed, Path(name))), [])
+
+    # Guards against an entry that never gets its state over a small link (inc1).
+    def test_an_entry_with_a_small_link_becomes_ready(self):
+        with tempfile.TemporaryDirectory() as name:
+            asyncio.run(self.start_over_small_link(Path(name)))
+
+    async def start_over_small_link(self, folder):
+        cell = Cell(folder, random.Random(1), entries=1, workers=1)
+        cell.entries[0].proxy.set(Harm.SMALL_LINK)
+        # Records of no job, 400 KB on the wire: four seconds over the link.
+        for number in range(75):
+            cell.store.put("keyed.work", f"filler-{number}", "x" * 4000)
+        try:
+            await cell.start()
+        finally:
+            await cell.stop()
