--- a/pimentomill/replica/tests/test_follower.py
+++ b/pimentomill/replica/tests/test_follower.py
@@ -88,6 +88,25 @@
         self.assertTrue(await self.current(wait_ms=LOAD_WAIT_MS))
         self.assertEqual(sorted(self.state), list("abcde"))
 
+    # Guards against a load that takes longer than the store keeps its history, and is
+    # done anew without end.
+    async def test_records_are_replayed_that_are_forgotten_during_a_load(self):
+        await self.put("a", "b", "c", "d", "e", "f")
+        newest = self.store.newest
+
+        async def forgets_meanwhile(stream, after):
+            await asyncio.sleep(0.001)
+            page = await newest(stream, after)
+            self.store.forget(stream)
+            await self.put(f"new-{len(self.store.records(stream))}")
+            return page
+
+        self.store.newest = forgets_meanwhile
+        self.follow()
+        self.assertTrue(await self.current(wait_ms=LOAD_WAIT_MS))
+        self.assertEqual(sorted(self.state)[:6], list("abcdef"))
+        self.assertEqual(len(self.state), 9)
+
     async def test_nothing_is_current_while_the_store_is_down(self):
         self.follow()
         self.assertTrue(await self.current())
