Read what comes between the pages of a load, before the store drops it

Cause: the replay after a load began at the end of the stream of its first page. The stream is read after each page now, so its history has to last for one page only; a load of a single page costs no further call.

--- a/pimentomill/replica/_follower.py
+++ b/pimentomill/replica/_follower.py
@@ -45,7 +45,8 @@
     """How far the reading of all keys has come.
 
     A page that fails is asked for again; the pages before it are kept, as the replay
-    begins where the stream ended when the first one was read.
+    begins where the stream ended when the first one was read. What comes meanwhile is
+    read between the pages, before the store drops it from its history.
 
     Attributes
     ----------
@@ -53,6 +54,8 @@
         When the first page was asked for.
     start, end : int
         Ends of the stream at the first and the last page.
+    tail : list of KeyedRecord
+        Records from the start on, in order.
     after : str or None
         Key after which the next page begins.
     pages, records : int
@@ -64,11 +67,17 @@
     def __init__(self, began_at: Instant) -> None:
         self.began_at = began_at
         self.start = self.end = 0
+        self.tail: list[KeyedRecord] = []
         self.after: str | None = None
         self.pages = 0
         self.records = 0
         self.is_complete = False
 
+    @property
+    def tail_end(self) -> int:
+        """Offset up to which the stream has been read."""
+        return self.start + len(self.tail)
+
     def note(self, page: NewestPage) -> None:
         """Take in that a page was read."""
         if self.pages == 0:
@@ -154,6 +163,7 @@
             except RecordsForgottenError as exc:
                 _log.warning("Records were dropped", stream=self.stream, why=str(exc))
                 self.offset_ = None
+                self._loading = None
             except LogUnavailableError as exc:
                 self._note_reachable(False, str(exc))
                 await asyncio.sleep(self.timing.retry_ms / 1000)
@@ -243,16 +253,20 @@
                 for record in page.records:
                     self.apply(record)
                 load.note(page)
+                if not load.is_complete or load.tail_end < load.end:
+                    part = await self.store.read(self.stream, load.tail_end, 0)
+                    load.tail += part.records
         except LogUnavailableError as exc:
             self._log_failed_load(load, str(exc))
             raise
         self._loading = None
         self.is_loaded_ = True
-        self.offset_ = load.start
-        self._apply_ahead()
         # Pages are no snapshot: the state is current only once the records that
         # came while they were read have been replayed.
-        if load.start >= load.end:
+        self.offset_ = load.start
+        self._apply_from(load.start, load.tail)
+        self._apply_ahead()
+        if self.offset_ >= load.end:
             self.proven_at_ = began
         _log.info(
             "Stream loaded",
--- a/pimentomill/standins/_records.py
+++ b/pimentomill/standins/_records.py
@@ -47,9 +47,18 @@
         """Return all records of a stream, forgotten ones included."""
         return self._streams.setdefault(stream, [])
 
-    def forget(self, stream: str) -> None:
-        """Drop the history of a stream; the newest record of each key stays."""
-        self._first[stream] = len(self.records(stream))
+    def forget(self, stream: str, before: int | None = None) -> None:
+        """Drop the history of a stream; the newest record of each key stays.
+
+        Parameters
+        ----------
+        stream : str
+            Name of the stream.
+        before : int, default=None
+            First offset that is kept; none is if None.
+        """
+        end = len(self.records(stream))
+        self._first[stream] = end if before is None else before
 
     async def append(
         self, stream: str, records: list[KeyedRecord], writer: Writer | None = None
