Failing test: a load longer than the history never ends

The replay begins where the stream ended at the first page. If that is forgotten before the last page has come, the read gets 410, and the whole load is done anew, as slowly. Test: TestFollower.test_a_load_longer_than_the_history_ends

--- a/pimentomill/replica/tests/test_follower.py
+++ b/pimentomill/replica/tests/test_follower.py
@@ -88,6 +88,25 @@
         self.assertTrue(await self.current(wait_ms=LOAD_WAIT_MS))
         self.assertEqual(sorted(self.state), list("abcde"))
 
+    # Guards against a load that never ends, as the store forgets the records that
+    # follow its first page before the last page is read over a small link.
+    async def test_a_load_longer_than_the_history_ends(self):
+        await self.put("a", "b", "c", "d", "e", "f", "g", "h", "i")
+        newest = self.store.newest
+
+        async def while_others_write(stream, after):
+            await asyncio.sleep(0.01)
+            page = await newest(stream, after)
+            # The history covers one page, while the load takes five.
+            self.store.forget("work")
+            await self.put("z")
+            return page
+
+        self.store.newest = while_others_write
+        self.follow()
+        self.assertTrue(await self.current(wait_ms=LOAD_WAIT_MS))
+        self.assertEqual(sorted(self.state), list("abcdefghiz"))
+
     async def test_nothing_is_current_while_the_store_is_down(self):
         self.follow()
         self.assertTrue(await self.current())
