Failing test: hand-ins refused while the state is loaded

A copy that is not loaded counts as a lost store, and without known members there is nobody to relay through. Test: TestIntake.test_a_hand_in_is_kept_while_the_state_is_loaded

--- a/pimentomill/intake/tests/test_intake.py
+++ b/pimentomill/intake/tests/test_intake.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from pimentomill.dispatch.tests.samples import accepted, queue, step
-from pimentomill.exceptions import StateUnavailableError
+from pimentomill.exceptions import LogUnavailableError, StateUnavailableError
 from pimentomill.intake import Intake, Kept, _intake
 from pimentomill.jobs import (
     JobState,
@@ -160,6 +160,23 @@
         shown = await intake.state(record.queue, record.team, JOB)
         self.assertIs(shown, JobState.RUNNING)
 
+    # Guards against hand-ins refused because "the store can't be reached" by an entry
+    # whose appends are answered, only because it is still loading its state.
+    async def test_a_hand_in_is_kept_while_the_state_is_loaded(self):
+        async def nobody(records):
+            raise LogUnavailableError("no other entry could append")
+
+        async def never_whole(stream, after):
+            await asyncio.sleep(WAIT_MS / 1000)
+
+        intake = self.unloaded()
+        intake.relay = nobody
+        self.store.newest = never_whole
+        loading = asyncio.ensure_future(intake.follower.run())
+        self.addCleanup(loading.cancel)
+        kept = await intake.submit(self.queue, "t", JOB, self.spec)
+        self.assertIs(kept, Kept.KEPT)
+
     async def test_unreadable_records_are_passed_over(self):
         await self.store.append("work", [KeyedRecord("j:" + JOB, b"\xc1")])
         await self.submit()
