--- a/pimentomill/node/tests/test_node.py
+++ b/pimentomill/node/tests/test_node.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from pimentomill.control import ControlSettings
+from pimentomill.control import WORK_STREAM, ControlSettings
 from pimentomill.dispatch.tests.samples import accepted, step
 from pimentomill.exceptions import StateUnavailableError, TransportError
 from pimentomill.jobs import (
@@ -149,3 +149,53 @@
         self.node._version_used = 4
         with self.assertRaises(StateUnavailableError):
             self.node.check_answerable()
+
+
+class TestLoading(unittest.IsolatedAsyncioTestCase):
+    """An entry starts with a state of many pages on a small link."""
+
+    PAGES = 2
+
+    async def asyncSetUp(self):
+        self.store = MemoryStore(page_size=1)
+        names = [f"{number:016x}" for number in range(5)]
+        member = msgspec.msgpack.encode(MemberRecord("n2", "a2", "life-2"))
+        await self.store.append(
+            WORK_STREAM,
+            [KeyedRecord(accepted_key(name), b"x") for name in names]
+            + [KeyedRecord("m:n2", member)],
+        )
+        newest = self.store.newest
+        self.pages = 0
+        self.held = asyncio.Event()
+
+        async def slow(stream, after):
+            if self.pages == self.PAGES:
+                self.held.set()
+                await asyncio.sleep(60)
+            self.pages += 1
+            return await newest(stream, after)
+
+        self.store.newest = slow
+
+    # Guards against callers that get 503 while other entries could answer: members are
+    # on the last pages, so nobody is known to pass a request on to during a load.
+    async def test_other_entries_are_known_before_the_load_has_ended(self):
+        node = CellNode(
+            NodeSettings("n1", "127.0.0.1:1", key_term_ms=1000),
+            ControlSettings(),
+            self.store,
+            MemoryWorkers(),
+            None,
+            lambda value: None,
+            lambda key, value: None,
+            FakeLinks(),
+            ManualClock(1000),
+            CellMetrics(),
+        )
+        loading = asyncio.ensure_future(node.work.run())
+        self.addCleanup(loading.cancel)
+        async with asyncio.timeout(30):
+            await self.held.wait()
+        known = [member.node for member in node.members.others_by_recency()]
+        self.assertEqual(known, ["n2"])
