--- a/pimentomill/control/tests/test_scribe.py
+++ b/pimentomill/control/tests/test_scribe.py
@@ -1,9 +1,11 @@
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 
 from pimentomill.control import CellBook
+from pimentomill.control._book import EndMark
 from pimentomill.control._scribe import Scribe
 from pimentomill.control._settings import ControlSettings
 from pimentomill.exceptions import FencedError
@@ -83,3 +85,20 @@
             and msgspec.msgpack.decode(record.value, type=LeaderRecord).resigned
         ]
         self.assertEqual(signs, [len(self.store.records("work")) - 1])
+
+    # Guards against ends that a worker forgets before the last batch has been kept.
+    async def test_ends_are_acknowledged_after_the_last_batch(self):
+        worker = mock.Mock()
+        self.book.marks = [EndMark(worker, 1, 7)]
+        self.scribe.extra = [
+            KeyedRecord(f"p:{number}", bytes(8000)) for number in range(200)
+        ]
+        append = self.store.append
+
+        async def check(stream, records, writer=None):
+            worker.mark_durable.assert_not_called()
+            return await append(stream, records, writer)
+
+        self.store.append = check
+        await self.scribe.flush()
+        worker.mark_durable.assert_called_once_with(1, 7)
--- a/pimentomill/platform/tests/test_store.py
+++ b/pimentomill/platform/tests/test_store.py
@@ -176,4 +176,12 @@
         patience = mock.patch.object(_store, "READ_SILENCE_MS", 200)
         with patience, self.assertRaises(LogUnavailableError) as caught:
             await self.store.newest("work", None)
-        self.assertIn("bytes", str(caught.exception))
+        self.assertIn("then none for 200 ms", str(caught.exception))
+
+    # Guards against a read that waits 20 s on an open connection that has gone silent.
+    async def test_silence_before_the_first_byte_is_given_up(self):
+        self.wire.mute.add("/log-newest")
+        patience = mock.patch.object(_store, "READ_SILENCE_MS", 200)
+        with patience, self.assertRaises(LogUnavailableError) as caught:
+            await self.store.newest("work", None)
+        self.assertIn("no answer for 200 ms", str(caught.exception))
--- a/pimentomill/replica/tests/test_follower.py
+++ b/pimentomill/replica/tests/test_follower.py
@@ -107,6 +107,33 @@
         self.assertTrue(await self.current(wait_ms=LOAD_WAIT_MS))
         self.assertEqual(sorted(self.state), list("abcdefghiz"))
 
+    # Guards against a state that counts as current although records that came between
+    # its pages are missing.
+    async def test_a_load_is_no_proof_if_records_came_meanwhile(self):
+        await self.put("b", "c", "d")
+        newest, read = self.store.newest, self.store.read
+        replay = asyncio.Event()
+
+        async def while_others_write(stream, after):
+            page = await newest(stream, after)
+            if after is None:
+                await self.put("a")
+            return page
+
+        async def held_back(stream, offset, wait_ms):
+            await replay.wait()
+            return await read(stream, offset, wait_ms)
+
+        self.store.newest, self.store.read = while_others_write, held_back
+        self.follow()
+        while self.follower.offset_ is None:
+            await asyncio.sleep(0.005)
+        self.assertGreater(self.follower.age_ms(), WAIT_MS)
+        self.assertNotIn("a", self.state)
+        replay.set()
+        self.assertTrue(await self.current())
+        self.assertEqual(sorted(self.state), list("abcd"))
+
     async def test_nothing_is_current_while_the_store_is_down(self):
         self.follow()
         self.assertTrue(await self.current())
