Keep hand-ins while the state is being loaded

Cause: an entry that is behind with the jobs took the store as lost and appended through others only, and while it loads it knows none. Now it appends itself as long as the store answers it on the operators' stream.

--- a/pimentomill/intake/_intake.py
+++ b/pimentomill/intake/_intake.py
@@ -77,6 +77,9 @@
         Appends through the entry that gathers records while the store is slow.
     ask_leader : callable, default=None
         Returns what the leader knows of a job's state, None if it does not tell.
+    hears_store : callable, default=None
+        Returns whether the store has answered this entry lately, on any stream; taken
+        as so if None.
     """
 
     def __init__(
@@ -90,10 +93,12 @@
         appended: AppendedHook | None = None,
         gather: Relay | None = None,
         ask_leader: LeaderQuestion | None = None,
+        hears_store: Callable[[], bool] | None = None,
     ) -> None:
         self.appender = GroupAppender(store, stream, clock, relay, appended, gather)
         self.relay = relay
         self.ask_leader = ask_leader
+        self.hears_store = hears_store
         self.table = table
         self.follower = follower
         self.clock = clock
@@ -102,6 +107,15 @@
         """Return whether the store is out of reach."""
         return not self.follower.is_reachable_ or self.follower.age_ms() > OUTAGE_AGE_MS
 
+    def _is_cut_off(self) -> bool:
+        """Return whether an append from here would have no answer.
+
+        An entry that is behind with the jobs, as while it loads them, can still append.
+        """
+        if self.hears_store is None or self.hears_store():
+            return False
+        return self.is_store_lost()
+
     async def submit(self, queue: Queue, team: str, job: JobId, spec: JobSpec) -> Kept:
         """Accept a job, once.
 
@@ -186,7 +200,7 @@
     async def _append(self, key: str, value: bytes) -> Kept:
         deadline = Instant(self.clock.now() + APPEND_WAIT_MS)
         try:
-            if self.relay is not None and self.is_store_lost():
+            if self.relay is not None and self._is_cut_off():
                 await self.relay([KeyedRecord(key, value)])
             else:
                 await self.appender.append(KeyedRecord(key, value), deadline)
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -242,6 +242,7 @@
             self._tell_appended,
             self._gather,
             self._ask_leader,
+            self._hears_store,
         )
 
     # State
@@ -256,6 +257,9 @@
             and self.work.age_ms() < limit
         )
 
+    def _hears_store(self) -> bool:
+        return self.rules.is_reachable_ and self.rules.age_ms() < FORWARD_AGE_MS
+
     def keys_hold(self) -> bool:
         """Return whether the known keys can be trusted now."""
         return self.rules.age_ms() < self.cfg.key_term_ms
