Read the stream in slices that a small link carries in 0.4 s

A read asked for up to 1 MB, 1.7 s at 5 Mbit/s. Up to its end the entry's state counts as 1.7 s old, beyond the 1.6 s from which callers are passed on, so an entry that catches up took itself as cut off. Test: red before with a query without MaxKb.

--- a/pimentomill/platform/_store.py
+++ b/pimentomill/platform/_store.py
@@ -39,6 +39,9 @@
 MAX_READ_MS = 20_000
 """Longest time of a read. The store keeps about as much history, so what follows an
 older answer is forgotten."""
+MAX_SLICE_KB = 256
+"""Kilobytes of records in one read: 0.4 s over a link of 5 Mbit/s, so that an entry that
+catches up is not taken as cut off meanwhile."""
 LENGTH = struct.Struct(">I")
 HEADER = struct.Struct(">QQ")
 
@@ -206,6 +209,7 @@
             "Topic": TOPICS[stream],
             "part": 0,
             "From": offset,
+            "MaxKb": MAX_SLICE_KB,
             "WaitMs": wait_ms,
         }
         silence_ms = READ_SILENCE_MS + wait_ms
--- a/pimentomill/platform/tests/test_store.py
+++ b/pimentomill/platform/tests/test_store.py
@@ -3,6 +3,7 @@
 import struct
 import unittest
 from unittest import mock
+from urllib.parse import parse_qs, urlsplit
 
 from pimentomill.exceptions import (
     AppendUnknownError,
@@ -13,6 +14,7 @@
 )
 from pimentomill.httpclient import HttpCaller
 from pimentomill.jobs import KeyedRecord
+from pimentomill.node._node import FORWARD_AGE_MS
 from pimentomill.platform import _store
 from pimentomill.platform._store import PlatformStore, decode_slice, encode_keyed
 from pimentomill.replica import MAX_BATCH_BYTES, Writer
@@ -21,6 +23,8 @@
 from .fake_wire import FakeWire
 
 PATIENCE_MS = 20_000
+SMALLEST_LINK_BYTES_A_MS = 625
+"""Of the users' deployments: 5 Mbit/s."""
 RECORDS = [KeyedRecord("k", b"value"), KeyedRecord("gone", b"")]
 
 
@@ -99,6 +103,16 @@
         self.assertEqual((part.next_offset, part.end), (7, 7))
         self.assertIn("Topic=keyed.op", self.wire.seen[0][1])
 
+    # Guards against an entry that counts as cut off while one long slice comes in.
+    async def test_a_slice_is_small_enough_for_the_age_up_to_which_callers_are_served(
+        self,
+    ):
+        self.answer("/log-read", 200, self.slice_body(7))
+        await self.store.read("work", 5, 0)
+        query = parse_qs(urlsplit(self.wire.seen[0][1]).query)
+        takes_ms = int(query["MaxKb"][0]) * 1024 / SMALLEST_LINK_BYTES_A_MS
+        self.assertLessEqual(takes_ms, FORWARD_AGE_MS / 2)
+
     async def test_forgotten_records(self):
         self.answer("/log-read", 410, {"First": 9})
         with self.assertRaises(RecordsForgottenError):
@@ -132,12 +146,9 @@
 
 
 class TestBatchSize(unittest.TestCase):
-    SMALLEST_LINK_BYTES_A_MS = 625
-    """Of the users' deployments: 5 Mbit/s."""
-
     # Guards against an append that is given up while it is still being sent.
     def test_a_batch_takes_half_of_the_shortest_time_for_an_append(self):
-        takes_ms = MAX_BATCH_BYTES / self.SMALLEST_LINK_BYTES_A_MS
+        takes_ms = MAX_BATCH_BYTES / SMALLEST_LINK_BYTES_A_MS
         self.assertLessEqual(takes_ms, _store.MIN_APPEND_MS / 2)
 
 
