Show no final state of a job before all of its records are loaded

A cancellation and the acceptance come before the progress in the order of the keys, so an entry that was loading its state could show a job as cancelled that had been completed before. The leader is asked then, as for unfinished jobs. Test: test_a_cancelled_job_that_is_loaded_in_part_is_not_shown, red before.

--- a/pimentomill/intake/_intake.py
+++ b/pimentomill/intake/_intake.py
@@ -150,8 +150,10 @@
             If that can't be told now.
         """
         entry = await self._find(queue, team, job)
-        if entry is None or entry.state.is_final:
-            return entry.state if entry is not None else None
+        if entry is None:
+            return None
+        if entry.state.is_final and self.follower.is_loaded_:
+            return entry.state
         told = await self.ask_leader(job) if self.ask_leader is not None else None
         if told is not None:
             return told
--- a/pimentomill/intake/tests/test_intake.py
+++ b/pimentomill/intake/tests/test_intake.py
@@ -6,10 +6,12 @@
 from pimentomill.exceptions import LogUnavailableError, StateUnavailableError
 from pimentomill.intake import Intake, Kept, _intake
 from pimentomill.jobs import (
+    Cancelled,
     JobState,
     JobTable,
     KeyedRecord,
     accepted_key,
+    cancelled_key,
     encode_record,
 )
 from pimentomill.replica import Follower, FollowerTiming
@@ -160,6 +162,16 @@
         shown = await intake.state(record.queue, record.team, JOB)
         self.assertIs(shown, JobState.RUNNING)
 
+    # Guards against a job shown as cancelled that had been completed before.
+    async def test_a_cancelled_job_that_is_loaded_in_part_is_not_shown(self):
+        intake = self.unloaded()
+        record = accepted(JOB, steps=[step()])
+        intake.table.apply(accepted_key(JOB), encode_record(record))
+        cancelled = encode_record(Cancelled(JOB, 1))
+        intake.table.apply(cancelled_key(JOB), cancelled)
+        with self.assertRaises(StateUnavailableError):
+            await intake.state(record.queue, record.team, JOB)
+
     # Guards against hand-ins refused because "the store can't be reached" by an entry
     # whose appends are answered, only because it is still loading its state.
     async def test_a_hand_in_is_kept_while_the_state_is_loaded(self):
