--- a/pimentomill/platform/_store.py
+++ b/pimentomill/platform/_store.py
@@ -40,8 +40,8 @@
 """Longest time of a read. The store keeps about as much history, so what follows an
 older answer is forgotten."""
 MAX_SLICE_KB = 256
-"""Kilobytes of records in one read: 0.4 s over a link of 5 Mbit/s, so that an entry that
-catches up is not taken as cut off meanwhile."""
+"""Kilobytes of records in one read: 0.4 s over a link of 5 Mbit/s, so that an entry
+that catches up is not taken as cut off meanwhile."""
 LENGTH = struct.Struct(">I")
 HEADER = struct.Struct(">QQ")
 
