--- a/pimentomill/intake/tests/test_intake.py
+++ b/pimentomill/intake/tests/test_intake.py
@@ -3,13 +3,15 @@
 from unittest import mock
 
 from pimentomill.dispatch.tests.samples import accepted, queue, step
-from pimentomill.exceptions import StateUnavailableError
+from pimentomill.exceptions import LogUnavailableError, StateUnavailableError
 from pimentomill.intake import Intake, Kept, _intake
 from pimentomill.jobs import (
+    Cancelled,
     JobState,
     JobTable,
     KeyedRecord,
     accepted_key,
+    cancelled_key,
     encode_record,
 )
 from pimentomill.replica import Follower, FollowerTiming
@@ -160,6 +162,66 @@
         shown = await intake.state(record.queue, record.team, JOB)
         self.assertIs(shown, JobState.RUNNING)
 
+    # Guards against a job shown as cancelled that had been completed before.
+    async def test_a_cancelled_job_that_is_loaded_in_part_is_not_shown(self):
+        intake = self.unloaded()
+        record = accepted(JOB, steps=[step()])
+        intake.table.apply(accepted_key(JOB), encode_record(record))
+        cancelled = encode_record(Cancelled(JOB, 1))
+        intake.table.apply(cancelled_key(JOB), cancelled)
+        with self.assertRaises(StateUnavailableError):
+            await intake.state(record.queue, record.team, JOB)
+
+    # Guards against hand-ins refused because "the store can't be reached" by an entry
+    # whose appends are answered, only because it is still loading its state.
+    async def test_a_hand_in_is_kept_while_the_state_is_loaded(self):
+        async def nobody(records):
+            raise LogUnavailableError("no other entry could append")
+
+        async def never_whole(stream, after):
+            await asyncio.sleep(WAIT_MS / 1000)
+
+        intake = self.unloaded()
+        intake.relay = nobody
+        self.store.newest = never_whole
+        loading = asyncio.ensure_future(intake.follower.run())
+        self.addCleanup(loading.cancel)
+        kept = await intake.submit(self.queue, "t", JOB, self.spec)
+        self.assertIs(kept, Kept.KEPT)
+
+    # Guards against counts without the jobs that were accepted during the load: pages
+    # are no snapshot, and the records that follow the first one are not replayed yet.
+    async def test_jobs_are_not_counted_before_the_replay_has_caught_up(self):
+        newest = self.store.newest
+
+        async def while_others_hand_in(stream, after):
+            page = await newest(stream, after)
+            await self.submit()
+            return page
+
+        held = asyncio.Event()
+
+        async def held_back(stream, offset, wait_ms):
+            held.set()
+            await asyncio.sleep(WAIT_MS / 1000)
+
+        await self.submit("b" * 16)
+        await self.submit("c" * 16)
+        for name in ("newest", "read"):
+            self.addCleanup(setattr, self.store, name, getattr(self.store, name))
+        self.store.page_size = 1
+        self.store.newest = while_others_hand_in
+        self.store.read = held_back
+        intake = self.unloaded()
+        follower = intake.follower
+        follower.apply = lambda record: intake.table.apply(record.key, record.value)
+        loading = asyncio.ensure_future(follower.run())
+        self.addCleanup(loading.cancel)
+        async with asyncio.timeout(WAIT_MS / 1000):
+            await held.wait()
+        with self.assertRaises(StateUnavailableError):
+            intake.waiting(self.queue)
+
     async def test_unreadable_records_are_passed_over(self):
         await self.store.append("work", [KeyedRecord("j:" + JOB, b"\xc1")])
         await self.submit()
