--- a/pimentomill/replica/tests/test_leases.py
+++ b/pimentomill/replica/tests/test_leases.py
@@ -11,6 +11,9 @@
 )
 from pimentomill.utils import ManualClock
 
+READ_PERIOD_MS = 200
+"""Milliseconds between two reads of an entry that does not lead."""
+
 
 class TestLeaderWatch(unittest.TestCase):
     def setUp(self):
@@ -133,3 +136,26 @@
         self.assertFalse(small.claim_due(self.clock.now()))
         self.clock.advance(113)
         self.assertTrue(small.claim_due(self.clock.now()))
+
+    # Guards against a leader with a fifth of the processor and a link of 5 Mbit/s where
+    # an entry with more of both lives: jobs wait twice as long under it.
+    def test_an_entry_with_more_processor_goes_first_after_a_silence(self):
+        """Six large and 25 small entries read the stream each 200 ms."""
+        lives = [Rival(f"large-{number}", 2.15) for number in range(6)]
+        lives += [Rival(f"small-{number}", 0.52) for number in range(25)]
+        for epoch in range(1, 40):
+            waits = {life: self.wait_of(life, lives, epoch) for life in lives}
+            first_large = min(waits[life] for life in lives[:6])
+            first_small = min(waits[life] for life in lives[6:])
+            self.assertGreaterEqual(first_small - first_large, READ_PERIOD_MS, epoch)
+
+    def wait_of(self, life, lives, epoch):
+        """Return after how long a silence an entry claims, in steps of 10 ms."""
+        clock = ManualClock(1000)
+        watch = LeaderWatch(life.incarnation, clock, self.watch.timing, life.cores)
+        record = LeaderRecord(epoch, "node", "gone", False)
+        watch.apply(msgspec.msgpack.encode(record))
+        rivals = [other for other in lives if other is not life]
+        while not watch.claim_due(clock.now(), rivals):
+            clock.advance(10)
+        return clock.now() - watch.seen_at_
