Let an entry with more processor take over after a silence as well

Cause: the larger entries went first by 120 ms, but waited in one order with the smaller ones, up to 150 ms, and a silence shows only in reads that are 200 ms apart. So a small entry was often the first, and stays for 8 s at least. Now the order counts no entry that is clearly smaller, and after a silence the larger ones go first by 260 ms. Where all are alike nothing changes.

--- a/pimentomill/replica/_leases.py
+++ b/pimentomill/replica/_leases.py
@@ -30,6 +30,8 @@
 """Factor by which an entry has clearly more processor than another."""
 HEAD_START_MS = 120
 """Milliseconds by which such an entry goes first; it notices a loss within 60 ms."""
+SILENCE_HEAD_START_MS = 260
+"""The same after a silence, which shows in reads 200 ms apart."""
 MAX_RANK = 5
 """Candidates that are waited for at most: those ahead may be lost as well."""
 
@@ -217,9 +219,10 @@
             for rival in rivals
             if record is None or rival.incarnation != record.incarnation
         ]
-        wait = self._head_start_ms(others)
         if record is not None and record.incarnation == self._gone[0]:
+            wait = self._head_start_ms(others, HEAD_START_MS)
             return self.clock.now() - self._gone[1] >= wait
+        wait = self._head_start_ms(others, SILENCE_HEAD_START_MS)
         wait += self._rank(others) * self.timing.stagger_ms
         if record is not None and not record.resigned:
             wait += self._silence_ms(record)
@@ -242,7 +245,7 @@
             return self.timing.silence_heard_ms
         return self.timing.silence_cut_off_ms
 
-    def _head_start_ms(self, rivals: list[Rival]) -> int:
+    def _head_start_ms(self, rivals: list[Rival], head_start_ms: int) -> int:
         """Return how long entries with more processor may go first.
 
         The leader makes every call to the workers. At the very start nobody knows
@@ -251,10 +254,13 @@
         if self.record_ is None:
             return round(START_MS * max(0.0, 1 - self.cores / AMPLE_CORES))
         limit = self.cores * CLEARLY_MORE
-        return HEAD_START_MS if any(other.cores > limit for other in rivals) else 0
+        return head_start_ms if any(other.cores > limit for other in rivals) else 0
 
     def _rank(self, rivals: list[Rival]) -> int:
-        """Return how many entries are ahead of this one as candidates."""
+        """Return how many entries are ahead of this one as candidates.
+
+        Entries with clearly less processor wait longer anyhow.
+        """
 
         # The order differs from epoch to epoch, so that a candidate that always
         # fails is not always the first.
@@ -262,4 +268,12 @@
             return stable_hash(f"{incarnation}/{self.epoch}")
 
         mine = place(self.incarnation)
-        return min(MAX_RANK, sum(place(other.incarnation) < mine for other in rivals))
+        least = self.cores / CLEARLY_MORE
+        return min(
+            MAX_RANK,
+            sum(
+                place(other.incarnation) < mine
+                for other in rivals
+                if other.cores >= least
+            ),
+        )
