Show hand-ins that are refused for good on facts that lag behind

A worker that is listed but has not reported counts as one of size zero, a summary stands for 2 s, and keys and queues of another entry are unknown until they are read. An answer to a holder's question is not counted as a report.

--- /dev/null
+++ b/pimentomill/entry/tests/test_hand_in.py
@@ -0,0 +1,253 @@
+"""Hand-ins at an entry whose view of the cell lags behind it."""
+
+import unittest
+
+import msgspec
+
+from pimentomill.admission import make_key
+from pimentomill.cell import KeyGiven, QueueSet, TeamSet
+from pimentomill.entry import CELL_STREAM, EntryCore, group_stream
+from pimentomill.entry._caller_api import CallerApi
+from pimentomill.entry._jobs import JobService
+from pimentomill.entry._peers import HolderDirectory
+from pimentomill.exceptions import TransportError
+from pimentomill.http import HttpRequest
+from pimentomill.journal import (
+    AppendState,
+    Instance,
+    InstanceKind,
+    InstanceState,
+    PendingAppend,
+    ReadResult,
+    encode_envelope,
+)
+from pimentomill.settings import (
+    AddressSettings,
+    CallerSettings,
+    EntrySettings,
+    GroupSettings,
+)
+from pimentomill.standins import LogModel
+from pimentomill.telemetry import Metrics
+from pimentomill.utils import ManualClock, Resources, TrafficMeter
+from pimentomill.work import BatchSpec, GangSpec, JobSpec
+from pimentomill.workers import CommandAnswer, WorkerReport
+
+ME, OTHER = "e1-a", "e2-a"
+LIMIT = Resources(64_000, 64_000, 0)
+SMALL = Resources(1_000, 1_000, 0)
+LARGE = Resources(16_000, 32_000, 0)
+
+
+class FakeCell:
+    """An entry with the log of a cell, without threads or sockets.
+
+    It reads the log and asks its peers only when the test says so.
+    """
+
+    def __init__(self, groups):
+        self.cfg = EntrySettings(
+            name="e1",
+            data_centre="dc1",
+            callers=CallerSettings(port=1),
+            control=AddressSettings(port=2),
+            peers=AddressSettings(port=3),
+            platform_url="http://127.0.0.1:4",
+            groups=[GroupSettings(name=g, racks=[f"dc1/{g}"]) for g in groups],
+        )
+        self.clock = ManualClock(start=1_000)
+        self.log = LogModel(1_000)
+        self.seqs = {}
+        self.asked = []
+        self.replies = {}
+        self.core = EntryCore(self.cfg, ME, self.clock, self)
+        directory = HolderDirectory(ME, self, self)
+        jobs = JobService(self.cfg, self.clock, self, directory, self)
+        metrics = Metrics(TrafficMeter())
+        self.api = CallerApi(
+            self.cfg, self, directory, jobs, None, None, metrics, None
+        ).router()
+        self.core.start()
+
+    # The log.
+
+    def append(self, stream, record, writer):
+        key = (stream, writer)
+        self.seqs[key] = self.seqs.get(key, 0) + 1
+        payload = encode_envelope(writer, self.seqs[key], record)
+        return self.log.append(stream, [payload]), self.seqs[key]
+
+    def read(self, req) -> ReadResult:
+        """Read as the platform's client does."""
+        return self.log.read(req)
+
+    def follow(self):
+        """Let the entry read the log to its end."""
+        position = self.core.fold_.state_.next_offset
+        part = self.log.slice(CELL_STREAM, position, 1_000)
+        self.core.on_cell_slice(part if part.records else None)
+        for group, holder in self.core.holders_.items():
+            part = self.log.slice(group_stream(group), holder.next_offset, 1_000)
+            self.core.on_group_slice(group, part)
+
+    # Effects of the core.
+
+    def submit(self, stream, record, linger_ms, patience_ms):
+        offset, seq = self.append(stream, record, ME)
+        return PendingAppend(
+            stream, record, 0, patience_ms, seq, AppendState.KEPT, offset
+        )
+
+    def command(self, group, view, batch):
+        self.asked.append((group, view.id, batch))
+
+    def start_reading(self, stream):
+        pass
+
+    def stop_reading(self, stream):
+        pass
+
+    # Handle of the core, and client of the peers.
+
+    def ask(self, target, *args):
+        if callable(target):
+            result = target(self.core)
+            for _, future in list(self.core._appends._waiting.values()):
+                if not future.done():
+                    future.set_result(None)
+            return result
+        reply = self.replies.get(target)
+        if reply is None:
+            raise TransportError("peer did not answer", sent=True)
+        return reply(*args)
+
+    def tell(self, call):
+        call(self.core)
+
+    def forget_all_but(self, addresses):
+        pass
+
+    # What a test does.
+
+    def join(self):
+        """Let the entry join and win all groups."""
+        self.follow()
+        self.core.tick()
+        self.follow()
+        self.clock.advance(self.cfg.leases.renew_ms)
+        self.core.tick()
+        for _ in range(3):
+            self.follow()
+
+    def list_workers(self, **groups):
+        self.core.on_instances(
+            [
+                Instance(
+                    id=name,
+                    kind=InstanceKind.WORKER,
+                    state=InstanceState.LIVE,
+                    address=f"{name}:1",
+                    rack=f"dc1/{group}",
+                )
+                for name, group in groups.items()
+            ]
+        )
+        self.core.tick()
+
+    def answer(self, worker, capacity):
+        """Let a worker answer the holder's question."""
+        group, _, batch = next(a for a in self.asked if a[1] == worker)
+        report = WorkerReport(worker, 1, 1, batch.epoch, capacity, [], [])
+        self.core.on_answer(group, worker, batch, CommandAnswer("", [], 1, 1, report))
+
+    def give_key(self, writer=OTHER):
+        """Write a team and its key to the log; return the key."""
+        key, digest = make_key("k-1")
+        self.append(CELL_STREAM, TeamSet("kiln", 1, LIMIT, -1), writer)
+        self.append(CELL_STREAM, KeyGiven("k-1", "kiln", digest, ""), writer)
+        return key
+
+    def hand_in(self, key, spec: JobSpec, queue=""):
+        headers = {"authorization": f"Bearer {key}", "idempotency-key": "n"}
+        body = msgspec.json.encode({"spec": spec, "queue": queue})
+        response = self.api.answer(HttpRequest("POST", "/v1/jobs", "", headers, body))
+        return response.status, response.body
+
+
+def batch(amount):
+    return BatchSpec(resources=amount)
+
+
+class HandInTest(unittest.TestCase):
+    def entry(self, *groups):
+        cell = FakeCell(groups)
+        cell.join()
+        self.assertEqual(set(cell.core.holders_), set(groups))
+        return cell
+
+    # A worker that is listed but not heard of was taken for one of size zero.
+    def test_work_is_taken_before_a_worker_has_told_its_size(self):
+        cell = self.entry("g1", "g2")
+        key = cell.give_key()
+        cell.follow()
+        cell.list_workers(w1="g1", w2="g2")
+        cell.core.own_summaries()
+        status, body = cell.hand_in(key, batch(SMALL))
+        self.assertEqual(status, 202, body)
+
+    # The size of one worker told nothing about a larger one not heard of yet.
+    def test_work_is_taken_before_the_largest_worker_has_told_its_size(self):
+        cell = self.entry("g1")
+        key = cell.give_key()
+        cell.follow()
+        cell.list_workers(w1="g1", w2="g1")
+        cell.answer("w1", SMALL)
+        cell.core.own_summaries()
+        status, body = cell.hand_in(key, batch(LARGE))
+        self.assertEqual(status, 202, body)
+
+    # A summary of seconds ago refused what the group can run by now.
+    def test_gang_is_taken_as_soon_as_its_group_is_large_enough(self):
+        cell = self.entry("g1")
+        key = cell.give_key()
+        cell.follow()
+        cell.list_workers(w1="g1")
+        cell.answer("w1", LARGE)
+        cell.core.own_summaries()
+        cell.list_workers(w1="g1", w2="g1")
+        cell.answer("w2", LARGE)
+        status, body = cell.hand_in(key, GangSpec(resources=LARGE, tasks=2))
+        self.assertEqual(status, 202, body)
+
+    def test_work_that_no_worker_could_run_is_refused(self):
+        cell = self.entry("g1")
+        key = cell.give_key()
+        cell.follow()
+        cell.list_workers(w1="g1")
+        cell.answer("w1", SMALL)
+        cell.core.own_summaries()
+        status, body = cell.hand_in(key, batch(LARGE))
+        self.assertEqual((status, b"never_fits" in body), (422, True))
+
+    # A key that another entry had given was refused until its record was read.
+    def test_key_is_known_at_each_entry_once_it_was_given(self):
+        cell = self.entry("g1")
+        key = cell.give_key()
+        status, body = cell.hand_in(key, batch(SMALL))
+        self.assertEqual(status, 202, body)
+
+    # A queue that another entry had opened was absent until its record was read.
+    def test_open_queue_is_known_at_each_entry_once_it_was_opened(self):
+        cell = self.entry("g1")
+        key = cell.give_key()
+        cell.follow()
+        cell.append(CELL_STREAM, QueueSet("common", "kiln", True, -1), OTHER)
+        status, body = cell.hand_in(key, batch(SMALL), "common")
+        self.assertEqual(status, 202, body)
+
+    def test_key_that_nobody_has_given_is_refused(self):
+        cell = self.entry("g1")
+        cell.give_key()
+        stranger, _ = make_key("k-2")
+        status, _ = cell.hand_in(stranger, batch(SMALL))
+        self.assertEqual(status, 401)
