Refuse hand-ins for good only on facts as of now

Callers saw, in the seconds after a start or a takeover, 422 `never_fits` for work that fits, and 401 or 404 for a key or queue that another entry had confirmed.

Cause: an entry answered from a view that lags behind the cell. A worker that the platform lists counted with capacity zero until its first report; such a summary stood for 2 s in each entry; other entries' records count only once they are read.

Evidence, on the code before: tests.test_callers with the workers paused from their listing until 2.5 s after the groups were claimed fails as listed and nowhere else: 422 in test_job_of_another_team_is_hidden and in GracefulStopTest, no counted report in test_metrics_can_be_read. After a takeover with paused workers each hand-in got 422 for 4 s, and for 2 s once they went on.

Now a summary tells whether all listed workers have reported, and nothing is refused on one that does not. Before 422 the holders are asked, a silent one counts as room; before 401 or 404 the cell's stream is read to its end. A summary of an earlier version reads as incomplete. Answers to a holder's question count as reports.

--- a/pimentomill/admission/_keys.py
+++ b/pimentomill/admission/_keys.py
@@ -10,7 +10,7 @@
 import secrets
 
 from ..cell import CellState
-from ..exceptions import NotFoundError, UnauthorizedError
+from ..exceptions import NotFoundError, UnauthorizedError, UnknownKeyError
 from ..utils import KeyId, TeamName
 
 __all__ = [
@@ -72,8 +72,9 @@
     Raises
     ------
     UnauthorizedError
-        If the key is malformed, unknown or withdrawn; the message does not
-        tell which of the two latter.
+        If the key is malformed.
+    UnknownKeyError
+        If it is unknown or withdrawn; the message does not tell which.
     """
     parts = _bearer(header).split(".")
     if len(parts) != 3 or parts[0] != KEY_MARK:
@@ -82,7 +83,7 @@
     digest = digest_of(parts[2])
     known = key.digest if key else digest_of("")
     if not hmac.compare_digest(digest, known) or key is None:
-        raise UnauthorizedError("the key is unknown or withdrawn")
+        raise UnknownKeyError("the key is unknown or withdrawn")
     return key.team
 
 
--- a/pimentomill/admission/_limits.py
+++ b/pimentomill/admission/_limits.py
@@ -49,7 +49,8 @@
     summaries : dict
         Latest summaries.
     groups : list of GroupName
-        All groups; nothing is refused while one of them is not known.
+        All groups; nothing is refused while one of them is not known, or has
+        workers that have not reported.
     spec : JobSpec
         The work.
 
@@ -68,7 +69,7 @@
 
 
 def _could_fit(summary: GroupSummary, spec: JobSpec) -> bool:
-    if not summary.largest:
+    if not summary.is_complete:
         return True
     if not any(spec.resources.fits_in(size) for size in summary.largest):
         return False
--- a/pimentomill/entry/_caller_api.py
+++ b/pimentomill/entry/_caller_api.py
@@ -116,7 +116,7 @@
         """Return the team of the caller's key, as far as keys can be checked."""
         self._check_taking()
         header = req.headers.get("authorization", "")
-        return resolve_team(self.directory.cell(), header)
+        return self.directory.look_up(lambda cell: resolve_team(cell, header))
 
     def _hand_in(self, req: HttpRequest) -> HttpResponse:
         try:
--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -35,9 +35,10 @@
     new_id,
 )
 from ..work import WorkState
-from ..workers import CommandBatch, WorkerClient, WorkerView
+from ..workers import CommandAnswer, CommandBatch, WorkerClient, WorkerView
 from ._actor import CoreActor, CoreHandle
 from ._caller_api import CallerApi
+from ._catch_up import CatchUp
 from ._control_api import ControlApi
 from ._core import EntryCore
 from ._effects import CELL_STREAM, stream_group
@@ -106,7 +107,8 @@
 
     def _build_services(self) -> None:
         cfg = self.cfg
-        directory = HolderDirectory(self.member, self.core, self._peer_client)
+        catch_up = CatchUp(self.core, self.platform, self.clock)
+        directory = HolderDirectory(self.member, self.core, self._peer_client, catch_up)
         self._directory = directory
         jobs = JobService(cfg, self.clock, self.core, directory, self.platform)
         dispatcher = Dispatcher(self.clock, RetryBudget(), self.rng, time.sleep)
@@ -299,6 +301,8 @@
         self.core.tell(lambda core: core.on_settled(item))
 
     def _on_answer(self, group, worker, batch, answer) -> None:
+        if isinstance(answer, CommandAnswer) and answer.report is not None:
+            self.metrics.reports_.add(1)
         self.core.tell(lambda core: core.on_answer(group, worker, batch, answer))
 
     # Questions of other entries.
--- a/pimentomill/entry/_jobs.py
+++ b/pimentomill/entry/_jobs.py
@@ -7,18 +7,20 @@
 from ..admission import check_fits_somewhere, check_waiting, team_of_queue
 from ..exceptions import (
     AppendUnknownError,
+    CapacityError,
     ConflictError,
     NotFoundError,
     NotHolderError,
     TransportError,
 )
-from ..holder import JobAnswer, describe_job
+from ..holder import GroupSummary, JobAnswer, describe_job
 from ..journal import PlatformClient, ReadRequest, decode_envelope
 from ..settings import EntrySettings
 from ..utils import Clock, GroupName, JobId, Offset, TeamName
 from ..work import (
     JobAccepted,
     JobCancelled,
+    JobSpec,
     Submission,
     WorkFold,
     check_submission,
@@ -117,8 +119,9 @@
             If it may have been kept; the message names its id.
         """
         check_submission(submission)
-        state = self.directory.cell()
-        charged = team_of_queue(state, team, submission.queue)
+        charged = self.directory.look_up(
+            lambda cell: team_of_queue(cell, team, submission.queue)
+        )
         group = home_group(self._groups, team, key)
         job_id = make_job_id(group, team, key)
         known = self._known(group, job_id)
@@ -153,10 +156,20 @@
 
     def _check_admission(self, team: TeamName, submission: Submission) -> None:
         summaries = self.core.ask(lambda core: dict(core.summaries_))
-        check_fits_somewhere(summaries, self._groups, submission.spec)
+        self._check_fits(summaries, submission.spec)
         more = task_count(submission.spec)
         check_waiting(summaries, team, more, self.cfg.max_waiting_per_team)
 
+    def _check_fits(
+        self, summaries: dict[GroupName, GroupSummary], spec: JobSpec
+    ) -> None:
+        """Refuse what no group could run, by the word of all holders as of now."""
+        try:
+            check_fits_somewhere(summaries, self._groups, spec)
+        except CapacityError:
+            current = self.directory.current_summaries()
+            check_fits_somewhere(current, self._groups, spec)
+
     def _keep(self, group: GroupName, record, job_id: JobId) -> None:
         fut = self.core.ask(lambda core: core.keep(group, record))
         try:
--- a/pimentomill/entry/_peers.py
+++ b/pimentomill/entry/_peers.py
@@ -1,7 +1,15 @@
 """Finding and asking the holders of groups."""
 
+from collections.abc import Callable
+from typing import TypeVar
+
 from ..cell import CellState
-from ..exceptions import NotHolderError, PimentomillError
+from ..exceptions import (
+    NotFoundError,
+    NotHolderError,
+    PimentomillError,
+    UnknownKeyError,
+)
 from ..holder import GroupSummary, JobAnswer, WorkerAnswer
 from ..peers import (
     AskJob,
@@ -17,9 +25,11 @@
 )
 from ..utils import GroupName, JobId, MemberId
 from ._actor import CoreHandle
+from ._catch_up import CatchUp
 
 __all__ = ["HolderDirectory"]
 
+T = TypeVar("T")
 ASK_TIMEOUT_MS = 2_000
 
 
@@ -34,17 +44,62 @@
         Its core.
     client : PeerClient
         Way to the others.
+    catch_up : CatchUp
+        Way to the end of the cell's stream.
     """
 
-    def __init__(self, member: MemberId, core: CoreHandle, client: PeerClient) -> None:
+    def __init__(
+        self,
+        member: MemberId,
+        core: CoreHandle,
+        client: PeerClient,
+        catch_up: CatchUp,
+    ) -> None:
         self.member = member
         self.core = core
         self.client = client
+        self.catch_up = catch_up
 
     def cell(self) -> CellState:
         """Return the cell's facts; the caller must not change them."""
         return self.core.ask(lambda core: core.cell())
 
+    def current_cell(self) -> CellState:
+        """Return the cell's facts after a read of its stream to the end.
+
+        Raises
+        ------
+        LogUnavailableError
+            If the log can't be read.
+        """
+        self.catch_up.run()
+        return self.cell()
+
+    def look_up(self, find: Callable[[CellState], T]) -> T:
+        """Find something among the cell's facts.
+
+        Parameters
+        ----------
+        find : callable
+            Takes the facts; raises `NotFoundError` or `UnknownKeyError` if they
+            lack what is wanted.
+
+        Returns
+        -------
+        object
+            What `find` returns. What it misses is looked for again among the
+            current facts before it counts as absent.
+
+        Raises
+        ------
+        LogUnavailableError
+            If it is missing and the log can't be read.
+        """
+        try:
+            return find(self.cell())
+        except (NotFoundError, UnknownKeyError):
+            return find(self.current_cell())
+
     def address_of(self, group: GroupName) -> str:
         """Return the peer address of a group's holder, empty if it is here.
 
@@ -92,6 +147,33 @@
         replies, _ = self._ask_all(AskSummaries(), SummaryList([]))
         return [summary for reply in replies for summary in reply.summaries]
 
+    def current_summaries(self) -> dict[GroupName, GroupSummary]:
+        """Ask all holders for summaries as of now.
+
+        Returns
+        -------
+        dict
+            Summaries by group; the groups of a holder that does not answer are
+            missing, and the holders after it are not asked.
+        """
+        cell = self.cell()
+        summaries = self.core.ask(own_summaries)
+        for member in list(cell.members.values()):
+            if member.id == self.member or not cell.groups_of(member.id):
+                continue
+            try:
+                reply = self.client.ask(
+                    member.peer_address, AskSummaries(), ASK_TIMEOUT_MS
+                )
+            except PimentomillError:
+                break
+            summaries.extend(reply.summaries)
+        return {
+            summary.group: summary
+            for summary in summaries
+            if cell.ownership(summary.group).holder == summary.holder
+        }
+
     def _ask_all(
         self, message: PeerMessage, own: PeerReply
     ) -> tuple[list[PeerReply], list[str]]:
@@ -119,3 +201,8 @@
 def own_workers(core) -> list[WorkerAnswer]:
     """Return the workers of all groups that a core holds."""
     return [w for holder in core.holders_.values() for w in holder.workers()]
+
+
+def own_summaries(core) -> list[GroupSummary]:
+    """Return summaries of all groups that a core holds and acts for."""
+    return [h.summary() for h in core.holders_.values() if h.is_acting]
--- a/pimentomill/entry/tests/test_hand_in.py
+++ b/pimentomill/entry/tests/test_hand_in.py
@@ -8,6 +8,7 @@
 from pimentomill.cell import KeyGiven, QueueSet, TeamSet
 from pimentomill.entry import CELL_STREAM, EntryCore, group_stream
 from pimentomill.entry._caller_api import CallerApi
+from pimentomill.entry._catch_up import CatchUp
 from pimentomill.entry._jobs import JobService
 from pimentomill.entry._peers import HolderDirectory
 from pimentomill.exceptions import TransportError
@@ -61,7 +62,8 @@
         self.asked = []
         self.replies = {}
         self.core = EntryCore(self.cfg, ME, self.clock, self)
-        directory = HolderDirectory(ME, self, self)
+        catch_up = CatchUp(self, self, self.clock)
+        directory = HolderDirectory(ME, self, self, catch_up)
         jobs = JobService(self.cfg, self.clock, self, directory, self)
         metrics = Metrics(TrafficMeter())
         self.api = CallerApi(
--- a/pimentomill/exceptions.py
+++ b/pimentomill/exceptions.py
@@ -23,6 +23,7 @@
     "StateUnavailableError",
     "TransportError",
     "UnauthorizedError",
+    "UnknownKeyError",
     "ValidationError",
 ]
 
@@ -63,6 +64,10 @@
     """The key is unknown, withdrawn, or lacks the right asked for."""
 
 
+class UnknownKeyError(UnauthorizedError):
+    """The key is well formed, but unknown or withdrawn."""
+
+
 class NotFoundError(PimentomillError, LookupError):
     """The named object does not exist."""
 
--- a/pimentomill/holder/_answers.py
+++ b/pimentomill/holder/_answers.py
@@ -114,7 +114,7 @@
     epoch : Epoch
         Since which epoch.
     largest : list of Resources
-        Different capacities of its workers.
+        Different capacities of its workers that have reported.
     free : list of Resources
         Free resources of its workers that take work, roomiest first.
     waiting : dict
@@ -122,9 +122,12 @@
     running : dict
         Resources in use by team.
     capacity : Resources
-        Sum over its workers.
+        Sum over its workers that have reported.
     services : dict
         Free slots by service of its backend servers.
+    is_complete : bool
+        Whether it has workers and all of them have reported, so that nothing
+        larger than `largest` and `capacity` could be run.
     """
 
     group: GroupName
@@ -136,6 +139,7 @@
     running: dict[TeamName, Resources]
     capacity: Resources
     services: dict[ServiceName, int] = {}
+    is_complete: bool = False
 
 
 def describe_job(
--- a/pimentomill/holder/_survey.py
+++ b/pimentomill/holder/_survey.py
@@ -96,19 +96,21 @@
         views = list(self.attempts.views.values())
         free = [view.free for view in views if view.takes_work(now)]
         free.sort(key=lambda amount: amount.cpu_milli, reverse=True)
+        reported = [view for view in views if view.has_reported]
         capacity = ZERO
-        for view in views:
+        for view in reported:
             capacity = capacity + view.capacity_
         used = self.attempts.used_.items()
         return GroupSummary(
             group=self.group,
             holder=self.member,
             epoch=self.epoch,
-            largest=list({view.capacity_ for view in views}),
+            largest=list({view.capacity_ for view in reported}),
             free=free[:SUMMARY_WORKERS],
             waiting=self._waiting_by_team(),
             running={team: amount for team, amount in used if not amount.is_zero()},
             capacity=capacity,
+            is_complete=bool(views) and len(reported) == len(views),
         )
 
     def _waiting_by_team(self) -> dict[TeamName, int]:
--- a/pimentomill/workers/_view.py
+++ b/pimentomill/workers/_view.py
@@ -67,6 +67,11 @@
         """Data centre of the worker."""
         return self.rack.partition("/")[0]
 
+    @property
+    def has_reported(self) -> bool:
+        """Whether its capacity is known, from a report to this holder."""
+        return self.health_ is not WorkerHealth.UNKNOWN
+
     @property
     def free(self) -> Resources:
         """What may still be promised; a component may be negative."""
