--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,26 @@
+"""The demonstration on a cell that is slow to come up."""
+
+import contextlib
+import io
+import unittest
+
+from scripts.cell import CellShape, SmallCell
+from scripts.demo import Demo
+
+SHAPE = CellShape(entries=2, workers=2, backends=1, groups=2)
+
+
+class LateBackendTest(unittest.TestCase):
+    # A request sent before its entry had heard of a backend server failed the demo.
+    def test_request_is_answered_although_its_backend_server_starts_late(self):
+        cell = SmallCell(SHAPE)
+        self.addCleanup(cell.close)
+        late, cell.backends = cell.backends, []
+        cell.start()
+        cell.backends = late
+        for backend in late:
+            backend.start()
+        demo = Demo(cell)
+        with contextlib.redirect_stdout(io.StringIO()):
+            demo.create_team()
+            demo.send_requests()
