Show lookups and statements that are refused on facts that lag behind

The same cause as of refused hand-ins: a job that was just taken, a team that another entry has created, a worker that another entry has drained.

--- a/pimentomill/entry/tests/test_hand_in.py
+++ b/pimentomill/entry/tests/test_lagging_entry.py
@@ -1,15 +1,17 @@
-"""Hand-ins at an entry whose view of the cell lags behind it."""
+"""Calls to an entry whose view of the cell lags behind it."""
 
 import unittest
+from concurrent.futures import Future
 
 import msgspec
 
-from pimentomill.admission import make_key
-from pimentomill.cell import KeyGiven, QueueSet, TeamSet
+from pimentomill.admission import digest_of, make_key
+from pimentomill.cell import KeyGiven, QueueSet, TeamSet, WorkerMarked
 from pimentomill.entry import CELL_STREAM, EntryCore, group_stream
 from pimentomill.entry._caller_api import CallerApi
 from pimentomill.entry._catch_up import CatchUp
 from pimentomill.entry._jobs import JobService
+from pimentomill.entry._operator import OperatorService
 from pimentomill.entry._peers import HolderDirectory
 from pimentomill.exceptions import TransportError
 from pimentomill.http import HttpRequest
@@ -35,6 +37,7 @@
 from pimentomill.workers import CommandAnswer, WorkerReport
 
 ME, OTHER = "e1-a", "e2-a"
+OPERATOR_KEY = "operator"
 LIMIT = Resources(64_000, 64_000, 0)
 SMALL = Resources(1_000, 1_000, 0)
 LARGE = Resources(16_000, 32_000, 0)
@@ -55,6 +58,7 @@
             peers=AddressSettings(port=3),
             platform_url="http://127.0.0.1:4",
             groups=[GroupSettings(name=g, racks=[f"dc1/{g}"]) for g in groups],
+            operator_key_digests=[digest_of(OPERATOR_KEY)],
         )
         self.clock = ManualClock(start=1_000)
         self.log = LogModel(1_000)
@@ -65,9 +69,10 @@
         catch_up = CatchUp(self, self, self.clock)
         directory = HolderDirectory(ME, self, self, catch_up)
         jobs = JobService(self.cfg, self.clock, self, directory, self)
+        operators = OperatorService(self, directory, jobs)
         metrics = Metrics(TrafficMeter())
         self.api = CallerApi(
-            self.cfg, self, directory, jobs, None, None, metrics, None
+            self.cfg, self, directory, jobs, None, operators, metrics, None
         ).router()
         self.core.start()
 
@@ -117,6 +122,8 @@
             for _, future in list(self.core._appends._waiting.values()):
                 if not future.done():
                     future.set_result(None)
+            if isinstance(result, Future) and not result.done():
+                self.follow()
             return result
         reply = self.replies.get(target)
         if reply is None:
@@ -175,12 +182,24 @@
         response = self.api.answer(HttpRequest("POST", "/v1/jobs", "", headers, body))
         return response.status, response.body
 
+    def find(self, key, job_id):
+        headers = {"authorization": f"Bearer {key}"}
+        path = f"/v1/jobs/{job_id}"
+        return self.api.answer(HttpRequest("GET", path, "", headers, b"")).status
+
+    def operate(self, statement):
+        headers = {"authorization": f"Bearer {OPERATOR_KEY}"}
+        body = statement.encode()
+        req = HttpRequest("POST", "/v1/commands", "", headers, body)
+        response = self.api.answer(req)
+        return response.status, response.body
+
 
 def batch(amount):
     return BatchSpec(resources=amount)
 
 
-class HandInTest(unittest.TestCase):
+class LaggingEntryTest(unittest.TestCase):
     def entry(self, *groups):
         cell = FakeCell(groups)
         cell.join()
@@ -253,3 +272,35 @@
         stranger, _ = make_key("k-2")
         status, _ = cell.hand_in(stranger, batch(SMALL))
         self.assertEqual(status, 401)
+
+    # A job that had just been taken was absent until its holder read the record.
+    def test_job_is_found_as_soon_as_it_was_taken(self):
+        cell = self.entry("g1")
+        key = cell.give_key()
+        status, body = cell.hand_in(key, batch(SMALL))
+        self.assertEqual(status, 202, body)
+        self.assertEqual(cell.find(key, msgspec.json.decode(body)["id"]), 200)
+
+    def test_job_that_nobody_has_handed_in_is_absent(self):
+        cell = self.entry("g1")
+        key = cell.give_key()
+        self.assertEqual(cell.find(key, "none@g1"), 404)
+
+    # A team that another entry had created was absent until its record was read.
+    def test_team_can_be_changed_at_each_entry_once_it_was_created(self):
+        cell = self.entry("g1")
+        version, _ = cell.append(CELL_STREAM, TeamSet("kiln", 1, LIMIT, -1), OTHER)
+        answer = cell.operate(f"set team kiln share 2 expecting {version}")
+        self.assertEqual(answer[0], 200, answer)
+
+    def test_team_that_nobody_has_created_is_absent(self):
+        cell = self.entry("g1")
+        status, _ = cell.operate("set team kiln share 2 expecting 1")
+        self.assertEqual(status, 404)
+
+    # A worker that another entry had drained could not be freed without a conflict.
+    def test_worker_can_be_marked_at_each_entry_in_turn(self):
+        cell = self.entry("g1")
+        cell.append(CELL_STREAM, WorkerMarked("w1", True, -1), OTHER)
+        answer = cell.operate("undrain worker w1")
+        self.assertEqual(answer[0], 200, answer)
