Find jobs and carry out statements on facts as of now

Callers saw 404 for a job that had just been taken, 404 for a team or queue that another entry had created, and 409 for a worker that another entry had marked. A peer whose log can't be read now says so, so that the caller gets 503 instead of 500; AskJob of an earlier version asks as before.

--- a/pimentomill/entry/_catch_up.py
+++ b/pimentomill/entry/_catch_up.py
@@ -1,14 +1,16 @@
-"""Reading of the cell's stream up to its end."""
+"""Reading of streams up to their end."""
 
 import threading
+from collections.abc import Callable
 
 from ..exceptions import LogUnavailableError
-from ..journal import LogService, ReadRequest
-from ..utils import Clock, Instant
+from ..journal import LogService, ReadRequest, StreamSlice
+from ..utils import Clock, GroupName, Instant, Offset, StreamName
 from ._actor import CoreHandle
-from ._effects import CELL_STREAM
+from ._core import EntryCore
+from ._effects import CELL_STREAM, group_stream
 
-__all__ = ["CatchUp"]
+__all__ = ["CatchUp", "cell_catch_up", "group_catch_up"]
 
 NEVER = Instant(-1)
 READ_LIMIT = 2_000
@@ -16,7 +18,7 @@
 
 
 class CatchUp:
-    """Fold all that the cell's stream holds at the time of a question.
+    """Fold all that a stream holds at the time of a question.
 
     Parameters
     ----------
@@ -26,6 +28,12 @@
         The platform's log.
     clock : Clock
         Source of time.
+    stream : StreamName
+        What to read.
+    position : callable
+        Takes the core; returns the first offset that it has not folded.
+    take : callable
+        Takes the core and a slice to fold.
 
     Notes
     -----
@@ -35,10 +43,21 @@
     next, so that their number does not decide how often the log is read.
     """
 
-    def __init__(self, core: CoreHandle, log: LogService, clock: Clock) -> None:
+    def __init__(
+        self,
+        core: CoreHandle,
+        log: LogService,
+        clock: Clock,
+        stream: StreamName,
+        position: Callable[[EntryCore], Offset],
+        take: Callable[[EntryCore, StreamSlice], None],
+    ) -> None:
         self.core = core
         self.log = log
         self.clock = clock
+        self.stream = stream
+        self.position = position
+        self.take = take
         self._lock = threading.Lock()
         self._begun_at = NEVER
 
@@ -49,6 +68,8 @@
         ------
         LogUnavailableError
             If the log can't be read.
+        NotHolderError
+            If the stream is that of a group that this entry does not hold.
         """
         asked_at = self.clock.now()
         with self._lock:
@@ -60,14 +81,40 @@
 
     def _read_on(self) -> None:
         while True:
-            position = self.core.ask(lambda core: core.cell().next_offset)
-            req = ReadRequest({CELL_STREAM: position}, 0, READ_LIMIT)
-            part = self.log.read(req).streams.get(CELL_STREAM)
+            position = self.core.ask(self.position)
+            req = ReadRequest({self.stream: position}, 0, READ_LIMIT)
+            part = self.log.read(req).streams.get(self.stream)
             if part is None:
                 return
             if part.start != position:
                 raise LogUnavailableError(
-                    f"{CELL_STREAM} was forgotten up to {part.first}"
+                    f"{self.stream} was forgotten up to {part.first}"
                 )
             # Told, not asked: a failed step of the core has to end the entry.
-            self.core.tell(lambda core, part=part: core.on_cell_slice(part))
+            self.core.tell(lambda core, part=part: self.take(core, part))
+
+
+def cell_catch_up(core: CoreHandle, log: LogService, clock: Clock) -> CatchUp:
+    """Return the catch-up of the cell's stream."""
+    return CatchUp(
+        core,
+        log,
+        clock,
+        CELL_STREAM,
+        lambda core: core.cell().next_offset,
+        lambda core, part: core.on_cell_slice(part),
+    )
+
+
+def group_catch_up(
+    core: CoreHandle, log: LogService, clock: Clock, group: GroupName
+) -> CatchUp:
+    """Return the catch-up of a group's stream, for its holder."""
+    return CatchUp(
+        core,
+        log,
+        clock,
+        group_stream(group),
+        lambda core: core.holder_of(group).next_offset,
+        lambda core, part: core.on_group_slice(group, part),
+    )
--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -38,7 +38,7 @@
 from ..workers import CommandAnswer, CommandBatch, WorkerClient, WorkerView
 from ._actor import CoreActor, CoreHandle
 from ._caller_api import CallerApi
-from ._catch_up import CatchUp
+from ._catch_up import cell_catch_up, group_catch_up
 from ._control_api import ControlApi
 from ._core import EntryCore
 from ._effects import CELL_STREAM, stream_group
@@ -107,8 +107,15 @@
 
     def _build_services(self) -> None:
         cfg = self.cfg
-        catch_up = CatchUp(self.core, self.platform, self.clock)
-        directory = HolderDirectory(self.member, self.core, self._peer_client, catch_up)
+        log = (self.core, self.platform, self.clock)
+        groups = [GroupName(group.name) for group in cfg.groups]
+        directory = HolderDirectory(
+            self.member,
+            self.core,
+            self._peer_client,
+            cell_catch_up(*log),
+            {group: group_catch_up(*log, group) for group in groups},
+        )
         self._directory = directory
         jobs = JobService(cfg, self.clock, self.core, directory, self.platform)
         dispatcher = Dispatcher(self.clock, RetryBudget(), self.rng, time.sleep)
@@ -317,9 +324,7 @@
 
     @_answer_peer.register
     def _(self, message: AskJob) -> PeerReply:
-        answer = self.core.ask(
-            lambda core: core.holder_of(message.group).describe(message.job)
-        )
+        answer = self._directory.own_job(message.group, message.job, message.is_current)
         return JobList([answer])
 
     @_answer_peer.register
--- a/pimentomill/entry/_jobs.py
+++ b/pimentomill/entry/_jobs.py
@@ -203,10 +203,17 @@
 
     def _find_in(self, group: GroupName, job_id: JobId) -> JobAnswer:
         try:
-            return self.directory.job(group, job_id)
+            return self._ask_holder(group, job_id)
         except (NotHolderError, TransportError):
             return self._read_from_log(group, job_id)
 
+    def _ask_holder(self, group: GroupName, job_id: JobId) -> JobAnswer:
+        """Ask the holder; what it misses is absent only by its whole stream."""
+        try:
+            return self.directory.job(group, job_id)
+        except NotFoundError:
+            return self.directory.job(group, job_id, is_current=True)
+
     def _read_from_log(self, group: GroupName, job_id: JobId) -> JobAnswer:
         """Replay a group's stream, for the time that it has no holder."""
         fold = WorkFold()
--- a/pimentomill/entry/_operator.py
+++ b/pimentomill/entry/_operator.py
@@ -10,9 +10,11 @@
 from ..admission import make_key
 from ..cell import (
     CellRecord,
+    CellState,
     KeyGiven,
     KeyWithdrawn,
     QueueSet,
+    Team,
     TeamRemoved,
     TeamSet,
     WorkerMarked,
@@ -40,7 +42,7 @@
     WithdrawKey,
     format_table,
 )
-from ..utils import KeyId, Offset, check_name, check_positive, new_id
+from ..utils import KeyId, Offset, TeamName, check_name, check_positive, new_id
 from ._actor import CoreHandle
 from ._jobs import JobService
 from ._peers import HolderDirectory
@@ -131,9 +133,7 @@
 
     @execute.register
     def _(self, statement: SetTeam) -> CommandAnswer:
-        team = self.directory.cell().teams.get(statement.team)
-        if team is None:
-            raise NotFoundError(f"there is no team {statement.team}")
+        team = self.directory.look_up(lambda cell: _team(cell, statement.team))
         if statement.share is None and statement.limit is None:
             raise ValidationError("set team must change the share or the limit")
         share = team.share if statement.share is None else statement.share
@@ -170,17 +170,17 @@
 
     @execute.register
     def _(self, statement: CloseQueue) -> CommandAnswer:
-        queue = self.directory.cell().queues.get(statement.queue)
-        if queue is None:
-            raise NotFoundError(f"there is no queue {statement.queue}")
-        record = QueueSet(statement.queue, queue.team, False, statement.expected)
+        team = self.directory.look_up(
+            lambda cell: _team_of_queue(cell, statement.queue)
+        )
+        record = QueueSet(statement.queue, team, False, statement.expected)
         return _changed(f"queue {statement.queue} closed", self._change(record))
 
     @execute.register
     def _(self, statement: MarkWorker) -> CommandAnswer:
         expected = statement.expected
         if expected is None:
-            mark = self.directory.cell().workers.get(statement.worker)
+            mark = self.directory.current_cell().workers.get(statement.worker)
             expected = mark.version if mark else ABSENT
         record = WorkerMarked(statement.worker, statement.drained, expected)
         version = self._change(record)
@@ -322,6 +322,18 @@
         return CommandAnswer(text, {"program": __version__, "offset": offset})
 
 
+def _team(cell: CellState, name: TeamName) -> Team:
+    if name not in cell.teams:
+        raise NotFoundError(f"there is no team {name}")
+    return cell.teams[name]
+
+
+def _team_of_queue(cell: CellState, name: str) -> TeamName:
+    if name not in cell.queues:
+        raise NotFoundError(f"there is no queue {name}")
+    return cell.queues[name].team
+
+
 def _changed(what: str, version: Offset) -> CommandAnswer:
     return CommandAnswer(f"{what}, version {version}", {"version": version})
 
--- a/pimentomill/entry/_peers.py
+++ b/pimentomill/entry/_peers.py
@@ -46,6 +46,8 @@
         Way to the others.
     catch_up : CatchUp
         Way to the end of the cell's stream.
+    group_catch_ups : dict
+        Ways to the ends of the groups' streams, for those that are held here.
     """
 
     def __init__(
@@ -54,11 +56,13 @@
         core: CoreHandle,
         client: PeerClient,
         catch_up: CatchUp,
+        group_catch_ups: dict[GroupName, CatchUp],
     ) -> None:
         self.member = member
         self.core = core
         self.client = client
         self.catch_up = catch_up
+        self.group_catch_ups = group_catch_ups
 
     def cell(self) -> CellState:
         """Return the cell's facts; the caller must not change them."""
@@ -114,9 +118,20 @@
             raise NotHolderError(f"group {group} has no holder now")
         return "" if holder == self.member else cell.members[holder].peer_address
 
-    def job(self, group: GroupName, job_id: JobId) -> JobAnswer:
+    def job(
+        self, group: GroupName, job_id: JobId, is_current: bool = False
+    ) -> JobAnswer:
         """Return a job of a group.
 
+        Parameters
+        ----------
+        group : GroupName
+            The group.
+        job_id : JobId
+            The job.
+        is_current : bool, default=False
+            Whether the holder reads its stream to the end before it answers.
+
         Raises
         ------
         NotFoundError
@@ -126,9 +141,15 @@
         """
         address = self.address_of(group)
         if not address:
-            return self.core.ask(lambda core: core.holder_of(group).describe(job_id))
-        reply = self.client.ask(address, AskJob(group, job_id), ASK_TIMEOUT_MS)
-        return reply.jobs[0]
+            return self.own_job(group, job_id, is_current)
+        message = AskJob(group, job_id, is_current)
+        return self.client.ask(address, message, ASK_TIMEOUT_MS).jobs[0]
+
+    def own_job(self, group: GroupName, job_id: JobId, is_current: bool) -> JobAnswer:
+        """Return a job of a group that this entry holds; see `job`."""
+        if is_current:
+            self.group_catch_ups[group].run()
+        return self.core.ask(lambda core: core.holder_of(group).describe(job_id))
 
     def all_jobs(self) -> tuple[list[JobAnswer], list[str]]:
         """Return the jobs of all groups, and the entries that did not answer."""
--- /dev/null
+++ b/pimentomill/entry/tests/test_catch_up.py
@@ -0,0 +1,90 @@
+import threading
+import unittest
+from itertools import count
+
+from pimentomill.entry._catch_up import CatchUp
+from pimentomill.exceptions import LogUnavailableError
+from pimentomill.journal import ReadResult, StreamSlice
+
+STREAM = "cell"
+
+
+class CountingClock:
+    """Clock whose every reading is later, and that tells how many were taken."""
+
+    def __init__(self):
+        self._readings = count(1)
+        self.taken = threading.Semaphore(0)
+
+    def now(self):
+        """Return the next reading."""
+        reading = next(self._readings)
+        self.taken.release()
+        return reading
+
+
+class FakeLog:
+    """Log without news whose reads wait until the test lets them go."""
+
+    def __init__(self, result=None):
+        self.result = result or ReadResult({})
+        self.begun = threading.Semaphore(0)
+        self.released = threading.Event()
+        self.reads = 0
+
+    def read(self, req):
+        """Read as the platform's client does."""
+        self.reads += 1
+        self.begun.release()
+        self.released.wait()
+        return self.result
+
+
+class FakeHandle:
+    """Handle of a core that stands at offset 5."""
+
+    def ask(self, call):
+        """Make a call."""
+        return call(None)
+
+    def tell(self, call):
+        """Make a call."""
+        call(None)
+
+
+def catch_up(log, clock):
+    return CatchUp(
+        FakeHandle(), log, clock, STREAM, lambda core: 5, lambda core, part: None
+    )
+
+
+class CatchUpTest(unittest.TestCase):
+    def test_questions_during_a_read_share_the_next(self):
+        log, clock = FakeLog(), CountingClock()
+        reader = catch_up(log, clock)
+        threads = [threading.Thread(target=reader.run) for _ in range(4)]
+        threads[0].start()
+        log.begun.acquire()
+        for thread in threads[1:]:
+            thread.start()
+        for _ in range(2 + 3):
+            clock.taken.acquire()
+        log.released.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(log.reads, 2)
+
+    def test_question_after_a_read_reads_again(self):
+        log, clock = FakeLog(), CountingClock()
+        log.released.set()
+        reader = catch_up(log, clock)
+        reader.run()
+        reader.run()
+        self.assertEqual(log.reads, 2)
+
+    def test_forgotten_records_are_not_skipped(self):
+        part = StreamSlice(7, 8, 7, [b"x"])
+        log = FakeLog(ReadResult({STREAM: part}))
+        log.released.set()
+        with self.assertRaises(LogUnavailableError):
+            catch_up(log, CountingClock()).run()
--- a/pimentomill/entry/tests/test_lagging_entry.py
+++ b/pimentomill/entry/tests/test_lagging_entry.py
@@ -6,14 +6,23 @@
 import msgspec
 
 from pimentomill.admission import digest_of, make_key
-from pimentomill.cell import KeyGiven, QueueSet, TeamSet, WorkerMarked
+from pimentomill.cell import (
+    GroupClaim,
+    GroupsClaimed,
+    KeyGiven,
+    MemberJoined,
+    QueueSet,
+    TeamSet,
+    WorkerMarked,
+)
 from pimentomill.entry import CELL_STREAM, EntryCore, group_stream
 from pimentomill.entry._caller_api import CallerApi
-from pimentomill.entry._catch_up import CatchUp
+from pimentomill.entry._catch_up import cell_catch_up, group_catch_up
 from pimentomill.entry._jobs import JobService
 from pimentomill.entry._operator import OperatorService
 from pimentomill.entry._peers import HolderDirectory
-from pimentomill.exceptions import TransportError
+from pimentomill.exceptions import NotFoundError, TransportError
+from pimentomill.holder import GroupSummary
 from pimentomill.http import HttpRequest
 from pimentomill.journal import (
     AppendState,
@@ -24,6 +33,7 @@
     ReadResult,
     encode_envelope,
 )
+from pimentomill.peers import AskJob, SummaryList
 from pimentomill.settings import (
     AddressSettings,
     CallerSettings,
@@ -66,8 +76,14 @@
         self.asked = []
         self.replies = {}
         self.core = EntryCore(self.cfg, ME, self.clock, self)
-        catch_up = CatchUp(self, self, self.clock)
-        directory = HolderDirectory(ME, self, self, catch_up)
+        log = (self, self, self.clock)
+        directory = HolderDirectory(
+            ME,
+            self,
+            self,
+            cell_catch_up(*log),
+            {group: group_catch_up(*log, group) for group in groups},
+        )
         jobs = JobService(self.cfg, self.clock, self, directory, self)
         operators = OperatorService(self, directory, jobs)
         metrics = Metrics(TrafficMeter())
@@ -250,6 +266,55 @@
         status, body = cell.hand_in(key, batch(LARGE))
         self.assertEqual((status, b"never_fits" in body), (422, True))
 
+    def with_other_holder(self):
+        """Return an entry that holds g1 beside another with small workers in g2."""
+        cell = FakeCell(["g1", "g2"])
+        claim = GroupClaim("g2", cell.core.cell().ownership("g2").epoch, -1)
+        joined = MemberJoined(OTHER, 0, "e2", "dc1", "e2:3", "e2:2", "e2:1")
+        cell.append(CELL_STREAM, joined, OTHER)
+        cell.append(CELL_STREAM, GroupsClaimed(OTHER, [claim]), OTHER)
+        cell.join()
+        self.assertEqual(set(cell.core.holders_), {"g1"})
+        key = cell.give_key()
+        cell.follow()
+        cell.list_workers(w1="g1")
+        cell.answer("w1", SMALL)
+        cell.core.own_summaries()
+        cell.core.on_summaries([self.summary_of_g2(cell, SMALL)])
+        return cell, key
+
+    def summary_of_g2(self, cell, size):
+        epoch = cell.core.cell().ownership("g2").epoch
+        return GroupSummary(
+            "g2", OTHER, epoch, [size], [size], {}, {}, size, is_complete=True
+        )
+
+    def let_other_answer(self, cell, size):
+        """Let the other entry answer; it has no jobs, and workers of one size."""
+
+        def answer(message, timeout_ms):
+            if isinstance(message, AskJob):
+                raise NotFoundError("there is no such job")
+            return SummaryList([self.summary_of_g2(cell, size)])
+
+        cell.replies["e2:3"] = answer
+
+    def test_work_that_another_holder_could_run_by_now_is_taken(self):
+        cell, key = self.with_other_holder()
+        self.let_other_answer(cell, LARGE)
+        status, body = cell.hand_in(key, batch(LARGE))
+        self.assertEqual(status, 202, body)
+
+    def test_work_is_not_refused_for_good_while_a_holder_is_silent(self):
+        cell, key = self.with_other_holder()
+        status, body = cell.hand_in(key, batch(LARGE))
+        self.assertEqual(status, 202, body)
+
+    def test_work_is_refused_once_all_holders_have_no_worker_for_it(self):
+        cell, key = self.with_other_holder()
+        self.let_other_answer(cell, SMALL)
+        self.assertEqual(cell.hand_in(key, batch(LARGE))[0], 422)
+
     # A key that another entry had given was refused until its record was read.
     def test_key_is_known_at_each_entry_once_it_was_given(self):
         cell = self.entry("g1")
--- a/pimentomill/peers/_messages.py
+++ b/pimentomill/peers/_messages.py
@@ -6,6 +6,7 @@
 
 from ..exceptions import (
     AdmissionError,
+    LogUnavailableError,
     NotFoundError,
     NotHolderError,
     PimentomillError,
@@ -40,10 +41,21 @@
 
 
 class AskJob(msgspec.Struct, tag="job?"):
-    """Ask for a job of a group that the peer holds."""
+    """Ask for a job of a group that the peer holds.
+
+    Parameters
+    ----------
+    group : GroupName
+        The group.
+    job : JobId
+        The job.
+    is_current : bool, default=False
+        Whether to read the group's stream to its end before the answer.
+    """
 
     group: GroupName
     job: JobId
+    is_current: bool = False
 
 
 class AskJobs(msgspec.Struct, tag="jobs?"):
@@ -72,6 +84,7 @@
     NOT_FOUND = "not found"
     NOT_HOLDER = "not holder"
     BUSY = "busy"
+    LOG_UNAVAILABLE = "log unavailable"
     FAILED = "failed"
 
 
@@ -91,6 +104,8 @@
             return cls(RefusalCode.NOT_HOLDER, str(exc))
         if isinstance(exc, AdmissionError):
             return cls(RefusalCode.BUSY, str(exc), exc.retry_after_ms)
+        if isinstance(exc, LogUnavailableError):
+            return cls(RefusalCode.LOG_UNAVAILABLE, str(exc))
         return cls(RefusalCode.FAILED, str(exc))
 
     def error(self) -> PimentomillError:
@@ -101,6 +116,8 @@
             return NotHolderError(self.message)
         if self.code is RefusalCode.BUSY:
             return AdmissionError(self.message, self.retry_after_ms)
+        if self.code is RefusalCode.LOG_UNAVAILABLE:
+            return LogUnavailableError(self.message)
         return PimentomillError(self.message)
 
 
