--- a/pimentomill/entry/_catch_up.py
+++ b/pimentomill/entry/_catch_up.py
@@ -15,6 +15,8 @@
 NEVER = Instant(-1)
 READ_LIMIT = 2_000
 """Records of one read, as many as a follower of the stream takes."""
+MAX_WAITING = 4
+"""Questions that may wait at once, a third of the callers' threads by default."""
 
 
 class CatchUp:
@@ -40,7 +42,8 @@
     An entry learns of a change that another has confirmed only when it reads the
     record. What must not rest on older facts, such as the refusal of a key, is
     decided after a catch-up. Questions that come while one is under way share the
-    next, so that their number does not decide how often the log is read.
+    next, so that their number does not decide how often the log is read. Only so
+    many may wait: strangers must not hold up all threads while the log is slow.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         self.take = take
         self._lock = threading.Lock()
         self._begun_at = NEVER
+        self._places = threading.BoundedSemaphore(MAX_WAITING)
 
     def run(self) -> None:
         """Return once the core has folded what the log holds now.
@@ -67,10 +71,18 @@
         Raises
         ------
         LogUnavailableError
-            If the log can't be read.
+            If the log can't be read, or too many questions wait.
         NotHolderError
             If the stream is that of a group that this entry does not hold.
         """
+        if not self._places.acquire(blocking=False):
+            raise LogUnavailableError("too many calls wait for a read of the log")
+        try:
+            self._take_turn()
+        finally:
+            self._places.release()
+
+    def _take_turn(self) -> None:
         asked_at = self.clock.now()
         with self._lock:
             if self._begun_at > asked_at:
--- a/pimentomill/entry/tests/test_catch_up.py
+++ b/pimentomill/entry/tests/test_catch_up.py
@@ -2,7 +2,7 @@
 import unittest
 from itertools import count
 
-from pimentomill.entry._catch_up import CatchUp
+from pimentomill.entry._catch_up import MAX_WAITING, CatchUp
 from pimentomill.exceptions import LogUnavailableError
 from pimentomill.journal import ReadResult, StreamSlice
 
@@ -74,6 +74,21 @@
             thread.join()
         self.assertEqual(log.reads, 2)
 
+    def test_question_beyond_the_waiting_ones_is_refused_at_once(self):
+        log, clock = FakeLog(), CountingClock()
+        reader = catch_up(log, clock)
+        threads = [threading.Thread(target=reader.run) for _ in range(MAX_WAITING)]
+        for thread in threads:
+            thread.start()
+        for _ in range(1 + MAX_WAITING):
+            clock.taken.acquire()
+        with self.assertRaises(LogUnavailableError):
+            reader.run()
+        log.released.set()
+        for thread in threads:
+            thread.join()
+        reader.run()
+
     def test_question_after_a_read_reads_again(self):
         log, clock = FakeLog(), CountingClock()
         log.released.set()
