--- a/pimentomill/entry/tests/test_lagging_entry.py
+++ b/pimentomill/entry/tests/test_lagging_entry.py
@@ -1,5 +1,6 @@
 """Calls to an entry whose view of the cell lags behind it."""
 
+import random
 import unittest
 from concurrent.futures import Future
 
@@ -21,6 +22,7 @@
 from pimentomill.entry._jobs import JobService
 from pimentomill.entry._operator import OperatorService
 from pimentomill.entry._peers import HolderDirectory
+from pimentomill.entry._requests import RequestService
 from pimentomill.exceptions import NotFoundError, TransportError
 from pimentomill.holder import GroupSummary
 from pimentomill.http import HttpRequest
@@ -34,6 +36,7 @@
     encode_envelope,
 )
 from pimentomill.peers import AskJob, SummaryList
+from pimentomill.requests import RequestResult, RetryBudget
 from pimentomill.settings import (
     AddressSettings,
     CallerSettings,
@@ -42,17 +45,31 @@
 )
 from pimentomill.standins import LogModel
 from pimentomill.telemetry import Metrics
-from pimentomill.utils import ManualClock, Resources, TrafficMeter
-from pimentomill.work import BatchSpec, GangSpec, JobSpec
+from pimentomill.utils import ZERO, ManualClock, Resources, TrafficMeter
+from pimentomill.work import BatchSpec, GangSpec, JobSpec, RequestOutcome
 from pimentomill.workers import CommandAnswer, WorkerReport
 
 ME, OTHER = "e1-a", "e2-a"
 OPERATOR_KEY = "operator"
+SPAN_MS = 10_000
 LIMIT = Resources(64_000, 64_000, 0)
 SMALL = Resources(1_000, 1_000, 0)
 LARGE = Resources(16_000, 32_000, 0)
 
 
+class FakeDispatcher:
+    """Answer each call that is to be sent to a backend server."""
+
+    def __init__(self):
+        self.budget = RetryBudget()
+        self.calls = []
+
+    def run(self, call, pool):
+        """Note a call and answer it."""
+        self.calls.append(call)
+        return RequestResult(RequestOutcome.ANSWERED, status=200)
+
+
 class FakeCell:
     """An entry with the log of a cell, without threads or sockets.
 
@@ -77,7 +94,7 @@
         self.replies = {}
         self.core = EntryCore(self.cfg, ME, self.clock, self)
         log = (self, self, self.clock)
-        directory = HolderDirectory(
+        self.directory = directory = HolderDirectory(
             ME,
             self,
             self,
@@ -369,3 +386,25 @@
         cell.append(CELL_STREAM, WorkerMarked("w1", True, -1), OTHER)
         answer = cell.operate("undrain worker w1")
         self.assertEqual(answer[0], 200, answer)
+
+    # A summary of an earlier holder made a request that had not run uncertain.
+    def test_request_is_sent_under_the_present_holder(self):
+        cell = self.entry("g1")
+        present = cell.core.cell().ownership("g1").epoch
+        earlier = GroupSummary(
+            "g1", ME, present - 1, [], [], {}, {}, ZERO, {"planting": 1}
+        )
+        cell.core.on_summaries([earlier])
+        dispatcher = FakeDispatcher()
+        requests = RequestService(
+            cell.cfg,
+            cell.clock,
+            cell,
+            cell.directory,
+            cell,
+            dispatcher,
+            random.Random(1),
+        )
+        _, result = requests.run("kiln", "planting", "order", False, b"40", SPAN_MS, {})
+        self.assertIs(result.outcome, RequestOutcome.ANSWERED, result)
+        self.assertEqual([call.epoch for call in dispatcher.calls], [present])
