Send a request under the epoch of the holder that it is sent to

Callers saw 504 `unknown` for a non-idempotent request that had surely not run, in the 2 s after a group had been handed over: the address came from the cell's facts, the epoch from a summary of the holder before, and the new holder took the call for a copy of an earlier one. Both now come from the facts, so that a mismatch means a copy, or a change of the holder while the call was under way. A call that an earlier holder may have carried out still carries that one's epoch and is still held back.

--- a/pimentomill/entry/_requests.py
+++ b/pimentomill/entry/_requests.py
@@ -182,7 +182,8 @@
             call = DispatchCall(
                 request=request,
                 group=target.group,
-                epoch=target.epoch,
+                # The summary may be of an earlier holder, the address is not.
+                epoch=self.directory.cell().ownership(target.group).epoch,
                 team=team,
                 service=service,
                 body=body,
