--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -35,9 +35,10 @@
     new_id,
 )
 from ..work import WorkState
-from ..workers import CommandBatch, WorkerClient, WorkerView
+from ..workers import CommandAnswer, CommandBatch, WorkerClient, WorkerView
 from ._actor import CoreActor, CoreHandle
 from ._caller_api import CallerApi
+from ._catch_up import cell_catch_up, group_catch_up
 from ._control_api import ControlApi
 from ._core import EntryCore
 from ._effects import CELL_STREAM, stream_group
@@ -106,7 +107,15 @@
 
     def _build_services(self) -> None:
         cfg = self.cfg
-        directory = HolderDirectory(self.member, self.core, self._peer_client)
+        log = (self.core, self.platform, self.clock)
+        groups = [GroupName(group.name) for group in cfg.groups]
+        directory = HolderDirectory(
+            self.member,
+            self.core,
+            self._peer_client,
+            cell_catch_up(*log),
+            {group: group_catch_up(*log, group) for group in groups},
+        )
         self._directory = directory
         jobs = JobService(cfg, self.clock, self.core, directory, self.platform)
         dispatcher = Dispatcher(self.clock, RetryBudget(), self.rng, time.sleep)
@@ -299,6 +308,8 @@
         self.core.tell(lambda core: core.on_settled(item))
 
     def _on_answer(self, group, worker, batch, answer) -> None:
+        if isinstance(answer, CommandAnswer) and answer.report is not None:
+            self.metrics.reports_.add(1)
         self.core.tell(lambda core: core.on_answer(group, worker, batch, answer))
 
     # Questions of other entries.
@@ -313,9 +324,7 @@
 
     @_answer_peer.register
     def _(self, message: AskJob) -> PeerReply:
-        answer = self.core.ask(
-            lambda core: core.holder_of(message.group).describe(message.job)
-        )
+        answer = self._directory.own_job(message.group, message.job, message.is_current)
         return JobList([answer])
 
     @_answer_peer.register
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -8,7 +8,9 @@
 import sys
 import tempfile
 import time
-from itertools import count
+from functools import cache
+from http import HTTPStatus
+from itertools import cycle
 from pathlib import Path
 from typing import Any
 
@@ -22,10 +24,12 @@
 OPERATOR_KEY = "demo-operator-key"
 READY_WITHIN_S = 20.0
 POLL_S = 0.1
+STARVED_AT_MOST_S = 300.0
+"""Longest wait for a processor that a limit leaves out; 105 s were seen."""
+NS_PER_S = 1_000_000_000
 STOP_WITHIN_S = 20.0
 HTTP_TIMEOUT_S = 15.0
 FIRST_PORT = 20_000
-PORT_SPAN = 12_000
 PORT_BLOCKS = 40
 PORTS_A_BLOCK = 300
 
@@ -44,13 +48,47 @@
     appends_per_second: int = 500
 
 
-_ports = count(FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_A_BLOCK)
+class PortBlock:
+    """Ports that only this process hands out, until it ends.
+
+    Notes
+    -----
+    A port is handed out long before its process listens, so that looking whether it
+    is free does not keep others from it. A Unix socket without a file stands for the
+    block; the kernel takes it back from a process that ends in any way.
+    """
+
+    def __init__(self) -> None:
+        self._mark = socket.socket(socket.AF_UNIX)
+        self._ports = cycle(range(PORTS_A_BLOCK))
+        self._first = FIRST_PORT + self._claim() * PORTS_A_BLOCK
+
+    def _claim(self) -> int:
+        """Claim a block that no other process has, and return its number."""
+        for offset in range(PORT_BLOCKS):
+            block = (os.getpid() + offset) % PORT_BLOCKS
+            try:
+                self._mark.bind(f"\0pimentomill-ports-{block}")
+            except OSError:
+                continue
+            return block
+        raise OSError(f"all {PORT_BLOCKS} blocks of ports are taken")
+
+    def next(self) -> int:
+        """Return the next port of the block, free or not."""
+        return self._first + next(self._ports)
+
+
+@cache
+def port_block() -> PortBlock:
+    """Return the block of this process."""
+    return PortBlock()
 
 
 def free_port() -> int:
     """Return a TCP port that is free and that no outgoing connection takes."""
     while True:
-        port = FIRST_PORT + (next(_ports) - FIRST_PORT) % PORT_SPAN
+        port = port_block().next()
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
@@ -75,6 +113,26 @@
         """Process id."""
         return self._child.pid
 
+    def processor_waits_s(self) -> dict[str, float]:
+        """Return how long each thread was ready to run without a processor.
+
+        Returns
+        -------
+        dict
+            Seconds by path of the thread's figures; empty if it does not run.
+        """
+        if not self.is_running():
+            return {}
+        waits = {}
+        for path in Path(f"/proc/{self.pid}/task").glob("*/schedstat"):
+            try:
+                _, waited_ns, _ = path.read_text().split()
+            except OSError:
+                # The thread has ended since.
+                continue
+            waits[str(path)] = int(waited_ns) / NS_PER_S
+        return waits
+
     def start(self) -> None:
         """Start it."""
         path = self.folder / f"{self.name}.json"
@@ -124,6 +182,8 @@
         self.http = urllib3.PoolManager(retries=False, maxsize=32)
         # A kept connection may be closed by its server just as it is used again.
         self.headers = {"Connection": "close"}
+        self._waits_s: dict[str, float] = {}
+        self._starved_s = 0.0
         self._folder = tempfile.TemporaryDirectory(prefix="pimentomill-")
         folder = Path(self._folder.name)
         port = free_port()
@@ -224,18 +284,49 @@
     def wait_for(self, condition, what: str, within_s: float = READY_WITHIN_S) -> None:
         """Wait until a condition holds.
 
+        Parameters
+        ----------
+        condition : callable
+            Returns whether it holds.
+        what : str
+            What is waited for.
+        within_s : float
+            Limit in seconds. Time in which a thread of the cell waited for a
+            processor is left out, up to `STARVED_AT_MOST_S`.
+
         Raises
         ------
         TimeoutError
             If it does not hold in time.
         """
         deadline = time.monotonic() + within_s
-        while time.monotonic() < deadline:
+        starved_s = self.processor_wait_s()
+        extension_s = 0.0
+        while time.monotonic() < deadline + extension_s:
             if condition():
                 return
             time.sleep(POLL_S)
+            waited_s = self.processor_wait_s() - starved_s
+            extension_s = min(waited_s, STARVED_AT_MOST_S)
         raise TimeoutError(f"{what} not in time\n{self.log_tail()}")
 
+    def processor_wait_s(self) -> float:
+        """Return how long the cell was held up by threads without a processor.
+
+        Returns
+        -------
+        float
+            Seconds in total over the calls so far; from one call to the next
+            the longest wait of a single thread counts.
+        """
+        before = self._waits_s
+        self._waits_s = {}
+        for process in [*self.entries, *self.workers, *self.backends, self.platform]:
+            self._waits_s.update(process.processor_waits_s())
+        added = [wait - before.get(path, 0.0) for path, wait in self._waits_s.items()]
+        self._starved_s += max(added, default=0.0)
+        return self._starved_s
+
     def keep_logs(self, folder: Path) -> Path:
         """Copy the logs of all processes, so that they outlast the cell.
 
@@ -338,6 +429,40 @@
             {"Idempotency-Key": idempotency_key},
         )
 
+    def request(
+        self,
+        key: str,
+        service: str,
+        body: bytes,
+        headers: dict[str, str],
+        entry: int = 0,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request to a service, as a caller that keeps to the interface.
+
+        Returns
+        -------
+        urllib3.BaseHTTPResponse
+            The first answer that does not say that the request was surely not
+            run and when to come back.
+
+        Raises
+        ------
+        TimeoutError
+            If there is none in time.
+        """
+        path = f"/v1/services/{service}/requests"
+        answers = []
+
+        def is_final() -> bool:
+            answers.append(self.call("POST", path, key, body, entry, headers))
+            if answers[-1].status != HTTPStatus.SERVICE_UNAVAILABLE:
+                return True
+            time.sleep(float(answers[-1].headers["Retry-After"]))
+            return False
+
+        self.wait_for(is_final, f"an answer of {service}")
+        return answers[-1]
+
     def job(self, key: str, job_id: str, entry: int = 0) -> dict:
         """Return a job."""
         response = self.call("GET", f"/v1/jobs/{job_id}", key, entry=entry)
