Log what runs and waits in each queue, by what it can still reach

'Step waits' names the longest waiting steps only, so the log could not tell late work before work in time from room without an answer, nor what lay beyond a share. 'Queue waits' gives both every two seconds for eight queues at most, and 'Job finished' the queue and whether the job was beyond its team's share.

--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -218,6 +218,8 @@
         _log.info(
             "Job finished",
             job=job_id,
+            queue=job.queue.name,
+            over_share=job.over_share,
             state=state.value,
             why=why,
             took_ms=took_ms,
--- a/pimentomill/control/_diagnosis.py
+++ b/pimentomill/control/_diagnosis.py
@@ -1,12 +1,89 @@
 """Why a step waits, for the log."""
 
-from ..dispatch import Plan, QuotaBook, StepRun
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ..dispatch import Plan, QuotaBook, StepRun, prospect
 from ..fleet import Worker
 from ..utils import Instant
 
-__all__ = ["NOT_ALLOWED", "why_waiting"]
+__all__ = ["NOT_ALLOWED", "QueueLoad", "queue_loads", "why_waiting"]
 
 NOT_ALLOWED = "not allowed"
+BEYOND_SHARE = "beyond share"
+
+
+class QueueLoad(NamedTuple):
+    """Tasks of one queue, by what their jobs can still reach.
+
+    Parameters
+    ----------
+    queue, pool : str
+        Name of the queue, and the service whose workers run it.
+    priority : int
+        Priority of the queue.
+    running, waiting : dict of str to int
+        Count of tasks by outlook.
+    unasked : int
+        Waiting tasks about which the queue's policy has not answered.
+    """
+
+    queue: str
+    pool: str
+    priority: int
+    running: dict[str, int]
+    waiting: dict[str, int]
+    unasked: int
+
+
+def queue_loads(steps: Iterable[StepRun], now: Instant) -> list[QueueLoad]:
+    """Return what runs and waits, by queue.
+
+    Parameters
+    ----------
+    steps : iterable of StepRun
+        Steps that are not done and whose turn has come.
+    now : Instant
+        Time.
+
+    Returns
+    -------
+    list of QueueLoad
+        The queue with the most waiting tasks first.
+    """
+    running: dict[str, Counter] = {}
+    waiting: dict[str, Counter] = {}
+    unasked: Counter = Counter()
+    queues = {}
+    for step in steps:
+        queue = step.job.queue
+        queues[queue.name] = queue
+        outlook = _outlook(step, now)
+        if step.active:
+            running.setdefault(queue.name, Counter())[outlook] += len(step.active)
+        if step.waiting:
+            waiting.setdefault(queue.name, Counter())[outlook] += len(step.waiting)
+            if queue.advice is not None and not step.asked:
+                unasked[queue.name] += len(step.waiting)
+    loads = [
+        QueueLoad(
+            name,
+            queue.service,
+            queue.priority,
+            dict(running.get(name, {})),
+            dict(waiting.get(name, {})),
+            unasked[name],
+        )
+        for name, queue in queues.items()
+    ]
+    return sorted(loads, key=lambda load: -sum(load.waiting.values()))
+
+
+def _outlook(step: StepRun, now: Instant) -> str:
+    if step.job.over_share:
+        return BEYOND_SHARE
+    return prospect(step, now).name.lower().replace("_", " ")
 
 
 def why_waiting(
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -16,7 +16,7 @@
 from ..utils import Clock, Instant, JobId, wait_set
 from ._advice import AdviceDesk, Question
 from ._book import CellBook
-from ._diagnosis import NOT_ALLOWED, why_waiting
+from ._diagnosis import NOT_ALLOWED, queue_loads, why_waiting
 from ._drive import Drive
 from ._expiry import expired_keys
 from ._holds import Holds
@@ -54,6 +54,8 @@
 """Milliseconds between two reports on waiting steps."""
 DIAGNOSED_STEPS = 6
 """Steps in one report, so that the log stays small when the cell is full."""
+DIAGNOSED_QUEUES = 8
+"""Queues in one report, for the same reason."""
 
 WorkerCodec = Callable[[str, bytes], WorkerInfo | None]
 
@@ -430,6 +432,7 @@
             await asyncio.sleep(DIAGNOSIS_INTERVAL_MS / 1000)
             self._record_fleet()
             now = self.clock.now()
+            self._tell_loads(now)
             workers = list(self.book.workers.values())
             oldest = now - DIAGNOSIS_INTERVAL_MS
             steps = [step for step in self.book.ready_steps() if step.ready_at < oldest]
@@ -454,6 +457,15 @@
                     workers=causes,
                 )
 
+    def _tell_loads(self, now: Instant) -> None:
+        """Tell in the log what runs and waits in the queues with waiting tasks."""
+        due = [
+            step for step in self.book.open_steps.values() if step.ready_at is not None
+        ]
+        for load in queue_loads(due, now)[:DIAGNOSED_QUEUES]:
+            if load.waiting:
+                _log.info("Queue waits", **load._asdict())
+
     # Time
 
     async def _due_loop(self) -> None:
