Failing test: late urgent work keeps less urgent work waiting until that is late

Bursts of an urgent queue leave a backlog that is late but not yet worthless; the order of steps puts it before work of other queues that could be in time.

--- a/pimentomill/dispatch/tests/test_order.py
+++ b/pimentomill/dispatch/tests/test_order.py
@@ -76,3 +76,52 @@
         served = self.in_time(order_key)
         self.assertGreaterEqual(served, 5 * naive)
         self.assertGreaterEqual(served, 0.95 * JOBS * EVERY_MS / TASK_MS)
+
+
+class TestBurstsOfUrgentWork(unittest.TestCase):
+    """An urgent queue hands in ten jobs each 10 s, room for all of them but no more.
+
+    A less urgent one hands in a job each 2 s. Only three jobs of a burst can be in
+    time.
+    """
+
+    BURST = 10
+    BURST_EVERY_MS = 10_000
+    LESS_URGENT_EVERY_MS = 2000
+    SPAN_MS = 60_000
+
+    def serve(self, key):
+        """Return how many jobs one place serves in time by queue, in an order."""
+        urgent, other = queue("urgent", priority=1), queue("other", priority=2)
+        arrivals = [
+            (at, urgent)
+            for at in range(0, self.SPAN_MS, self.BURST_EVERY_MS)
+            for _ in range(self.BURST)
+        ]
+        arrivals += [
+            (at, other) for at in range(500, self.SPAN_MS, self.LESS_URGENT_EVERY_MS)
+        ]
+        arrivals.sort(key=lambda found: found[0])
+        in_time = {"urgent": 0, "other": 0}
+        waiting, now, taken = [], 0, 0
+        while now < self.SPAN_MS:
+            while taken < len(arrivals) and arrivals[taken][0] <= now:
+                at, of = arrivals[taken]
+                spec = [step(estimate_ms=TASK_MS)]
+                waiting.append(first_step(f"{taken:016d}", spec, of=of, seen_at=at))
+                taken += 1
+            chosen = min(waiting, key=lambda found: key(found, now))
+            waiting.remove(chosen)
+            now += TASK_MS
+            job = chosen.job
+            in_time[job.queue.name] += now - job.seen_at <= objective_ms(job)
+        return in_time
+
+    # Guards against urgent work that is late already, a backlog of a burst, keeping
+    # less urgent work waiting until that is late as well.
+    def test_late_urgent_work_does_not_make_other_work_late(self):
+        in_time = self.serve(order_key)
+        bursts = self.SPAN_MS // self.BURST_EVERY_MS
+        # Work that can be in time still comes by priority.
+        self.assertEqual(in_time["urgent"], 3 * bursts)
+        self.assertGreaterEqual(in_time["other"], 0.8 * 5 * bursts)
