--- a/pimentomill/dispatch/_order.py
+++ b/pimentomill/dispatch/_order.py
@@ -66,17 +66,16 @@
     """Return the position of a step, the smallest first.
 
     Work that can reach nothing any more takes what the rest leaves. Work beyond a
-    team's share comes before it, after all within the shares. Work that can only be
-    late comes after work that can be in time, also after less urgent one: its callers
-    have little more to lose, while a backlog of it would make all work behind it late
-    as well. Then the priority decides, then the nearest objective.
+    team's share comes before it, after all within the shares. Then the priority
+    decides. Within a priority, work that can only be late comes after work that can
+    be in time, and the nearest objective comes first.
     """
     job = step.job
     outlook = prospect(step, now)
     since = _since(step)
     due = (now if since is None else since) + objective_ms(job)
     too_late = outlook is Prospect.TOO_LATE
-    return (too_late, job.over_share, outlook, job.queue.priority, due)
+    return (too_late, job.over_share, job.queue.priority, outlook, due)
 
 
 def _since(step: StepRun) -> Instant | None:
--- a/pimentomill/dispatch/tests/test_order.py
+++ b/pimentomill/dispatch/tests/test_order.py
@@ -46,7 +46,7 @@
         order = sorted(
             [hopeless, beyond, fresh, late], key=lambda s: order_key(s, 6000)
         )
-        self.assertEqual([s.key.job[0] for s in order], ["d", "b", "c", "a"])
+        self.assertEqual([s.key.job[0] for s in order], ["b", "d", "c", "a"])
 
 
 class TestLongOverload(unittest.TestCase):
