Serve work that will soon be late before more urgent work that is late already

Cause: steps were ordered by priority before outlook. A burst of an urgent queue leaves a backlog of jobs that are late but, up to three times their objective, not yet worthless. It went before all less urgent work, so that was late too once the backlog had been served. The class of fault: work that has lost most of its worth holds back work that has not. Within a priority, and for work that is too late, the order had avoided it before.

Between 16 and 52 s, 43 to 103 tasks of reject-sort that could be in time waited while 1 to 7 of seven workers ran sift-camera of jobs that were late.

Now work that has used half of its objective, and can still be in time, goes before more urgent work of its pool that is late. What is more urgent and in time still goes first.

test_what_can_reach_nothing_comes_after_less_urgent_work keeps its expected order for a less urgent job with time to spare; the order for its former input, a job that has used half of its objective, is held by a test of its own.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..catalog import Catalog
-from ..dispatch import Plan, Planner, StepRun, choose_victims, order_key
+from ..dispatch import Plan, Planner, StepRun, choose_victims, in_order
 from ..exceptions import FencedError
 from ..fleet import Worker, WorkerInfo, WorkerPort, lease_bound
 from ..jobs import JobTable, KeyedRecord, WorkerId
@@ -334,7 +334,7 @@
         self.book.evacuate()
         self.orders.stop_all(self.book.take_stops())
         now = self.clock.now()
-        steps = sorted(self.book.ready_steps(), key=lambda step: order_key(step, now))
+        steps = in_order(self.book.ready_steps(), now)
         plan = self.planner.plan(now, steps, self.book.workers.values())
         self._last_plan = plan
         self.orders.start_all(plan.placements)
--- a/pimentomill/dispatch/__init__.py
+++ b/pimentomill/dispatch/__init__.py
@@ -4,9 +4,9 @@
     LATE_FACTOR,
     Prospect,
     chain_ms,
+    in_order,
     is_in_time,
     objective_ms,
-    order_key,
     prospect,
 )
 from ._planner import Placement, Plan, Planner
@@ -28,7 +28,7 @@
     "chain_ms",
     "prospect",
     "choose_victims",
+    "in_order",
     "is_in_time",
     "objective_ms",
-    "order_key",
 ]
--- a/pimentomill/dispatch/_order.py
+++ b/pimentomill/dispatch/_order.py
@@ -1,5 +1,6 @@
 """Which waiting step comes first."""
 
+from collections.abc import Iterable
 from enum import IntEnum
 
 from ..utils import Instant
@@ -9,14 +10,19 @@
     "LATE_FACTOR",
     "Prospect",
     "chain_ms",
+    "in_order",
     "is_in_time",
     "objective_ms",
-    "order_key",
     "prospect",
 ]
 
 LATE_FACTOR = 3
 """A job earns less after its objective and nothing after this multiple of it."""
+PRESSING_SHARE = 0.5
+"""Share of its objective from which a job that can be in time has to go on: the rest is
+for room to become free, as long runs leave no gap for longer."""
+NO_PRIORITY = -1
+"""Before the most urgent priority, which is 0."""
 
 
 class Prospect(IntEnum):
@@ -62,20 +68,69 @@
     return prospect(step, now) is Prospect.IN_TIME
 
 
-def order_key(step: StepRun, now: Instant) -> tuple:
-    """Return the position of a step, the smallest first.
+def in_order(steps: Iterable[StepRun], now: Instant) -> list[StepRun]:
+    """Return waiting steps, the first to be served first.
 
     Work that can reach nothing any more takes what the rest leaves. Work beyond a
     team's share comes before it, after all within the shares. Then the priority
     decides. Within a priority, work that can only be late comes after work that can
     be in time, and the nearest objective comes first.
+
+    Less urgent work that will soon be late goes before more urgent work of its pool
+    that is late already, as a backlog of that would make all work behind it late.
+    Work with time to spare waits, as it would only have to be stopped again for the
+    next urgent job.
+
+    Parameters
+    ----------
+    steps : iterable of StepRun
+        Steps with waiting tasks.
+    now : Instant
+        Time.
+
+    Returns
+    -------
+    list of StepRun
+        All of them.
+    """
+    found = [(step, prospect(step, now)) for step in steps]
+    pressing: dict[str, int] = {}
+    for step, outlook in found:
+        queue = step.job.queue
+        if outlook is Prospect.IN_TIME and _is_pressing(step, now):
+            before = pressing.get(queue.service, NO_PRIORITY)
+            pressing[queue.service] = max(before, queue.priority)
+    found.sort(key=lambda pair: _order_key(*pair, now, pressing))
+    return [step for step, _ in found]
+
+
+def _order_key(
+    step: StepRun, outlook: Prospect, now: Instant, pressing: dict[str, int]
+) -> tuple:
+    """Return the position of a step, the smallest first.
+
+    `pressing` holds, by pool, the priority of the least urgent pressing work. All
+    work that can be in time and is more urgent than that comes first with it.
     """
     job = step.job
-    outlook = prospect(step, now)
+    queue = job.queue
     since = _since(step)
     due = (now if since is None else since) + objective_ms(job)
+    goes_on = outlook is Prospect.IN_TIME and (
+        queue.priority < pressing.get(queue.service, NO_PRIORITY)
+        or _is_pressing(step, now)
+    )
     too_late = outlook is Prospect.TOO_LATE
-    return (too_late, job.over_share, job.queue.priority, outlook, due)
+    return (too_late, job.over_share, not goes_on, queue.priority, outlook, due)
+
+
+def _is_pressing(step: StepRun, now: Instant) -> bool:
+    """Return whether a step that can be in time has little time to spare."""
+    since = _since(step)
+    if since is None or step.spec.long_running or step.job.over_share:
+        return False
+    needed = now - since + step.job.tails_ms[step.key.step]
+    return needed > PRESSING_SHARE * objective_ms(step.job)
 
 
 def _since(step: StepRun) -> Instant | None:
--- a/pimentomill/dispatch/tests/test_order.py
+++ b/pimentomill/dispatch/tests/test_order.py
@@ -1,6 +1,6 @@
 import unittest
 
-from pimentomill.dispatch import Prospect, objective_ms, order_key, prospect
+from pimentomill.dispatch import Prospect, in_order, objective_ms, prospect
 from pimentomill.dispatch.tests.samples import first_step, job_run, queue, step
 
 TASK_MS = 1000
@@ -8,9 +8,13 @@
 JOBS = 200
 
 
-def by_due_time(waiting, now):
+def by_due_time(steps, now):
     """Order as if every job could still be in time."""
-    return (waiting.job.queue.priority, waiting.job.seen_at + objective_ms(waiting.job))
+
+    def key(found):
+        return found.job.queue.priority, found.job.seen_at + objective_ms(found.job)
+
+    return sorted(steps, key=key)
 
 
 class TestProspect(unittest.TestCase):
@@ -34,7 +38,8 @@
 
 
 class TestOrder(unittest.TestCase):
-    def test_what_can_reach_nothing_comes_after_less_urgent_work(self):
+    def order(self, other_seen_at):
+        """Return the order of four jobs at 6 s, one of them less urgent."""
         urgent = queue("u", priority=0, stretch=2.0, target_ms=0)
         other = queue("o", priority=2, stretch=2.0, target_ms=0)
         spec = step(estimate_ms=1000)
@@ -42,17 +47,43 @@
         late = first_step("b" * 16, [spec], of=urgent, seen_at=3000)
         beyond = first_step("c" * 16, [spec], of=urgent, seen_at=5500)
         beyond.job.over_share = True
-        fresh = first_step("d" * 16, [spec], of=other, seen_at=5500)
-        order = sorted(
-            [hopeless, beyond, fresh, late], key=lambda s: order_key(s, 6000)
-        )
-        self.assertEqual([s.key.job[0] for s in order], ["b", "d", "c", "a"])
+        less = first_step("d" * 16, [spec], of=other, seen_at=other_seen_at)
+        found = in_order([hopeless, beyond, less, late], 6000)
+        return "".join(step.key.job[0] for step in found)
+
+    def test_what_can_reach_nothing_comes_after_less_urgent_work(self):
+        self.assertEqual(self.order(other_seen_at=6000), "bdca")
+
+    def test_less_urgent_work_that_is_pressed_comes_before_late_urgent_work(self):
+        self.assertEqual(self.order(other_seen_at=5500), "dbca")
+
+    def test_pressing_work_of_another_pool_changes_nothing(self):
+        urgent = queue("u", priority=0, stretch=2.0, target_ms=0)
+        near = queue("n", priority=2, stretch=3.0, target_ms=0)
+        far = queue("f", priority=2, stretch=2.0, target_ms=0, service="far")
+        spec = [step(estimate_ms=1000)]
+        late = first_step("a" * 16, spec, of=urgent, seen_at=3000)
+        spared = first_step("b" * 16, spec, of=near, seen_at=6000)
+        pressed = first_step("c" * 16, spec, of=far, seen_at=5500)
+        found = in_order([pressed, spared, late], 6000)
+        self.assertEqual([s.key.job[0] for s in found], ["c", "a", "b"])
+
+    def test_what_is_more_urgent_and_in_time_comes_before_what_is_pressed(self):
+        queues = [
+            queue(f"p{n}", priority=n, stretch=3.0, target_ms=0) for n in (0, 1, 2)
+        ]
+        spec = [step(estimate_ms=1000)]
+        late = first_step("a" * 16, spec, of=queues[0], seen_at=2000)
+        spared = first_step("b" * 16, spec, of=queues[1], seen_at=6000)
+        pressed = first_step("c" * 16, spec, of=queues[2], seen_at=5000)
+        found = in_order([late, pressed, spared], 6000)
+        self.assertEqual([s.key.job[0] for s in found], ["b", "c", "a"])
 
 
 class TestLongOverload(unittest.TestCase):
     """Two thirds more work than there is room for, for two minutes, one priority."""
 
-    def in_time(self, key):
+    def in_time(self, order):
         """Return how many jobs one place serves in time, in an order."""
         arrivals = [number * EVERY_MS for number in range(JOBS)]
         waiting, served, now = [], 0, 0
@@ -65,7 +96,7 @@
             if not waiting:
                 now = arrivals[0]
                 continue
-            chosen = min(waiting, key=lambda found: key(found, now))
+            chosen = order(waiting, now)[0]
             waiting.remove(chosen)
             now += TASK_MS
             served += now - chosen.job.seen_at <= objective_ms(chosen.job)
@@ -73,7 +104,7 @@
 
     def test_room_is_not_spent_on_work_that_will_be_late(self):
         naive = self.in_time(by_due_time)
-        served = self.in_time(order_key)
+        served = self.in_time(in_order)
         self.assertGreaterEqual(served, 5 * naive)
         self.assertGreaterEqual(served, 0.95 * JOBS * EVERY_MS / TASK_MS)
 
@@ -90,7 +121,7 @@
     LESS_URGENT_EVERY_MS = 2000
     SPAN_MS = 60_000
 
-    def serve(self, key):
+    def serve(self, order):
         """Return how many jobs one place serves in time by queue, in an order."""
         urgent, other = queue("urgent", priority=1), queue("other", priority=2)
         arrivals = [
@@ -110,7 +141,7 @@
                 spec = [step(estimate_ms=TASK_MS)]
                 waiting.append(first_step(f"{taken:016d}", spec, of=of, seen_at=at))
                 taken += 1
-            chosen = min(waiting, key=lambda found: key(found, now))
+            chosen = order(waiting, now)[0]
             waiting.remove(chosen)
             now += TASK_MS
             job = chosen.job
@@ -120,7 +151,7 @@
     # Guards against urgent work that is late already, a backlog of a burst, keeping
     # less urgent work waiting until that is late as well.
     def test_late_urgent_work_does_not_make_other_work_late(self):
-        in_time = self.serve(order_key)
+        in_time = self.serve(in_order)
         bursts = self.SPAN_MS // self.BURST_EVERY_MS
         # Work that can be in time still comes by priority.
         self.assertEqual(in_time["urgent"], 3 * bursts)
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -1,7 +1,7 @@
 import unittest
 
 from pimentomill.catalog import AdvicePolicy, Team
-from pimentomill.dispatch import Planner, QuotaBook, Ticket, order_key
+from pimentomill.dispatch import Planner, QuotaBook, Ticket, in_order
 from pimentomill.fleet import Attempt
 from pimentomill.jobs import TaskKey
 from pimentomill.utils import Resources
@@ -201,7 +201,7 @@
         late = first_step("b" * 16, spec, of=queue("p1", 1), seen_at=-5000)
         soon = first_step("c" * 16, spec, of=queue("p1", 1), seen_at=0)
         fresh = first_step("d" * 16, spec, of=queue("p1", 1), seen_at=900)
-        steps = sorted([fresh, late, soon, urgent], key=lambda s: order_key(s, 1000))
+        steps = in_order([fresh, late, soon, urgent], 1000)
         self.assertEqual([s.key.job[0] for s in steps], ["a", "c", "d", "b"])
 
     def test_work_beyond_a_team_s_share_comes_last(self):
@@ -209,5 +209,4 @@
         hot.over_share = True
         usual = first_step("b" * 16, [step()], of=queue("p2", 2))
         steps = [next(iter(hot.steps.values())), usual]
-        steps.sort(key=lambda s: order_key(s, 0))
-        self.assertIs(steps[0], usual)
+        self.assertIs(in_order(steps, 0)[0], usual)
