Take work for late only beyond what rough estimates explain

The outlook of a job is that by its declared times, which are off by half for sift-camera: work that was in time after all gave way.

A job now gives way to less urgent work only if it takes over 1.5 times its objective, and less urgent work that may be in time counts as pressing up to the same bound.

--- a/pimentomill/dispatch/_order.py
+++ b/pimentomill/dispatch/_order.py
@@ -21,6 +21,9 @@
 PRESSING_SHARE = 0.5
 """Share of its objective from which a job that can be in time has to go on: the rest is
 for room to become free, as long runs leave no gap for longer."""
+ROUGH_FACTOR = 1.5
+"""Multiple of its objective up to which a job may be in time after all: the times that
+callers declare are rough, often by half."""
 NO_PRIORITY = -1
 """Before the most urgent priority, which is 0."""
 
@@ -77,7 +80,7 @@
     be in time, and the nearest objective comes first.
 
     Less urgent work that will soon be late goes before more urgent work of its pool
-    that is late already, as a backlog of that would make all work behind it late.
+    that is certainly late, as a backlog of that would make all work behind it late.
     Work with time to spare waits, as it would only have to be stopped again for the
     next urgent job.
 
@@ -95,9 +98,9 @@
     """
     found = [(step, prospect(step, now)) for step in steps]
     pressing: dict[str, int] = {}
-    for step, outlook in found:
+    for step, _ in found:
         queue = step.job.queue
-        if outlook is Prospect.IN_TIME and _is_pressing(step, now):
+        if _is_pressing(step, now):
             before = pressing.get(queue.service, NO_PRIORITY)
             pressing[queue.service] = max(before, queue.priority)
     found.sort(key=lambda pair: _order_key(*pair, now, pressing))
@@ -110,27 +113,35 @@
     """Return the position of a step, the smallest first.
 
     `pressing` holds, by pool, the priority of the least urgent pressing work. All
-    work that can be in time and is more urgent than that comes first with it.
+    work that may be in time and is more urgent than that comes first with it.
     """
     job = step.job
     queue = job.queue
     since = _since(step)
     due = (now if since is None else since) + objective_ms(job)
-    goes_on = outlook is Prospect.IN_TIME and (
+    use = _use_of_objective(step, now)
+    goes_on = use <= ROUGH_FACTOR and (
         queue.priority < pressing.get(queue.service, NO_PRIORITY)
-        or _is_pressing(step, now)
+        or use > PRESSING_SHARE
     )
     too_late = outlook is Prospect.TOO_LATE
     return (too_late, job.over_share, not goes_on, queue.priority, outlook, due)
 
 
 def _is_pressing(step: StepRun, now: Instant) -> bool:
-    """Return whether a step that can be in time has little time to spare."""
-    since = _since(step)
-    if since is None or step.spec.long_running or step.job.over_share:
+    """Return whether a step that may be in time has little time to spare."""
+    if step.job.over_share:
         return False
+    return PRESSING_SHARE < _use_of_objective(step, now) <= ROUGH_FACTOR
+
+
+def _use_of_objective(step: StepRun, now: Instant) -> float:
+    """Return the share of its objective that a job takes if the step starts now."""
+    since = _since(step)
+    if since is None or step.spec.long_running:
+        return 0.0
     needed = now - since + step.job.tails_ms[step.key.step]
-    return needed > PRESSING_SHARE * objective_ms(step.job)
+    return needed / max(1.0, objective_ms(step.job))
 
 
 def _since(step: StepRun) -> Instant | None:
--- a/pimentomill/dispatch/tests/test_order.py
+++ b/pimentomill/dispatch/tests/test_order.py
@@ -57,6 +57,17 @@
     def test_less_urgent_work_that_is_pressed_comes_before_late_urgent_work(self):
         self.assertEqual(self.order(other_seen_at=5500), "dbca")
 
+    def test_what_rough_estimates_may_have_made_late_keeps_its_place(self):
+        urgent = queue("u", priority=0, stretch=2.0, target_ms=0)
+        other = queue("o", priority=2, stretch=2.0, target_ms=0)
+        spec = [step(estimate_ms=1000)]
+        pressed = first_step("a" * 16, spec, of=other, seen_at=5500)
+        # Objective 2000 ms: 3000 ms may be rough estimates, 3001 ms are late.
+        for seen_at, expected in ((4000, "ba"), (3999, "ab")):
+            late = first_step("b" * 16, spec, of=urgent, seen_at=seen_at)
+            found = in_order([pressed, late], 6000)
+            self.assertEqual("".join(s.key.job[0] for s in found), expected)
+
     def test_pressing_work_of_another_pool_changes_nothing(self):
         urgent = queue("u", priority=0, stretch=2.0, target_ms=0)
         near = queue("n", priority=2, stretch=3.0, target_ms=0)
