Keep late work behind work in time within a priority

The bound for rough estimates held for pressing work as well, so a job that is late by a little came before one of its own queue that had time to spare. The new test fails on the commit before. Only work that can be in time presses now.

--- a/pimentomill/dispatch/_order.py
+++ b/pimentomill/dispatch/_order.py
@@ -119,20 +119,20 @@
     queue = job.queue
     since = _since(step)
     due = (now if since is None else since) + objective_ms(job)
-    use = _use_of_objective(step, now)
-    goes_on = use <= ROUGH_FACTOR and (
-        queue.priority < pressing.get(queue.service, NO_PRIORITY)
-        or use > PRESSING_SHARE
+    least_urgent = pressing.get(queue.service, NO_PRIORITY)
+    may_be_in_time = _use_of_objective(step, now) <= ROUGH_FACTOR
+    goes_on = _is_pressing(step, now) or (
+        may_be_in_time and queue.priority < least_urgent
     )
     too_late = outlook is Prospect.TOO_LATE
     return (too_late, job.over_share, not goes_on, queue.priority, outlook, due)
 
 
 def _is_pressing(step: StepRun, now: Instant) -> bool:
-    """Return whether a step that may be in time has little time to spare."""
+    """Return whether a step that can be in time has little time to spare."""
     if step.job.over_share:
         return False
-    return PRESSING_SHARE < _use_of_objective(step, now) <= ROUGH_FACTOR
+    return PRESSING_SHARE < _use_of_objective(step, now) <= 1.0
 
 
 def _use_of_objective(step: StepRun, now: Instant) -> float:
--- a/pimentomill/dispatch/tests/test_order.py
+++ b/pimentomill/dispatch/tests/test_order.py
@@ -68,6 +68,15 @@
             found = in_order([pressed, late], 6000)
             self.assertEqual("".join(s.key.job[0] for s in found), expected)
 
+    def test_within_a_priority_late_work_never_comes_before_work_in_time(self):
+        of = queue("q", priority=0, stretch=4.0, target_ms=0)
+        spec = [step(estimate_ms=1000)]
+        spared = first_step("a" * 16, spec, of=of, seen_at=6000)
+        pressed = first_step("b" * 16, spec, of=of, seen_at=4000)
+        late = first_step("c" * 16, spec, of=of, seen_at=2000)
+        found = in_order([late, spared, pressed], 6000)
+        self.assertEqual([s.key.job[0] for s in found], ["b", "a", "c"])
+
     def test_pressing_work_of_another_pool_changes_nothing(self):
         urgent = queue("u", priority=0, stretch=2.0, target_ms=0)
         near = queue("n", priority=2, stretch=3.0, target_ms=0)
