--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from pimentomill.catalog import Catalog, RequestLimits
+from pimentomill.catalog import Catalog, RequestLimits, Team
 from pimentomill.control import AdviceDesk, ControlSettings, Leader
 from pimentomill.dispatch.tests.samples import accepted, info, queue, step
 from pimentomill.fleet import EndKind
@@ -45,7 +45,7 @@
         self.infos[name] = info(name, **changes)
         await self.store.append("workers", [KeyedRecord(name, b"listed")])
 
-    def lead(self, epoch, fleet=(), **settings):
+    def lead(self, epoch, fleet=(), teams=(), **settings):
         cfg = ControlSettings(
             hold_wait_ms=50, hold_gap_ms=1, retry_ms=10, beat_ms=50, **settings
         )
@@ -61,7 +61,7 @@
             cfg,
             list(fleet),
         )
-        catalog = Catalog(1, [queue()], [], {}, ["planting"], RequestLimits())
+        catalog = Catalog(1, [queue()], teams, {}, ["planting"], RequestLimits())
         leader.set_catalog(catalog)
         self.tasks.append(asyncio.ensure_future(leader.run()))
         return leader
@@ -165,3 +165,28 @@
         self.assertEqual(self.workers.started[1][1].job, "b" * 16)
         await self.until(lambda: len(self.workers.started) == 3)
         self.assertNotEqual(self.workers.started[2][0], worker)
+
+    # Guards against work beyond a team's share going first once the leader changes: a
+    # team with a share of one job a second hands in six at once, of which one is done.
+    async def test_a_successor_knows_which_jobs_lie_beyond_a_share(self):
+        teams = [Team("t", weight=1.0)]
+        first = self.lead(1, teams=teams)
+        names = [letter * 16 for letter in "fedcba"]
+        for name in names:
+            self.hand_in(first, [step()], job=name)
+            await asyncio.sleep(0.005)
+        before = {name: first.book.jobs[name].over_share for name in names}
+        self.assertEqual(sorted(before.values()), [False] * 2 + [True] * 4)
+        await self.until(lambda: len(self.workers.started) == len(names))
+        done = names[0]
+        worker, task, _ = next(
+            run for run in self.workers.started if run[1].job == done
+        )
+        self.workers.end(worker, task, EndKind.DONE)
+        await self.until(lambda: not self.workers.workers[worker].ended)
+        for record in self.store.records("work"):
+            self.table.apply(record.key, record.value)
+        second = self.lead(2, fleet=self.infos.values(), teams=teams)
+        await self.until(lambda: second.book.jobs)
+        after = {name: job.over_share for name, job in second.book.jobs.items()}
+        self.assertEqual(after, {name: before[name] for name in names[1:]})
