--- a/pimentomill/control/_book.py
+++ b/pimentomill/control/_book.py
@@ -1,7 +1,7 @@
 """All unfinished work and all workers, in the leader's memory."""
 
 import statistics
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from ..catalog import Catalog
@@ -16,7 +16,7 @@
     WorkerInfo,
     WorkerReport,
 )
-from ..jobs import Accepted, JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
+from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
 from ..telemetry import CellMetrics, PartLog
 from ..utils import Clock, Epoch, Instant, JobId
 from ._relocation import is_straggler, is_stuck, must_leave
@@ -126,23 +126,6 @@
         for job in self.jobs.values():
             job.queue = catalog.queues.get(job.accepted.queue.name, job.queue)
 
-    def inherit(self, entries: Iterable[JobEntry]) -> None:
-        """Take over the jobs that the store knows.
-
-        What a team has handed in of late counts against its share, finished or not, so
-        the order of the hand-ins is kept.
-
-        Parameters
-        ----------
-        entries : iterable of JobEntry
-            Accepted jobs.
-        """
-        for entry in sorted(entries, key=lambda found: found.accepted_.at_ms):
-            accepted = entry.accepted_
-            if entry.state.is_final:
-                self._is_over_share(accepted, self._handed_in_at(accepted))
-            self.sync_job(accepted.job, entry, inherited=True)
-
     def sync_job(self, job_id: JobId, entry: JobEntry | None, inherited: bool) -> None:
         """Take in what the store says of a job.
 
@@ -170,13 +153,15 @@
             self._finish(job, JobState.CANCELLED, "cancelled by a caller")
 
     def _add_job(self, entry: JobEntry, inherited: bool) -> JobRun:
+        now = self.clock.now()
         accepted = entry.accepted_
         first_run = self.epoch * RUNS_PER_TERM if inherited else 1
-        seen_at = self._handed_in_at(accepted) if inherited else self.clock.now()
-        job = JobRun(accepted, first_run, seen_at)
+        waited = max(0, self.clock.wall_ms() - accepted.at_ms) if inherited else 0
+        job = JobRun(accepted, first_run, Instant(now - waited))
         if self.catalog is not None:
             job.queue = self.catalog.queues.get(accepted.queue.name, job.queue)
-        job.over_share = self._is_over_share(accepted, seen_at)
+            team = self.catalog.teams.get(accepted.team)
+            job.over_share = not inherited and self.shares.is_over(team, now)
         if entry.progress_ is not None:
             job.state = entry.progress_.state
             job.stored_steps = {
@@ -191,15 +176,6 @@
             self.withheld.add(accepted.job)
         return job
 
-    def _handed_in_at(self, accepted: Accepted) -> Instant:
-        waited = max(0, self.clock.wall_ms() - accepted.at_ms)
-        return Instant(self.clock.now() - waited)
-
-    def _is_over_share(self, accepted: Accepted, at: Instant) -> bool:
-        """Count a hand-in and return whether it lies beyond its team's share."""
-        teams = self.catalog.teams if self.catalog is not None else {}
-        return self.shares.is_over(teams.get(accepted.team), at)
-
     def open_due(self) -> Instant | None:
         """Open occurrences that are due and return when to look again."""
         wall = self.clock.wall_ms()
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -218,7 +218,8 @@
 
     def _inherit(self) -> None:
         """Take over all unfinished jobs and all workers that are known."""
-        self.book.inherit(self.table.accepted())
+        for entry in list(self.table.accepted()):
+            self.book.sync_job(entry.accepted_.job, entry, inherited=True)
         for info in self.fleet:
             worker = self.book.sync_worker(info)
             worker.is_listed = False
