--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -66,6 +66,9 @@
 FOLLOW_PAUSE_MS = 200
 """Milliseconds between two reads of an entry that does not lead. A question about an
 unfinished job is answered by a read of its own; the rest can wait."""
+EARLY_AFTER = "l"
+"""Key before those of the leader and of the entries: callers are passed on to them
+while the jobs are loaded, which come first and take seconds over a small link."""
 LEAD_WAIT_MS = 800
 """Milliseconds for which the store may hold a read of the leader back."""
 LEAD_PAUSE_MS = 60
@@ -220,6 +223,7 @@
             lambda: None,
             clock,
             FollowerTiming(wait_ms=0, pause_ms=FOLLOW_PAUSE_MS),
+            early_after=EARLY_AFTER,
         )
         self._candidate = Candidate(
             LeaderRecord(Epoch(0), cfg.node, self.incarnation),
@@ -242,6 +246,7 @@
             self._tell_appended,
             self._gather,
             self._ask_leader,
+            self._hears_store,
         )
 
     # State
@@ -256,6 +261,9 @@
             and self.work.age_ms() < limit
         )
 
+    def _hears_store(self) -> bool:
+        return self.rules.is_reachable_ and self.rules.age_ms() < FORWARD_AGE_MS
+
     def keys_hold(self) -> bool:
         """Return whether the known keys can be trusted now."""
         return self.rules.age_ms() < self.cfg.key_term_ms
@@ -507,6 +515,8 @@
             self.cfg.node, self.cfg.address, self.incarnation, self.cfg.cores
         )
         value = msgspec.msgpack.encode(member)
+        # Until then it could not help another entry.
+        await self.work.wait_loaded()
         while not self.is_stopping_:
             try:
                 records = [KeyedRecord(member_key(self.cfg.node), value)]
