dispatch: preempt no run before it has paid for its restore

Change: a run is preempted only once it has worked for as long as the restore that its stop makes necessary (RestoreMs of the settings), and not if it ends within the time that a stop and a restore take.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -7,7 +7,14 @@
 import msgspec
 
 from ..catalog import Catalog
-from ..dispatch import Plan, Planner, StepRun, choose_victims, order_steps
+from ..dispatch import (
+    Plan,
+    Planner,
+    PreemptionCost,
+    StepRun,
+    choose_victims,
+    order_steps,
+)
 from ..exceptions import FencedError
 from ..fleet import Worker, WorkerInfo, WorkerPort, lease_expiry_bound
 from ..jobs import JobTable, KeyedRecord, WorkerId
@@ -119,6 +126,7 @@
             record.epoch, clock, table.find, policy_queries.metrics
         )
         self.planner = Planner(self.state.quotas)
+        self._preemption_cost = PreemptionCost(cfg.restore_ms, cfg.stop_ms)
         self.progress_writer = ProgressWriter(
             store, self.state, record, sequence, clock, cfg, on_appended
         )
@@ -365,7 +373,12 @@
         """Stop runs that lose nothing, in favour of more urgent work."""
         workers = self.state.workers.values()
         victims = choose_victims(
-            steps, workers, self.state.step_of, self.state.quotas, now
+            steps,
+            workers,
+            self.state.step_of,
+            self.state.quotas,
+            self._preemption_cost,
+            now,
         )
         for attempt in victims:
             self.state.order_stop(attempt, "preempted by more urgent work")
--- a/pimentomill/control/_settings.py
+++ b/pimentomill/control/_settings.py
@@ -38,6 +38,10 @@
         Milliseconds for which a finished job can be queried.
     pace_interval_ms : int
         Milliseconds between two checks of tasks with a latency target.
+    restore_ms : int
+        Milliseconds for which a run that resumes from a checkpoint does no work.
+    stop_ms : int
+        Milliseconds that a worker takes at most to stop a run.
     """
 
     lease_ms: int = 3600
@@ -51,3 +55,5 @@
     advice_margin_ms: int = 120
     keep_finished_ms: int = 150000
     pace_interval_ms: int = 500
+    restore_ms: int = 100
+    stop_ms: int = 200
--- a/pimentomill/dispatch/__init__.py
+++ b/pimentomill/dispatch/__init__.py
@@ -10,7 +10,7 @@
     order_steps,
 )
 from ._planner import Placement, Plan, Planner
-from ._preemption import choose_victims
+from ._preemption import PreemptionCost, choose_victims
 from ._quota import QuotaBook, ShareMeter
 from ._state import JobRun, StepRun, Ticket
 
@@ -21,6 +21,7 @@
     "Placement",
     "Plan",
     "Planner",
+    "PreemptionCost",
     "QuotaBook",
     "ShareMeter",
     "StepRun",
--- a/pimentomill/dispatch/_preemption.py
+++ b/pimentomill/dispatch/_preemption.py
@@ -1,6 +1,7 @@
 """Preemption of runs in favour of more urgent work."""
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from ..fleet import Attempt, AttemptPhase, Worker
 from ..jobs import TaskKey
@@ -9,14 +10,39 @@
 from ._quota import QuotaBook
 from ._state import StepRun
 
-__all__ = ["MIN_RUN_MS", "choose_victims"]
+__all__ = ["PreemptionCost", "choose_victims"]
 
 MAX_VICTIMS = 24
 """Runs stopped per pass, so that a burst is served over a few passes."""
 LOWEST_PRIORITY = 1 << 30
 """Priority of work over its team's share: less urgent than that of any queue."""
-MIN_RUN_MS = 300
-"""Milliseconds before a run may be preempted: a younger one has just been restored."""
+MIN_WORK_MS = 300
+"""Work in milliseconds that a run gets at least before it is stopped, however short its
+restore is: a stop and a start are two calls of the leader."""
+
+
+class PreemptionCost(NamedTuple):
+    """Time that the preemption of a run costs.
+
+    Parameters
+    ----------
+    restore_ms : int
+        Milliseconds for which a run that resumes from a checkpoint does no work.
+    stop_ms : int
+        Milliseconds that a stop takes at most.
+    """
+
+    restore_ms: int
+    stop_ms: int
+
+    def min_run_ms(self, is_resumed: bool) -> int:
+        """Return the age in milliseconds from which a run may be preempted.
+
+        It has worked by then for at least as long as the restore takes that its stop
+        makes necessary, so that restores take half of the capacity at most.
+        """
+        work_ms = max(MIN_WORK_MS, self.restore_ms)
+        return work_ms + (self.restore_ms if is_resumed else 0)
 
 
 class _PreemptionTarget:
@@ -31,7 +57,9 @@
         Largest priority number among them, -1 if there are none.
     """
 
-    def __init__(self, worker: Worker, step_of, now: Instant) -> None:
+    def __init__(
+        self, worker: Worker, step_of, cost: PreemptionCost, now: Instant
+    ) -> None:
         self.worker = worker
         self.victims: list[Attempt] = []
         self.preemptible: list[tuple[int, Attempt]] = []
@@ -40,7 +68,7 @@
             if attempt.phase is AttemptPhase.STOPPING:
                 stopping = stopping + attempt.reserved
                 continue
-            priority = _preemptible_priority(attempt, step_of, now)
+            priority = _preemptible_priority(attempt, step_of, cost, now)
             if priority is not None:
                 self.preemptible.append((priority, attempt))
         self.preemptible.sort(key=lambda item: -item[1].reserved.cpu_milli)
@@ -55,6 +83,7 @@
     workers: Iterable[Worker],
     step_of: Callable[[TaskKey], StepRun | None],
     quotas: QuotaBook,
+    cost: PreemptionCost,
     now: Instant,
 ) -> list[Attempt]:
     """Return runs to stop so that more urgent tasks can start.
@@ -72,6 +101,8 @@
         Returns the step of a task, None if it is unknown.
     quotas : QuotaBook
         Resource limits of teams.
+    cost : PreemptionCost
+        Time that a preemption costs.
     now : Instant
         Current time.
 
@@ -83,7 +114,7 @@
     targets: dict[str, list[_PreemptionTarget]] = {}
     for worker in workers:
         if worker.can_start(now):
-            target = _PreemptionTarget(worker, step_of, now)
+            target = _PreemptionTarget(worker, step_of, cost, now)
             targets.setdefault(worker.info.service, []).append(target)
     chosen: list[Attempt] = []
     for step in steps:
@@ -153,11 +184,14 @@
     return None
 
 
-def _preemptible_priority(attempt: Attempt, step_of, now: Instant) -> int | None:
+def _preemptible_priority(
+    attempt: Attempt, step_of, cost: PreemptionCost, now: Instant
+) -> int | None:
     """Return the priority of a run that may be preempted, None for other runs."""
+    min_run_ms = cost.min_run_ms(attempt.is_resumed)
     if (
         attempt.phase is not AttemptPhase.RUNNING
-        or now - attempt.started_at < MIN_RUN_MS
+        or now - attempt.started_at < min_run_ms
     ):
         return None
     step = step_of(attempt.task)
@@ -170,4 +204,7 @@
         return None
     if not step.spec.checkpointed:
         return None
+    remaining_ms = attempt.remaining_ms(now)
+    if remaining_ms is not None and remaining_ms < cost.stop_ms + cost.restore_ms:
+        return None
     return LOWEST_PRIORITY if step.job.over_share else step.job.queue.priority
--- a/pimentomill/platform/_daemon.py
+++ b/pimentomill/platform/_daemon.py
@@ -58,6 +58,8 @@
     control = ControlSettings(
         lease_ms=round(cfg.bounds.max_lease_ms * LEASE_FRACTION),
         keep_finished_ms=round(cfg.bounds.state_retention_s * 1000) + 30_000,
+        restore_ms=cfg.bounds.restore_ms,
+        stop_ms=cfg.bounds.stop_ms,
     )
     store_http = HttpClient(STORE_CONNECTIONS)
     worker_http = HttpClient(WORKER_CONNECTIONS)
--- a/pimentomill/platform/_settings.py
+++ b/pimentomill/platform/_settings.py
@@ -36,6 +36,8 @@
     grace_s: float = msgspec.field(name="GraceS", default=6)
     key_revocation_ms: int = msgspec.field(name="RevokeMs", default=5000)
     max_lease_ms: int = msgspec.field(name="HoldMaxMs", default=6000)
+    restore_ms: int = msgspec.field(name="RestoreMs", default=100)
+    stop_ms: int = msgspec.field(name="StopMs", default=200)
     state_retention_s: float = msgspec.field(name="status_s", default=120)
 
 
