control: after a change of the leader, wait only for what a silent worker may run

Cause: among hundreds of workers one is always silent when a leader takes over. Change: the tasks that no worker has reported are tracked one by one. A task waits only while a silent worker could run it by its label and size, and the wait ends with the worker's answer. A task that was reported, and the steps behind a first run that was reported, do not wait.

--- /dev/null
+++ b/pimentomill/control/_inheritance.py
@@ -0,0 +1,118 @@
+"""Inherited tasks that may still run on a worker that has not reported."""
+
+from collections.abc import Iterable
+
+from ..dispatch import JobRun, StepRun
+from ..fleet import Worker
+from ..jobs import StepKey, WorkerId
+from ..utils import Clock, Instant, JobId
+
+__all__ = ["Inheritance"]
+
+FIRST_RUN = 1
+"""Number of a task's first run."""
+
+
+class Inheritance:
+    """Tracks which tasks a previous leader may have started without a trace.
+
+    Starts are not recorded ahead, so a leader learns of the runs that it inherits only
+    from the reports of workers. A task that no worker has reported may run on a worker
+    that is silent, and has to wait until that worker reports or its lease has expired.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    is_surveying_ : bool
+        Whether workers that have not answered yet are all waited for.
+    silent_ : dict of WorkerId to Worker
+        Workers that are waited for once the survey has ended.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.is_surveying_ = True
+        self.silent_: dict[WorkerId, Worker] = {}
+        self._jobs: set[JobId] = set()
+        self._unseen: dict[StepKey, set[int]] = {}
+
+    def add_job(self, job: JobId) -> None:
+        """Add a job of which a previous leader may have started tasks."""
+        self._jobs.add(job)
+
+    def add_steps(self, steps: Iterable[StepRun]) -> None:
+        """Add the steps of a new occurrence; those of other jobs are ignored."""
+        for step in steps:
+            if step.key.job in self._jobs and step.waiting:
+                self._unseen[step.key] = set(step.waiting)
+
+    def end_survey(self, silent: Iterable[Worker]) -> None:
+        """Wait only for the given workers from now on."""
+        self.is_surveying_ = False
+        self.silent_ = {worker.info.worker: worker for worker in silent}
+        self._forget_if_complete()
+
+    def observe_run(self, job: JobRun, step: StepRun, index: int, run: int) -> None:
+        """Record that a worker reports a run of a task that this leader inherits.
+
+        No other run of that task exists. If it is the first one, the task has not been
+        done before, so no step that depends on it has been started either.
+        """
+        self._unseen.get(step.key, set()).discard(index)
+        if run != FIRST_RUN:
+            return
+        key = step.key
+        unstarted = {key.step}
+        for number, spec in enumerate(job.spec.steps):
+            if not unstarted.isdisjoint(spec.depends_on):
+                unstarted.add(number)
+                self._unseen.pop(StepKey(key.job, key.occurrence, number), None)
+
+    def is_withheld(self, step: StepRun) -> bool:
+        """Return whether waiting tasks of a step may run on a silent worker."""
+        unseen = self._unseen.get(step.key)
+        if not unseen or unseen.isdisjoint(step.waiting):
+            return False
+        if self.is_surveying_:
+            return True
+        return any(_could_run(worker, step) for worker in self._awaited())
+
+    def waits_ms(self) -> dict[str, int]:
+        """Return the longest wait for a silent worker in milliseconds, by pool."""
+        now = self.clock.now()
+        waits: dict[str, int] = {}
+        for worker in self._awaited():
+            service = worker.info.service
+            waits[service] = max(waits.get(service, 0), worker.lease_until - now)
+        return waits
+
+    def _awaited(self) -> list[Worker]:
+        now: Instant = self.clock.now()
+        for name, worker in list(self.silent_.items()):
+            if worker.has_answered or now >= worker.lease_until:
+                del self.silent_[name]
+        self._forget_if_complete()
+        return list(self.silent_.values())
+
+    def _forget_if_complete(self) -> None:
+        if not self.is_surveying_ and not self.silent_:
+            self._jobs.clear()
+            self._unseen.clear()
+
+
+def _could_run(worker: Worker, step: StepRun) -> bool:
+    """Return whether a previous leader could have started the step on the worker.
+
+    The placement policy is left out, as this leader does not know its answers yet.
+    """
+    info = worker.info
+    label = step.spec.required_label
+    return (
+        info.service == step.job.queue.service
+        and (not label or label in info.labels)
+        and step.spec.reserved.fits_in(info.capacity)
+    )
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -243,7 +243,6 @@
             worker.lease_until = self._max_lease_end()
             self.lease_keeper.watch(worker)
         self._survey_until = Instant(self.clock.now() + SURVEY_MS)
-        self._withhold_all(self._survey_until)
         _log.info(
             "Leadership started",
             epoch=self.record.epoch,
@@ -309,9 +308,9 @@
     def _check_survey(self) -> None:
         """End the survey of workers once all have answered or its time is up.
 
-        It lasts at least until the list of workers has been read. Jobs of pools
-        with workers that did not answer stay withheld until the leases of these
-        workers have expired.
+        It lasts at least until the list of workers has been read. Inherited tasks that
+        may run on a worker that did not answer wait until it does, or until its lease
+        has expired.
         """
         if self._surveyed:
             return
@@ -319,28 +318,16 @@
         unknown = [w for w in self.state.workers.values() if not w.has_answered]
         is_list_read = self.workers_follower.offset_ is not None
         if not is_list_read or (unknown and now < self._survey_until):
-            self._withhold_all(Instant(now + SURVEY_MS))
             return
         self._surveyed = True
-        self._withhold_all(now)
-        for worker in unknown:
-            service = worker.info.service
-            until = self.state.withheld_until.get(service, now)
-            self.state.withheld_until[service] = max(until, worker.lease_until)
+        inheritance = self.state.inheritance
+        inheritance.end_survey(unknown)
         _log.info(
             "Worker survey finished",
             unknown=[worker.info.worker for worker in unknown],
-            withheld_ms={
-                service: until - now
-                for service, until in self.state.withheld_until.items()
-                if until > now
-            },
+            withheld_ms=inheritance.waits_ms(),
         )
 
-    def _withhold_all(self, until: Instant) -> None:
-        for job in self.state.jobs.values():
-            self.state.withheld_until[job.queue.service] = until
-
     # Planning
 
     async def _plan_loop(self) -> None:
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -19,6 +19,7 @@
 from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
 from ..telemetry import CellMetrics, ComponentLogger
 from ..utils import Clock, Epoch, Instant, JobId
+from ._inheritance import Inheritance
 from ._relocation import is_straggler, is_stuck, must_evacuate
 
 __all__ = ["LeaderState", "PendingAck", "StopOrder"]
@@ -81,11 +82,8 @@
         Known workers.
     quotas : QuotaBook
         Resources that teams use.
-    withheld_jobs : set of JobId
-        Jobs of which a previous leader may have started tasks that this one does not
-        know of. No task of them is started before `withheld_until`.
-    withheld_until : dict of str to Instant
-        Time until which such jobs wait, by pool.
+    inheritance : Inheritance
+        Tasks that a previous leader may have started, unknown to this one.
     dirty : set of JobId
         Jobs whose progress has to be stored soon.
     newly_started : set of JobId
@@ -117,8 +115,7 @@
         self.newly_started: set[JobId] = set()
         self.pending_acks: list[PendingAck] = []
         self.finished: set[JobId] = set()
-        self.withheld_until: dict[str, Instant] = {}
-        self.withheld_jobs: set[JobId] = set()
+        self.inheritance = Inheritance(clock)
 
     # Jobs
 
@@ -171,12 +168,12 @@
                 (item.occurrence, item.step): item for item in entry.progress_.steps
             }
         self.jobs[accepted.job] = job
+        if inherited:
+            self.inheritance.add_job(accepted.job)
         if job.spec.is_scheduled:
             self.scheduled[accepted.job] = job
         else:
             self._open_occurrence(job)
-        if inherited:
-            self.withheld_jobs.add(accepted.job)
         return job
 
     def open_due_occurrences(self) -> Instant | None:
@@ -199,7 +196,9 @@
         return Instant(self.clock.now() + next_due_ms - wall_ms)
 
     def _open_occurrence(self, job: JobRun) -> None:
-        for step in job.open_occurrence(self.clock.now()):
+        steps = job.open_occurrence(self.clock.now())
+        self.inheritance.add_steps(steps)
+        for step in steps:
             if step.waiting:
                 self.open_steps[step.key] = step
         self._mark_ready(job)
@@ -256,14 +255,11 @@
 
     def ready_steps(self) -> Iterator[StepRun]:
         """Yield steps that have tasks ready to start."""
-        now = self.clock.now()
         for step in self.open_steps.values():
             if step.ready_at is None or not step.waiting:
                 continue
-            until = self.withheld_until.get(step.job.queue.service, now)
-            if now < until and step.key.job in self.withheld_jobs:
-                continue
-            yield step
+            if not self.inheritance.is_withheld(step):
+                yield step
 
     def upcoming_steps(self) -> Iterator[StepRun]:
         """Yield unqueried steps whose predecessors have no waiting tasks."""
@@ -510,6 +506,7 @@
         attempt.is_resumed = True
         step.dequeue(task.index)
         self._add_attempt(step, attempt)
+        self.inheritance.observe_run(step.job, step, task.index, status.run)
         _log.info("Run adopted", task=task, run=status.run, worker=worker.info.worker)
         return attempt
 
