--- a/pimentomill/platform/tests/soak/_soak.py
+++ b/pimentomill/platform/tests/soak/_soak.py
@@ -55,6 +55,8 @@
         await cell.stop()
     ledger = cell.ledger
     ledger.check_rejected()
+    for line in ledger.late_acknowledgements:
+        print(f"seed {seed}: {line}", flush=True)
     if not ledger.accepted or not ledger.runs:
         ledger.violations.append("IDLE: no job was accepted and run")
     label = f"seed {seed} ({', '.join(injector.injected)})"
