--- a/pimentomill/dispatch/_order.py
+++ b/pimentomill/dispatch/_order.py
@@ -14,7 +14,6 @@
     "is_in_time",
     "objective_ms",
     "order_steps",
-    "slack_used",
 ]
 
 LATE_FACTOR = 3
@@ -72,21 +71,6 @@
     return assess_feasibility(step, now) is Feasibility.IN_TIME
 
 
-def slack_used(step: StepRun, now: Instant) -> float:
-    """Return the share of a job's slack that has passed, by its declared durations.
-
-    Slack is the part of the objective that the job's work does not need. The share is
-    0 while the objective has not begun to count, and above 1 once the job is late.
-    """
-    start = _objective_start(step)
-    if start is None:
-        return 0.0
-    objective = objective_ms(step.job)
-    slack_ms = objective - critical_path_ms(step.job)
-    ahead_ms = critical_path_ms(step.job) - step.job.remaining_path_ms[step.key.step]
-    return (now - start - ahead_ms) / max(1.0, slack_ms)
-
-
 def order_steps(steps: Iterable[StepRun], now: Instant) -> list[StepRun]:
     """Return waiting steps in the order in which they are served.
 
--- a/pimentomill/dispatch/_preemption.py
+++ b/pimentomill/dispatch/_preemption.py
@@ -6,7 +6,7 @@
 from ..fleet import Attempt, AttemptPhase, Worker
 from ..jobs import TaskKey
 from ..utils import ZERO, Instant, Resources
-from ._order import slack_used
+from ._order import is_in_time
 from ._quota import QuotaBook
 from ._state import StepRun
 
@@ -16,9 +16,6 @@
 """Runs stopped per pass, so that a burst is served over a few passes."""
 LOWEST_PRIORITY = 1 << 30
 """Priority of work over its team's share: less urgent than that of any queue."""
-PATIENCE = 0.2
-"""Share of its slack for which a step waits for runs to end by themselves before it
-preempts one. The rest allows for the stop and for a declared duration that is too low."""
 MIN_WORK_MS = 300
 """Work in milliseconds that a run gets at least before it is stopped, however short its
 restore is: a stop and a start are two calls of the leader."""
@@ -92,8 +89,7 @@
     """Return runs to stop so that more urgent tasks can start.
 
     Only runs that lose no progress are stopped: their step writes checkpoints, and
-    their queue is less urgent. Work that can no longer be in time preempts no run, and
-    neither does work that may still wait for runs to end.
+    their queue is less urgent. Work that can no longer be in time preempts no run.
 
     Parameters
     ----------
@@ -115,7 +111,9 @@
     list of Attempt
         Runs to stop.
     """
-    claimants = [step for step in steps if _may_preempt(step, now)]
+    claimants = [
+        step for step in steps if not step.job.over_share and is_in_time(step, now)
+    ]
     services = {step.job.queue.service for step in claimants}
     targets: dict[str, list[_PreemptionTarget]] = {}
     for worker in workers:
@@ -136,12 +134,6 @@
     return chosen
 
 
-def _may_preempt(step: StepRun, now: Instant) -> bool:
-    if step.job.over_share:
-        return False
-    return step.spec.long_running or PATIENCE <= slack_used(step, now) <= 1.0
-
-
 def _select_victims(step: StepRun, targets, quotas, chosen: list[Attempt]) -> None:
     """Choose victims for each waiting task of a step until one cannot be placed."""
     team, need = step.job.accepted.team, step.spec.need
