dispatch, control: stop runs for a whole gang or for none, and keep what they free

Cause: runs were stopped for single members of a gang, up to 24 a pass. A gang starts as a whole, so what the first victims freed was given back to them before the last had stopped, and they were stopped again. Change: victims are chosen for all members or for none; until the gang starts, or for the time of a stop and 0.5 s more, steps behind it do not use what it claims.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -18,10 +18,10 @@
 )
 from ..exceptions import FencedError
 from ..fleet import Worker, WorkerInfo, WorkerPort, lease_expiry_bound
-from ..jobs import JobTable, KeyedRecord, WorkerId
+from ..jobs import JobTable, KeyedRecord, StepKey, WorkerId
 from ..replica import AppendedHook, Follower, FollowerTiming, LeaderRecord, RecordStore
 from ..telemetry import ComponentLogger
-from ..utils import Clock, Instant, JobId, wait_for_event
+from ..utils import Clock, Instant, JobId, Resources, wait_for_event
 from ._context import ControlContext
 from ._diagnosis import NOT_ALLOWED, queue_loads, waiting_causes
 from ._expiry import expired_keys
@@ -60,6 +60,9 @@
 REFRESH_MARGIN_MS = 80
 """Validity that a ticket must have beyond the duration of a query."""
 
+CLAIM_MARGIN_MS = 500
+"""Time beyond that of a stop for which freed capacity is kept for a gang: the ends have
+to be read, and a worker that is slow to stop must not idle the others for long."""
 DIAGNOSIS_INTERVAL_MS = 2000
 """Interval between two log reports on waiting steps."""
 DIAGNOSED_STEPS = 6
@@ -157,6 +160,7 @@
         self._survey_until = clock.now()
         self._last_plan = Plan()
         self._load = LoadMeter()
+        self._claims: dict[StepKey, tuple[Instant, dict[WorkerId, Resources]]] = {}
 
     # External events
 
@@ -351,7 +355,8 @@
         self.orders.stop_all(self.state.pop_stop_orders())
         now = self.clock.now()
         steps = order_steps(self.state.ready_steps(), now)
-        plan = self.planner.plan(now, steps, self.state.workers.values())
+        claims = self._current_claims(now)
+        plan = self.planner.plan(now, steps, self.state.workers.values(), claims)
         self._last_plan = plan
         self.orders.start_all(plan.placements)
         self._preempt([step for step in steps if step.waiting], now)
@@ -364,18 +369,30 @@
     def _preempt(self, steps: list[StepRun], now: Instant) -> None:
         """Stop runs that lose nothing, in favour of more urgent work."""
         workers = self.state.workers.values()
-        victims = choose_victims(
+        preemption = choose_victims(
             steps,
             workers,
             self.state.step_of,
             self.state.quotas,
             self._preemption_cost,
             now,
+            self._claims,
         )
-        for attempt in victims:
+        until = Instant(now + self.cfg.stop_ms + CLAIM_MARGIN_MS)
+        for claim in preemption.claims:
+            self._claims[claim.step] = (until, claim.capacity)
+        for attempt in preemption.victims:
             self.state.order_stop(attempt, "preempted by more urgent work")
         self.orders.stop_all(self.state.pop_stop_orders())
 
+    def _current_claims(self, now: Instant) -> dict[StepKey, dict[WorkerId, Resources]]:
+        """Return the claims of gangs that have not started, and drop all others."""
+        for key, (until, _) in list(self._claims.items()):
+            step = self.state.open_steps.get(key)
+            if now >= until or step is None or step.active:
+                del self._claims[key]
+        return {key: capacity for key, (_, capacity) in self._claims.items()}
+
     def _query_ready_steps(self, steps: list[StepRun], plan: Plan) -> None:
         """Query the policies of the most urgent steps while entries are idle."""
         idle_count = self.policy_queries.idle_count()
--- a/pimentomill/dispatch/__init__.py
+++ b/pimentomill/dispatch/__init__.py
@@ -10,17 +10,19 @@
     order_steps,
 )
 from ._planner import Placement, Plan, Planner
-from ._preemption import PreemptionCost, choose_victims
+from ._preemption import GangClaim, Preemption, PreemptionCost, choose_victims
 from ._quota import QuotaBook, ShareMeter
 from ._state import JobRun, StepRun, Ticket
 
 __all__ = [
     "LATE_FACTOR",
     "Feasibility",
+    "GangClaim",
     "JobRun",
     "Placement",
     "Plan",
     "Planner",
+    "Preemption",
     "PreemptionCost",
     "QuotaBook",
     "ShareMeter",
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -3,7 +3,8 @@
 import heapq
 import math
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from ..fleet import Worker
@@ -25,6 +26,7 @@
 """Slowness above which urgent tasks avoid a worker; kinds of workers differ by 1.3."""
 FREE_CAPACITY_WEIGHT = 0.3
 """Weight of free capacity against alignment: large tasks need whole workers."""
+NO_CLAIMS: Mapping = MappingProxyType({})
 MAX_RESERVED_WORKERS = 2
 """Workers reserved per step; more would idle more capacity than the step needs."""
 
@@ -124,6 +126,11 @@
         self.mem -= need.memory_mb
         self.acc -= need.accelerators
 
+    def withhold(self, claimed: Resources) -> None:
+        self.cpu = max(0, self.cpu - claimed.cpu_milli)
+        self.mem = max(0, self.mem - claimed.memory_mb)
+        self.acc = max(0, self.acc - claimed.accelerators)
+
     def release(self, step: StepRun) -> None:
         need = step.spec.reserved
         self.allocated -= 1
@@ -153,6 +160,13 @@
         known = self._min_capacity
         self._min_capacity = capacity if known is None else known.minimum(capacity)
 
+    def withhold(self, capacity: Mapping[WorkerId, Resources]) -> None:
+        """Keep capacity from all further steps, as far as it is free."""
+        for candidate in self.candidates:
+            claimed = capacity.get(candidate.id)
+            if claimed is not None:
+                candidate.withhold(claimed)
+
     def is_out_of_reach(self, step: StepRun) -> bool:
         """Return whether a step can neither be placed nor have a worker reserved."""
         need = step.spec.reserved
@@ -190,7 +204,11 @@
         self.quotas = quotas
 
     def plan(
-        self, now: Instant, steps: Iterable[StepRun], workers: Iterable[Worker]
+        self,
+        now: Instant,
+        steps: Iterable[StepRun],
+        workers: Iterable[Worker],
+        claims: Mapping[StepKey, Mapping[WorkerId, Resources]] = NO_CLAIMS,
     ) -> Plan:
         """Return the tasks to start now.
 
@@ -202,18 +220,22 @@
             Steps with waiting tasks, the most urgent first.
         workers : iterable of Worker
             All workers.
+        claims : mapping of StepKey to mapping of WorkerId to Resources, optional
+            Capacity that is being freed for a gang. Until the gang starts, steps that
+            come after it do not use this capacity.
 
         Returns
         -------
         Plan
             Placements that respect the capacity of workers and the limits of teams.
         """
-        return _Pass(self.quotas, now, workers).run(steps)
+        return _Pass(self.quotas, now, workers, claims).run(steps)
 
 
 class _Pass:
-    def __init__(self, quotas: QuotaBook, now: Instant, workers) -> None:
+    def __init__(self, quotas: QuotaBook, now: Instant, workers, claims) -> None:
         self.quotas = quotas
+        self.claims = claims
         self.now = now
         self.pools: defaultdict[str, _Pool] = defaultdict(_Pool)
         for worker in workers:
@@ -226,8 +248,13 @@
     def run(self, steps: Iterable[StepRun]) -> Plan:
         for step in steps:
             pool = self.pools.get(step.job.queue.service)
-            if pool is not None and not pool.is_out_of_reach(step):
+            if pool is None:
+                continue
+            placed_before = len(self.result.placements)
+            if not pool.is_out_of_reach(step):
                 self._place_step(step, pool.candidates)
+            if step.key in self.claims and len(self.result.placements) == placed_before:
+                pool.withhold(self.claims[step.key])
         return self.result
 
     def _place_step(self, step: StepRun, candidates: list[_Candidate]) -> None:
--- a/pimentomill/dispatch/_preemption.py
+++ b/pimentomill/dispatch/_preemption.py
@@ -1,16 +1,17 @@
 """Preemption of runs in favour of more urgent work."""
 
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Container, Iterable
 from typing import NamedTuple
 
 from ..fleet import Attempt, AttemptPhase, Worker
-from ..jobs import TaskKey
+from ..jobs import StepKey, TaskKey, WorkerId
 from ..utils import ZERO, Instant, Resources
 from ._order import is_in_time
 from ._quota import QuotaBook
 from ._state import StepRun
 
-__all__ = ["PreemptionCost", "choose_victims"]
+__all__ = ["GangClaim", "Preemption", "PreemptionCost", "choose_victims"]
 
 MAX_VICTIMS = 24
 """Runs stopped per pass, so that a burst is served over a few passes."""
@@ -45,6 +46,31 @@
         return work_ms + (self.restore_ms if is_resumed else 0)
 
 
+class GangClaim(NamedTuple):
+    """Capacity that a gang needs together, part of which is still being freed.
+
+    A gang starts as a whole. What its victims release one by one has to stay free for
+    it, or the victims would be placed there again before the last one has stopped.
+
+    Parameters
+    ----------
+    step : StepKey
+        Step of the gang.
+    capacity : dict of WorkerId to Resources
+        Capacity of each worker that members are meant for.
+    """
+
+    step: StepKey
+    capacity: dict[WorkerId, Resources]
+
+
+class Preemption(NamedTuple):
+    """Runs to stop, and the capacity to keep free for gangs meanwhile."""
+
+    victims: list[Attempt]
+    claims: list[GangClaim]
+
+
 class _PreemptionTarget:
     """Capacity of a worker once its stopping runs have ended.
 
@@ -77,6 +103,25 @@
         )
         self.free = worker.free + stopping
 
+    @property
+    def name(self) -> WorkerId:
+        """Name of the worker."""
+        return self.worker.info.worker
+
+    def place(self, step: StepRun, victims: list[Attempt]) -> None:
+        """Place a task of a step after the victims have been stopped."""
+        for victim in victims:
+            self.free = self.free + victim.reserved
+        self.victims += victims
+        self.free = self.free - step.spec.reserved
+
+    def undo(self, step: StepRun, victims: list[Attempt]) -> None:
+        """Undo the latest `place`, which had the same arguments."""
+        for victim in victims:
+            self.free = self.free - victim.reserved
+        del self.victims[len(self.victims) - len(victims) :]
+        self.free = self.free + step.spec.reserved
+
 
 def choose_victims(
     steps: Iterable[StepRun],
@@ -85,11 +130,13 @@
     quotas: QuotaBook,
     cost: PreemptionCost,
     now: Instant,
-) -> list[Attempt]:
-    """Return runs to stop so that more urgent tasks can start.
+    claimed: Container[StepKey] = (),
+) -> Preemption:
+    """Choose runs to stop so that more urgent tasks can start.
 
     Only runs that lose no progress are stopped: their step writes checkpoints, and
     their queue is less urgent. Work that can no longer be in time preempts no run.
+    For a gang, runs are stopped only if all its members can start then.
 
     Parameters
     ----------
@@ -105,11 +152,13 @@
         Time that a preemption costs.
     now : Instant
         Current time.
+    claimed : container of StepKey, default=()
+        Gangs whose victims are still being stopped.
 
     Returns
     -------
-    list of Attempt
-        Runs to stop.
+    Preemption
+        Runs to stop, and the claims of the gangs that they are stopped for.
     """
     claimants = [
         step for step in steps if not step.job.over_share and is_in_time(step, now)
@@ -121,17 +170,22 @@
             target = _PreemptionTarget(worker, step_of, cost, now)
             targets.setdefault(worker.info.service, []).append(target)
     chosen: list[Attempt] = []
+    claims: list[GangClaim] = []
     for step in claimants:
+        if step.key in claimed:
+            continue
         usable = [
             target
             for target in targets.get(step.job.queue.service, ())
             if step.may_use(target.worker.info)
         ]
-        if usable:
+        if usable and step.spec.gang:
+            claims += _select_gang_victims(step, usable, quotas, chosen)
+        elif usable:
             _select_victims(step, usable, quotas, chosen)
         if len(chosen) >= MAX_VICTIMS:
             break
-    return chosen
+    return Preemption(chosen, claims)
 
 
 def _select_victims(step: StepRun, targets, quotas, chosen: list[Attempt]) -> None:
@@ -146,13 +200,49 @@
         if best is None:
             return
         target, victims = best
-        for victim in victims:
-            target.free = target.free + victim.reserved
-            target.victims.append(victim)
-        target.free = target.free - step.spec.reserved
+        target.place(step, victims)
         chosen.extend(victims)
 
 
+def _select_gang_victims(
+    step: StepRun, targets, quotas, chosen: list[Attempt]
+) -> list[GangClaim]:
+    """Choose victims for all members of a gang, or for none.
+
+    Returns
+    -------
+    list of GangClaim
+        The claim of the gang; empty if no run has to be stopped, or if the gang could
+        not start all the same.
+    """
+    if step.active or len(step.waiting) != step.spec.count:
+        return []
+    team, need = step.job.accepted.team, step.spec.need
+    placed: list[tuple[_PreemptionTarget, list[Attempt]]] = []
+    members: Counter[WorkerId] = Counter()
+    limit = step.spec.max_per_worker or step.spec.count
+    for number in range(step.spec.count):
+        best = None
+        if quotas.allows(team, need, need * number):
+            open_targets = [item for item in targets if members[item.name] < limit]
+            best = _cheapest_target(step, open_targets)
+        if best is None:
+            for target, victims in reversed(placed):
+                target.undo(step, victims)
+            return []
+        target, victims = best
+        target.place(step, victims)
+        placed.append(best)
+        members[target.name] += 1
+    victims = [victim for _, found in placed for victim in found]
+    if not victims:
+        return []
+    chosen.extend(victims)
+    reserved = step.spec.reserved
+    capacity = {name: reserved * count for name, count in members.items()}
+    return [GangClaim(step.key, capacity)]
+
+
 def _cheapest_target(step: StepRun, targets):
     """Return the target with the fewest runs to stop, and those runs."""
     best = None
--- a/pimentomill/dispatch/tests/test_preemption.py
+++ b/pimentomill/dispatch/tests/test_preemption.py
@@ -1,7 +1,7 @@
 import unittest
 
 from pimentomill.catalog import Team
-from pimentomill.dispatch import PreemptionCost, QuotaBook, choose_victims
+from pimentomill.dispatch import Planner, PreemptionCost, QuotaBook, choose_victims
 from pimentomill.fleet import Attempt, AttemptPhase
 from pimentomill.jobs import TaskKey
 from pimentomill.utils import Resources
@@ -37,7 +37,10 @@
     def choose(self, steps=None, now=NOW):
         waiting = steps or [self.urgent]
         workers = [self.worker]
-        return choose_victims(waiting, workers, self.steps.get, self.quotas, COST, now)
+        preemption = choose_victims(
+            waiting, workers, self.steps.get, self.quotas, COST, now
+        )
+        return preemption.victims
 
     def test_stops_only_as_many_runs_as_urgent_tasks_need(self):
         self.assertEqual(len(self.choose()), 2)
@@ -91,7 +94,7 @@
         cost = PreemptionCost(restore_ms=self.RESTORE_MS, stop_ms=200)
         return choose_victims(
             [urgent], [self.worker], lambda task: self.long, QuotaBook(), cost, NOW
-        )
+        ).victims
 
     def test_a_run_that_is_being_restored_is_not_stopped(self):
         self.attempt.is_resumed = True
@@ -110,3 +113,75 @@
     def test_a_first_run_works_as_long_as_the_restore_that_its_stop_costs(self):
         self.assertEqual(self.victims(age_ms=self.RESTORE_MS - 1), [])
         self.assertEqual(self.victims(age_ms=self.RESTORE_MS), [self.attempt])
+
+
+class TestGangs(unittest.TestCase):
+    """Wide gangs that come into a pool full of less urgent checkpointed runs."""
+
+    def setUp(self):
+        self.workers = [worker(f"w{number}", cpu=8000) for number in range(3)]
+        self.long = first_step(
+            "a" * 16, [step(count=6, cpu=4000, checkpointed=True)], of=queue(priority=2)
+        )
+        for index in range(6):
+            host = self.workers[index // 2]
+            task = TaskKey("a" * 16, 0, 0, index)
+            attempt = Attempt(task, 1, host, self.long.spec.reserved, 0)
+            attempt.phase = AttemptPhase.RUNNING
+            self.long.dequeue(index)
+            host.add_attempt(attempt)
+
+    def gang(self, count, **fields):
+        spec = step(count=count, cpu=4000, gang=True, **fields)
+        return first_step("f" * 16, [spec], of=queue(priority=0), seen_at=NOW)
+
+    def preempt(self, gang, claimed=()):
+        return choose_victims(
+            [gang],
+            self.workers,
+            lambda task: self.long,
+            QuotaBook(),
+            COST,
+            NOW,
+            claimed,
+        )
+
+    def test_runs_are_stopped_for_all_members(self):
+        found = self.preempt(self.gang(5))
+        self.assertEqual(len(found.victims), 5)
+        cpu = sum(part.cpu_milli for part in found.claims[0].capacity.values())
+        self.assertEqual(cpu, 20000)
+
+    def test_no_run_is_stopped_for_a_part_of_the_members(self):
+        self.assertEqual(self.preempt(self.gang(7)), ([], []))
+
+    def test_members_are_spread_as_their_limit_demands(self):
+        self.assertEqual(self.preempt(self.gang(4, max_per_worker=1)), ([], []))
+        found = self.preempt(self.gang(3, max_per_worker=1))
+        self.assertEqual(set(found.claims[0].capacity), {"w0", "w1", "w2"})
+
+    def test_a_gang_that_waits_for_its_victims_stops_no_further_runs(self):
+        gang = self.gang(3)
+        self.assertEqual(self.preempt(gang, {gang.key}), ([], []))
+
+    def test_what_is_freed_for_a_gang_is_not_given_to_its_victims(self):
+        gang = self.gang(6)
+        claims = {claim.step: claim.capacity for claim in self.preempt(gang).claims}
+        stopped = next(iter(self.workers[0].attempts.values()))
+        self.workers[0].remove_attempt(stopped)
+        self.long.requeue(stopped.task.index)
+        planner = Planner(QuotaBook())
+        waiting = [gang, self.long]
+        self.assertEqual(
+            planner.plan(NOW, waiting, self.workers, claims).placements, []
+        )
+        self.assertEqual(len(planner.plan(NOW, waiting, self.workers).placements), 1)
+
+    def test_the_gang_starts_once_all_its_victims_have_stopped(self):
+        gang = self.gang(6)
+        claims = {claim.step: claim.capacity for claim in self.preempt(gang).claims}
+        for host in self.workers:
+            for attempt in list(host.attempts.values()):
+                host.remove_attempt(attempt)
+        placements = Planner(QuotaBook()).plan(NOW, [gang], self.workers, claims)
+        self.assertEqual(len(placements.placements), 6)
