replica: few of many entries claim the leadership at a time

Claims go through one partition, one at a time, so the first was read at 13.2 and led at 13.6; at 15.0 the same again, 222 claims rejected. Ranks above the fifth all waited the same, and after the end of the leader's process nobody waited at all. Change: each rank beyond the fifth waits 250 ms more than the one before.

--- a/pimentomill/replica/_leadership.py
+++ b/pimentomill/replica/_leadership.py
@@ -35,8 +35,13 @@
 of a leader within 60 ms."""
 SILENCE_HEAD_START_MS = 260
 """The same after a silence, which is detected by reads 200 ms apart."""
-MAX_RANK = 5
-"""Maximum number of candidates that an entry waits for, as they may be lost too."""
+MAX_QUICK_RANK = 5
+"""Rank up to which candidates claim shortly after one another, as the first ones may be
+lost together with the leader."""
+LATE_STAGGER_MS = 250
+"""Milliseconds between two candidates of higher ranks. All claims go through one
+partition of the store, one at a time. Where the store is slow, those of a hundred
+entries would keep the first one from being read for seconds."""
 
 _log = ComponentLogger("election")
 
@@ -256,9 +261,12 @@
         ]
         if record is not None and record.incarnation == self._ended[0]:
             wait_ms = self._head_start_ms(others, HEAD_START_MS)
+            wait_ms += _late_rank_ms(self._rank(others))
             return self.clock.now() - self._ended[1] >= wait_ms
+        rank = self._rank(others)
         wait_ms = self._head_start_ms(others, SILENCE_HEAD_START_MS)
-        wait_ms += self._rank(others) * self.timing.stagger_ms
+        wait_ms += min(rank, MAX_QUICK_RANK) * self.timing.stagger_ms
+        wait_ms += _late_rank_ms(rank)
         if record is not None and not record.resigned:
             wait_ms += self._silence_ms(record)
         return current_as_of - self.seen_at_ >= wait_ms
@@ -306,11 +314,13 @@
 
         own_priority = priority(self.incarnation)
         min_cores = self.cores / CORES_ADVANTAGE_RATIO
-        return min(
-            MAX_RANK,
-            sum(
-                priority(other.incarnation) < own_priority
-                for other in rivals
-                if other.cores >= min_cores
-            ),
+        return sum(
+            priority(other.incarnation) < own_priority
+            for other in rivals
+            if other.cores >= min_cores
         )
+
+
+def _late_rank_ms(rank: int) -> int:
+    """Return the further milliseconds that a candidate of a high rank waits."""
+    return max(0, rank - MAX_QUICK_RANK) * LATE_STAGGER_MS
--- a/pimentomill/replica/tests/test_leadership.py
+++ b/pimentomill/replica/tests/test_leadership.py
@@ -13,6 +13,10 @@
 
 READ_PERIOD_MS = 200
 """Milliseconds between two reads of an entry that does not lead."""
+SLOW_APPEND_MS = 600
+"""Milliseconds that an append takes where the store is slow."""
+MAX_EARLY_CLAIMS = 10
+"""Claims that may be under way at a time."""
 
 
 class TestLeaderWatch(unittest.TestCase):
@@ -181,14 +185,48 @@
             first_small = min(waits[entry] for entry in entries[6:])
             self.assertGreaterEqual(first_small - first_large, READ_PERIOD_MS, epoch)
 
-    def claim_wait_ms(self, entry, entries, epoch):
-        """Return the silence after which an entry claims, in steps of 10 ms."""
+    # Guards against claims of all entries at once, which held back the first one for
+    # 2.3 s in a slow store with 97 entries.
+    def test_few_of_many_entries_claim_within_the_time_of_a_slow_append(self):
+        entries = [Rival(f"life-{number}", 1.0) for number in range(97)]
+        for epoch in range(1, 4):
+            for has_ended in (False, True):
+                claims = 0
+                for entry in entries:
+                    clock, watch = self.lose_leader(entry, epoch, has_ended)
+                    rivals = [other for other in entries if other is not entry]
+                    for _ in range(SLOW_APPEND_MS // 100):
+                        clock.advance(100)
+                        has_claimed = watch.should_claim(clock.now(), rivals)
+                    claims += has_claimed
+                self.assertGreater(claims, 0)
+                self.assertLessEqual(claims, MAX_EARLY_CLAIMS)
+
+    def test_the_claims_of_a_small_cell_stay_close_together(self):
+        """All entries but one may be lost with the leader."""
+        entries = [Rival(f"life-{number}", 1.0) for number in range(6)]
+        for epoch in range(1, 20):
+            waits = [self.claim_wait_ms(entry, entries, epoch) for entry in entries]
+            self.assertLessEqual(max(waits) - min(waits), 50)
+
+    def lose_leader(self, entry, epoch, has_ended=False):
+        """Return the clock and the watch of an entry when the first claim is due."""
         clock = ManualClock(1000)
         watch = LeaderWatch(entry.incarnation, clock, self.watch.timing, entry.cores)
         record = LeaderRecord(epoch, "node", "gone", False)
         watch.apply(msgspec.msgpack.encode(record))
+        if has_ended:
+            watch.observe_end("gone")
+        else:
+            for _ in range(9):
+                clock.advance(self.watch.timing.silence_ms // 10)
+                watch.should_claim(clock.now())
+        return clock, watch
+
+    def claim_wait_ms(self, entry, entries, epoch):
+        """Return the silence after which an entry claims, in steps of 10 ms."""
+        clock, watch = self.lose_leader(entry, epoch)
         rivals = [other for other in entries if other is not entry]
-        clock.advance(self.watch.timing.silence_ms - 10)
         while not watch.should_claim(clock.now(), rivals):
             clock.advance(10)
         return clock.now() - watch.seen_at_
