--- a/pimentomill/platform/_settings.py
+++ b/pimentomill/platform/_settings.py
@@ -30,7 +30,7 @@
     entries: str = msgspec.field(name="Control", default="")
 
 
-class Bounds(msgspec.Struct, frozen=True):
+class Bounds(msgspec.Struct, frozen=True, omit_defaults=True):
     """Bounds of the platform's contract, in the unit that each name ends in."""
 
     grace_s: float = msgspec.field(name="GraceS", default=6)
