No message or unexpected error takes a process down

Cause (looked for on the users' list): a record of the store that an entry could not apply ended the process, and as all entries replay it, all of them, after each restart again; an unexpected error in a pass of the planner ended the leader's process; one in a report of a worker ended the loop that holds this worker, one in a start left its task reserved for good. A report with a task name that is a number was enough (AttributeError). Change: a record that can't be applied is skipped with a log line; background tasks start again after an error (supervise); an order with an unexpected error counts as not answered; rows of reports are decoded into typed structs. Besides: a worker whose address belongs to another one has ended, so its tasks start again at once instead of after the lease.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -21,7 +21,7 @@
 from ..jobs import JobTable, KeyedRecord, StepKey, WorkerId
 from ..replica import AppendedHook, Follower, FollowerTiming, LeaderRecord, RecordStore
 from ..telemetry import ComponentLogger
-from ..utils import Clock, Instant, JobId, Resources, wait_for_event
+from ..utils import Clock, Instant, JobId, Resources, supervise, wait_for_event
 from ._context import ControlContext
 from ._diagnosis import NOT_ALLOWED, queue_loads, waiting_causes
 from ._expiry import expired_keys
@@ -195,18 +195,19 @@
             Reason for the end of the leadership.
         """
         self._inherit()
+        loops = {
+            "progress": self.progress_writer.run,
+            "workers": self.workers_follower.run,
+            "plan": self._plan_loop,
+            "due": self._due_loop,
+            "expiry": self._expire_loop,
+            "diagnosis": self._diagnose_loop,
+            "authority": self._watch_authority,
+            "pacing": self.pacing.run,
+        }
         tasks = [
-            asyncio.ensure_future(coro)
-            for coro in (
-                self.progress_writer.run(),
-                self.workers_follower.run(),
-                self._plan_loop(),
-                self._due_loop(),
-                self._expire_loop(),
-                self._diagnose_loop(),
-                self._watch_authority(),
-                self.pacing.run(),
-            )
+            asyncio.ensure_future(supervise(name, run, _log, (FencedError,)))
+            for name, run in loops.items()
         ]
         try:
             done, _ = await asyncio.wait(
--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -7,6 +7,7 @@
 from ..fleet import HoldOrder, Worker
 from ..jobs import WorkerId
 from ..telemetry import ComponentLogger
+from ..utils import supervise
 from ._context import ControlContext
 
 __all__ = ["LeaseKeeper"]
@@ -59,17 +60,20 @@
 
     async def _run(self, worker: Worker) -> None:
         try:
-            while not self._can_remove(worker):
-                if await self._hold(worker):
-                    await self._pause(worker)
-                else:
-                    await asyncio.sleep(self.context.cfg.retry_ms / 1000)
+            await supervise("hold", lambda: self._hold_until_removed(worker), _log)
         finally:
             self._loops.pop(worker.info.worker, None)
         self.context.state.workers.pop(worker.info.worker, None)
         self.on_removed()
         _log.info("Worker removed", worker=worker.info.worker)
 
+    async def _hold_until_removed(self, worker: Worker) -> None:
+        while not self._can_remove(worker):
+            if await self._hold(worker):
+                await self._pause(worker)
+            else:
+                await asyncio.sleep(self.context.cfg.retry_ms / 1000)
+
     def _can_remove(self, worker: Worker) -> bool:
         return (
             not worker.is_listed
@@ -113,8 +117,12 @@
                 "Worker is unreachable", worker=worker.info.worker, why=str(exc)
             )
         worker.is_reachable = False
+        if isinstance(exc, ConflictError):
+            # Another worker has the address, so the one that held the lease has ended
+            # and nothing of what it ran is left.
+            worker.lease_until = min(worker.lease_until, self.context.clock.now())
         if worker.attempts and self.context.clock.now() >= worker.lease_until:
-            self.context.state.release_lost(worker, "worker lease has expired")
+            self.context.state.release_lost(worker, f"worker is gone: {exc}")
             self.context.on_change()
 
     async def _pause(self, worker: Worker) -> None:
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -10,6 +10,7 @@
     StartAnswer,
     StartOrder,
     StartOutcome,
+    Worker,
 )
 from ..telemetry import ComponentLogger
 from ..utils import Instant
@@ -82,7 +83,7 @@
             self.context.state.checkpoint_of(step, attempt.task.index),
             placement.ticket,
         )
-        answer = await self.context.port.start(worker.info, order)
+        answer = await self._send_start(worker, order)
         now = self.context.clock.now()
         waited_ms = now - step.job.seen_at
         _log.info(
@@ -100,6 +101,19 @@
         self._apply_start_answer(attempt, placement, answer)
         self.context.on_change()
 
+    async def _send_start(self, worker: Worker, order: StartOrder) -> StartAnswer:
+        """Send a start order; after an unexpected error its outcome is unknown."""
+        try:
+            return await self.context.port.start(worker.info, order)
+        except Exception as exc:
+            _log.warning(
+                "Start order failed",
+                task=order.task,
+                worker=worker.info.worker,
+                why=f"{type(exc).__name__}: {exc}",
+            )
+            return StartAnswer(StartOutcome.UNKNOWN, None)
+
     def _apply_start_answer(
         self, attempt: Attempt, placement: Placement, answer: StartAnswer
     ) -> None:
--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -1,5 +1,6 @@
 import asyncio
 import unittest
+from unittest import mock
 
 from pimentomill.catalog import Catalog, RequestLimits, Team
 from pimentomill.control import ControlSettings, Leader, PolicyQueryDispatcher
@@ -141,6 +142,48 @@
         self.assertGreaterEqual(self.clock.now(), lease_until)
         self.assertNotEqual(self.workers.started[1][0], worker)
 
+    async def test_the_task_of_a_worker_whose_address_is_taken_starts_again_at_once(
+        self,
+    ):
+        leader = self.start_leader(1, lease_ms=60_000)
+        self.submit(leader, [step()])
+        await self.wait_until(lambda: self.workers.started)
+        worker, _, _ = self.workers.started[0]
+        del self.workers.workers[worker]
+        await self.wait_until(lambda: len(self.workers.started) == 2)
+        self.assertNotEqual(self.workers.started[1][0], worker)
+
+    async def test_an_unexpected_error_of_a_pass_does_not_end_the_leadership(self):
+        leader = self.start_leader(1)
+        with mock.patch.object(leader.planner, "plan", side_effect=RuntimeError):
+            self.submit(leader, [step()])
+            await asyncio.sleep(0.05)
+        await self.wait_until(lambda: self.workers.started)
+        self.assertFalse(self.tasks[0].done())
+
+    async def test_an_unexpected_error_of_a_hold_does_not_lose_the_worker(self):
+        leader = self.start_leader(1)
+        await self.wait_until(lambda: leader.state.workers and leader._surveyed)
+        with mock.patch.object(
+            leader.state, "apply_report", side_effect=RuntimeError
+        ) as applied:
+            await self.wait_until(lambda: applied.called)
+        self.submit(leader, [step()])
+        await self.wait_until(lambda: self.workers.started)
+        worker, task, _ = self.workers.started[0]
+        self.workers.end(worker, task, EndKind.DONE)
+        await self.wait_until(lambda: not self.workers.workers[worker].ended)
+
+    async def test_a_start_with_an_unexpected_error_counts_as_not_answered(self):
+        leader = self.start_leader(1)
+        await self.wait_until(lambda: leader.state.workers and leader._surveyed)
+        with mock.patch.object(
+            self.workers, "start", side_effect=RuntimeError
+        ) as ordered:
+            self.submit(leader, [step()])
+            await self.wait_until(lambda: ordered.called)
+        await self.wait_until(lambda: self.workers.started)
+
     async def test_a_successor_fences_the_previous_leader(self):
         first = self.start_leader(1)
         self.submit(first, [step(count=2)])
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -41,7 +41,7 @@
     RecordStore,
 )
 from ..telemetry import CellMetrics, ComponentLogger
-from ..utils import Clock, Epoch, Instant, JobId
+from ..utils import Clock, Epoch, Instant, JobId, supervise
 from ._election import Candidate
 from ._forwarding import Forwarder
 from ._members import Members
@@ -523,12 +523,15 @@
 
     async def run(self) -> None:
         """Follow the store, take part in elections and lead until cancelled."""
+        tasks = {
+            "settings": self.rules.run,
+            "jobs": self.work.run,
+            "heartbeats": self._send_heartbeats,
+            "election": self._candidate.run,
+            "handover": self._hand_over_to_larger,
+        }
         await asyncio.gather(
-            self.rules.run(),
-            self.work.run(),
-            self._send_heartbeats(),
-            self._candidate.run(),
-            self._hand_over_to_larger(),
+            *(supervise(name, run, _log) for name, run in tasks.items())
         )
 
     async def stop(self) -> None:
--- a/pimentomill/platform/_workers.py
+++ b/pimentomill/platform/_workers.py
@@ -116,16 +116,49 @@
     reason: str = msgspec.field(name="Reason", default="")
 
 
-class WireReport(msgspec.Struct):
-    """Reply to a hold.
+class WireRunRow(msgspec.Struct, array_like=True):
+    """Row of a run in progress."""
 
-    A row of `running` is task, run, checkpoint, percent and load. A row of `ended`
-    is its number, task, run, kind and checkpoint.
-    """
+    task: str
+    run: int
+    checkpoint: str
+    percent: int | float
+    load: int | float = 0
+
+    def to_status(self) -> RunStatus:
+        """Convert to the internal form."""
+        return RunStatus(
+            parse_task(self.task),
+            self.run,
+            self.checkpoint,
+            int(self.percent),
+            int(self.load),
+        )
+
+
+class WireEndRow(msgspec.Struct, array_like=True):
+    """Row of a run that has ended."""
+
+    number: int
+    task: str
+    run: int
+    kind: str
+    checkpoint: str
+
+    def to_end(self) -> RunEnd:
+        """Convert to the internal form."""
+        kind = EndKind(self.kind)
+        return RunEnd(
+            self.number, parse_task(self.task), self.run, kind, self.checkpoint
+        )
+
+
+class WireReport(msgspec.Struct):
+    """Reply to a hold."""
 
     clock_ms: int = msgspec.field(name="ClockMs")
-    running: list[list] = msgspec.field(name="Running", default_factory=list)
-    ended: list[list] = msgspec.field(name="Finished", default_factory=list)
+    running: list[WireRunRow] = msgspec.field(name="Running", default_factory=list)
+    ended: list[WireEndRow] = msgspec.field(name="Finished", default_factory=list)
     incarnation_ms: int = msgspec.field(name="born", default=0)
 
 
@@ -238,9 +271,9 @@
         self._check_reply(reply, "hold")
         try:
             wire = _report_decoder.decode(reply.body)
-            running = [_decode_status(row) for row in wire.running]
-            ended = [_decode_end(row) for row in wire.ended]
-        except (msgspec.DecodeError, ValueError, IndexError, TypeError) as exc:
+            running = [row.to_status() for row in wire.running]
+            ended = [row.to_end() for row in wire.ended]
+        except (msgspec.DecodeError, ValueError, OverflowError) as exc:
             raise TransportError(f"hold reply invalid: {exc}", True) from exc
         complete = len(ended) < MAX_ENDS_PER_REPORT
         return WorkerReport(
@@ -274,12 +307,3 @@
             return _order_reply_decoder.decode(reply.body)
         except msgspec.DecodeError:
             return WireOrderReply(reason="unreadable answer")
-
-
-def _decode_status(row: list) -> RunStatus:
-    load = int(row[4]) if len(row) > 4 else 0
-    return RunStatus(parse_task(row[0]), int(row[1]), row[2], int(row[3]), load)
-
-
-def _decode_end(row: list) -> RunEnd:
-    return RunEnd(int(row[0]), parse_task(row[1]), int(row[2]), EndKind(row[3]), row[4])
--- a/pimentomill/platform/tests/test_workers.py
+++ b/pimentomill/platform/tests/test_workers.py
@@ -127,7 +127,19 @@
         self.assertEqual(report.ended[0], (58, TASK, 1, EndKind.DONE, ""))
 
     async def test_invalid_answers(self):
-        for body in (b"", b"{}", {"ClockMs": 1, "Running": [["no.task", 1, "", 0]]}):
+        name = "5c0e7a21d94b36f8.0.1.17"
+        rows = [
+            ["no.task", 1, "", 0],
+            [5, 1, "", 0],
+            [name, 1, None, 0],
+            [name, "1", "", 0],
+            [name, 1, "", 1e400],
+            [name],
+            {},
+        ]
+        reports = [{"ClockMs": 1, "Running": [row]} for row in rows]
+        reports.append({"ClockMs": 1, "Finished": [[1, name, 1, "done", 7]]})
+        for body in (b"", b"{}", *reports):
             self.set_answer("/hold", 200, body)
             with self.assertRaises(TransportError):
                 await self.hold()
--- a/pimentomill/replica/_follower.py
+++ b/pimentomill/replica/_follower.py
@@ -240,18 +240,35 @@
         self._pushed.update(enumerate(records, first))
         self._apply_pushed()
 
+    def _apply(self, record: KeyedRecord) -> None:
+        """Apply one record; one that causes an error is skipped.
+
+        All entries replay the same records, so an error that ended the process would
+        end each of them, again after every restart.
+        """
+        try:
+            self.apply(record)
+        except Exception as exc:
+            _log.warning(
+                "Record skipped: it can't be applied",
+                stream=self.stream,
+                key=record.key,
+                size=len(record.value),
+                why=f"{type(exc).__name__}: {exc}",
+            )
+
     def _apply_from(self, first: int, records: list[KeyedRecord]) -> None:
         """Apply the records from an offset on that have not been applied yet."""
         for offset, record in enumerate(records, first):
             if offset == self.offset_:
                 self.offset_ = offset + 1
-                self.apply(record)
+                self._apply(record)
 
     def _apply_pushed(self) -> None:
         """Apply the pushed records that follow the current offset without a gap."""
         while (record := self._pushed.pop(self.offset_, None)) is not None:
             self.offset_ += 1
-            self.apply(record)
+            self._apply(record)
         for offset in [key for key in self._pushed if key < self.offset_]:
             del self._pushed[offset]
 
@@ -301,7 +318,7 @@
             self.on_reload()
             self._loading = load
         for record in page.records:
-            self.apply(record)
+            self._apply(record)
         load.add_page(page)
 
     async def _preload(self) -> None:
@@ -309,7 +326,7 @@
         if self.preload_after is not None:
             page = await self.store.newest(self.stream, self.preload_after)
             for record in page.records:
-                self.apply(record)
+                self._apply(record)
 
     def _log_failed_load(self, load: _Load, reason: str) -> None:
         now = self.clock.now()
--- a/pimentomill/replica/tests/test_follower.py
+++ b/pimentomill/replica/tests/test_follower.py
@@ -51,6 +51,22 @@
         self.assertTrue(await self.current())
         self.assertEqual(sorted(self.state), list("abcdef"))
 
+    async def test_a_record_that_causes_an_error_is_skipped(self):
+        """All entries replay the same record: none may end by it, or by the next."""
+
+        def apply(record):
+            if record.key in "bf":
+                raise RuntimeError("unexpected")
+            self.apply(record)
+
+        self.follower.apply = apply
+        await self.put("a", "b", "c")
+        self.follow()
+        self.assertTrue(await self.current())
+        await self.put("f", "g")
+        self.assertTrue(await self.current())
+        self.assertEqual(sorted(self.state), list("acg"))
+
     async def test_a_read_begun_in_the_same_millisecond_is_not_current(self):
         self.follower.clock = ManualClock(7)
         self.follower.current_as_of_ = Instant(7)
--- a/pimentomill/utils/__init__.py
+++ b/pimentomill/utils/__init__.py
@@ -19,6 +19,7 @@
     stable_hash,
 )
 from ._resources import ZERO, Resources, dominant_fraction
+from ._supervise import supervise
 from ._traffic import TrafficMeter, header_bytes
 from ._validation import check_name, check_positive
 from ._waiting import wait_for_event
@@ -50,5 +51,6 @@
     "new_id",
     "read_body",
     "stable_hash",
+    "supervise",
     "wait_for_event",
 ]
