cli: losses, which reports from logs why jobs were late

`pimentomill losses` reads the logs of the entries and counts the late jobs of each queue by their main cause. The entry also closes its HTTP clients when it stops; it left four unstructured lines in the log.

--- a/pimentomill/cli/_cell.py
+++ b/pimentomill/cli/_cell.py
@@ -1,8 +1,10 @@
 """Subcommands that inspect a cell on the platform."""
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Annotated
 
 import cappa
@@ -13,9 +15,9 @@
 from ..jobs import JobTable, KeyedRecord, decode_job_record, job_of_key
 from ..platform import load_node_file, read_newest
 from ..replica import LEADER_KEY, LeaderRecord
-from ..telemetry import compute_burn, render_burn
+from ..telemetry import compute_burn, compute_losses, render_burn, render_losses
 
-__all__ = ["BurnCommand", "CellCommand", "CheckNodeCommand"]
+__all__ = ["BurnCommand", "CellCommand", "CheckNodeCommand", "LossesCommand"]
 
 METRICS_TIMEOUT_S = 3.0
 StoreAddress = Annotated[
@@ -167,3 +169,21 @@
             _fetch_metrics(url, urllib3.PoolManager().request) for url in self.urls
         ]
         print(render_burn(compute_burn(texts, self.target)))
+
+
+@cappa.command(name="losses", help="Report from logs why jobs missed objectives.")
+@dataclass
+class LossesCommand:
+    """Report the late jobs of each queue by their main cause."""
+
+    paths: Annotated[list[Path], cappa.Arg(help="Log files of the entries.")]
+
+    def __call__(self) -> None:
+        """Print the report."""
+        try:
+            lines = itertools.chain.from_iterable(
+                path.read_text(errors="replace").splitlines() for path in self.paths
+            )
+            print(render_losses(compute_losses(lines)))
+        except OSError as exc:
+            raise cappa.Exit(f"{exc.filename}: {exc.strerror}", code=1) from exc
--- a/pimentomill/cli/_commands.py
+++ b/pimentomill/cli/_commands.py
@@ -22,7 +22,7 @@
 from ..standins import BackendStandIn, PlatformStandIn, WorkerStandIn
 from ..telemetry import start_logging
 from ..utils import SystemClock, new_id
-from ._cell import BurnCommand, CellCommand, CheckNodeCommand
+from ._cell import BurnCommand, CellCommand, CheckNodeCommand, LossesCommand
 from ._client import EntryClient, read_key
 
 __all__ = ["Pimentomill", "main"]
@@ -239,6 +239,7 @@
         | CellCommand
         | CheckNodeCommand
         | BurnCommand
+        | LossesCommand
     ]
 
 
--- a/pimentomill/cli/tests/test_cell.py
+++ b/pimentomill/cli/tests/test_cell.py
@@ -1,4 +1,5 @@
 import unittest
+from pathlib import Path
 
 import cappa
 import msgspec
@@ -6,6 +7,7 @@
 from pimentomill.cli._cell import (
     BurnCommand,
     CheckNodeCommand,
+    LossesCommand,
     format_job_records,
     format_jobs,
     format_leader,
@@ -42,6 +44,11 @@
         self.assertEqual(len(format_job_records(self.records, JOB)), 2)
         self.assertEqual(format_job_records(self.records, "b" * 16), [])
 
+    def test_losses_of_a_log_that_can_not_be_read(self):
+        with self.assertRaises(cappa.Exit) as raised:
+            LossesCommand([Path("/nowhere/entry.log")])()
+        self.assertIn("/nowhere/entry.log", str(raised.exception.message))
+
     def test_invalid_settings_file_is_rejected(self):
         with self.assertRaises(cappa.Exit):
             CheckNodeCommand("/nowhere/node.toml")()
--- a/pimentomill/platform/_daemon.py
+++ b/pimentomill/platform/_daemon.py
@@ -39,6 +39,8 @@
 """Timeout of a connection to another entry; a round trip takes about 1 ms."""
 STORE_CONNECTIONS = 24
 """Connections to the store, for a few long-polling reads and the appends."""
+POLICY_CONNECTIONS = 2
+"""Connections to the placement policy service, which serves one query at a time."""
 DRAIN_POLL_INTERVAL_S = 0.05
 """Interval between two checks for requests in flight."""
 
@@ -63,7 +65,9 @@
     )
     store_http = HttpClient(STORE_CONNECTIONS)
     worker_http = HttpClient(WORKER_CONNECTIONS)
-    policy_client = PlatformPolicyClient(cfg.node, cfg.policy_address, HttpClient(2))
+    policy_http = HttpClient(POLICY_CONNECTIONS)
+    link_http = HttpClient(LINK_CONNECTIONS, LINK_CONNECT_TIMEOUT_S)
+    policy_client = PlatformPolicyClient(cfg.node, cfg.policy_address, policy_http)
     node = CellNode(
         NodeSettings(
             cfg.node,
@@ -77,7 +81,7 @@
         policy_client,
         decode_rules,
         decode_worker,
-        LinkClient(HttpClient(LINK_CONNECTIONS, LINK_CONNECT_TIMEOUT_S)),
+        LinkClient(link_http),
         clock,
         metrics,
     )
@@ -107,6 +111,8 @@
     node_task.cancel()
     await links.stop()
     await frontend.stop()
+    for http in (store_http, worker_http, policy_http, link_http):
+        await http.close()
     _log.info("Stopped", node=cfg.node, in_flight=frontend.in_flight_)
 
 
