--- a/pimentomill/telemetry/_losses.py
+++ b/pimentomill/telemetry/_losses.py
@@ -11,7 +11,7 @@
 
 JOB_PATTERN = re.compile(r"job='(\w+)'")
 LONG_WAIT_SHARE = 0.3
-"""Share of its objective from which a job's wait counts as the cause of its lateness."""
+"""Share of its objective from which the wait of a late job counts as the cause."""
 TICKET_WAIT_SHARE = 0.6
 """Share of the wait for the first start that passed before the first answer of the
 placement policy, from which the policy counts as the cause."""
