--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -60,6 +60,8 @@
 REFRESH_MARGIN_MS = 80
 """Validity that a ticket must have beyond the duration of a query."""
 
+PREEMPTION_INTERVAL_MS = 50
+"""Pause between two searches for runs to preempt, short against the time of a stop."""
 CLAIM_MARGIN_MS = 500
 """Time beyond that of a stop for which freed capacity is kept for a gang: the ends have
 to be read, and a worker that is slow to stop must not idle the others for long."""
@@ -160,6 +162,7 @@
         self._survey_until = clock.now()
         self._last_plan = Plan()
         self._load = LoadMeter()
+        self._next_preemption_at = clock.now()
         self._claims: dict[StepKey, tuple[Instant, dict[WorkerId, Resources]]] = {}
 
     # External events
@@ -283,12 +286,16 @@
                 service=info.service,
                 rack=info.rack,
             )
+            self._record_fleet()
         else:
-            if info.is_draining and not worker.info.is_draining:
+            has_changed = info.is_draining != worker.info.is_draining
+            if info.is_draining and has_changed:
                 _log.info("Worker is draining", worker=info.worker)
             self.state.sync_worker(info)
+            # Workers renew their records each second or two without a change.
+            if has_changed:
+                self._record_fleet()
         self.lease_keeper.watch(worker)
-        self._record_fleet()
 
     def _unlist_all(self) -> None:
         for worker in self.state.workers.values():
@@ -368,7 +375,13 @@
         self.progress_writer.wake()
 
     def _preempt(self, steps: list[StepRun], now: Instant) -> None:
-        """Stop runs that lose nothing, in favour of more urgent work."""
+        """Stop runs that lose nothing, in favour of more urgent work.
+
+        Looks at every run of the pools where urgent work waits, so not in each pass.
+        """
+        if now < self._next_preemption_at:
+            return
+        self._next_preemption_at = Instant(now + PREEMPTION_INTERVAL_MS)
         workers = self.state.workers.values()
         preemption = choose_victims(
             steps,
--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -3,7 +3,8 @@
 from unittest import mock
 
 from pimentomill.catalog import Catalog, RequestLimits, Team
-from pimentomill.control import ControlSettings, Leader, PolicyQueryDispatcher
+from pimentomill.control import ControlSettings, Leader, PolicyQueryDispatcher, _leader
+from pimentomill.dispatch import Preemption
 from pimentomill.dispatch.tests.samples import accepted, info, queue, step
 from pimentomill.fleet import EndKind
 from pimentomill.jobs import (
@@ -174,6 +175,17 @@
         self.workers.end(worker, task, EndKind.DONE)
         await self.wait_until(lambda: not self.workers.workers[worker].ended)
 
+    async def test_passes_in_quick_succession_search_once_for_runs_to_preempt(self):
+        """Ends come in hundreds a second on a large site, each with a pass."""
+        leader = self.start_leader(1)
+        now = self.clock.now() + 1000
+        with mock.patch.object(
+            _leader, "choose_victims", return_value=Preemption([], [])
+        ) as search:
+            for moment in (now, now + 10, now + 49, now + 50):
+                leader._preempt([], moment)
+        self.assertEqual([call.args[5] for call in search.mock_calls], [now, now + 50])
+
     async def test_a_start_with_an_unexpected_error_counts_as_not_answered(self):
         leader = self.start_leader(1)
         await self.wait_until(lambda: leader.state.workers and leader._surveyed)
