--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -175,6 +175,15 @@
         self.workers.end(worker, task, EndKind.DONE)
         await self.wait_until(lambda: not self.workers.workers[worker].ended)
 
+    async def test_a_successor_uses_no_worker_that_has_left_the_list(self):
+        await self.store.append("workers", [KeyedRecord("w2", b"")])
+        leader = self.start_leader(2, fleet=self.infos.values())
+        await self.wait_until(lambda: leader._surveyed)
+        self.submit(leader, [step(count=2, max_per_worker=1)])
+        await self.wait_until(lambda: self.workers.started)
+        await asyncio.sleep(0.1)
+        self.assertEqual([worker for worker, _, _ in self.workers.started], ["w1"])
+
     async def test_passes_in_quick_succession_search_once_for_runs_to_preempt(self):
         """Ends come in hundreds a second on a large site, each with a pass."""
         leader = self.start_leader(1)
--- a/pimentomill/node/tests/test_node.py
+++ b/pimentomill/node/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from pimentomill.catalog import Catalog, RequestLimits
 from pimentomill.control import WORK_STREAM, ControlSettings
 from pimentomill.dispatch.tests.samples import accepted, step
 from pimentomill.exceptions import StateUnavailableError, TransportError
@@ -17,7 +18,7 @@
 from pimentomill.replica import LEADER_KEY, LeaderRecord
 from pimentomill.standins import MemoryStore, MemoryWorkers
 from pimentomill.telemetry import CellMetrics
-from pimentomill.utils import ManualClock
+from pimentomill.utils import ManualClock, SystemClock
 
 JOB = "a" * 16
 
@@ -199,3 +200,55 @@
             await self.held.wait()
         known = [member.node for member in node.members.others_by_recency()]
         self.assertEqual(known, ["n2"])
+
+
+class TestRestart(unittest.IsolatedAsyncioTestCase):
+    """An entry restarts while operators withdraw a key.
+
+    The first page that it reads holds the settings with the key; those without it are
+    stored before it reads the second page.
+    """
+
+    async def asyncSetUp(self):
+        self.store = MemoryStore(page_size=1)
+        await self.put(b"1", key="config")
+        await self.put(b"", key="other")
+        newest = self.store.newest
+        self.held, self.released = asyncio.Event(), asyncio.Event()
+
+        async def slow(stream, after):
+            if after is not None:
+                self.held.set()
+                await self.released.wait()
+            return await newest(stream, after)
+
+        self.store.newest = slow
+        self.node = CellNode(
+            NodeSettings("n1", "127.0.0.1:1", key_term_ms=60_000),
+            ControlSettings(),
+            self.store,
+            MemoryWorkers(),
+            None,
+            lambda value: Catalog(int(value), [], [], {}, [], RequestLimits()),
+            lambda key, value: None,
+            FakeLinks(),
+            SystemClock(),
+            CellMetrics(),
+        )
+
+    async def put(self, value, key):
+        await self.store.append("rules", [KeyedRecord(key, value or b"x")])
+
+    async def test_no_key_is_accepted_before_the_newest_settings_are_known(self):
+        loading = asyncio.ensure_future(self.node.rules.run())
+        self.addCleanup(loading.cancel)
+        async with asyncio.timeout(30):
+            await self.held.wait()
+            await self.put(b"2", key="config")
+            self.assertEqual(self.node.catalog_.version, 1)
+            self.assertFalse(self.node.are_keys_valid())
+            self.assertFalse(self.node.is_ready())
+            self.released.set()
+            await self.node.rules.wait_loaded()
+        self.assertEqual(self.node.catalog_.version, 2)
+        self.assertTrue(self.node.are_keys_valid())
