--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -395,6 +395,13 @@
         until = Instant(now + self.cfg.stop_ms + CLAIM_MARGIN_MS)
         for claim in preemption.claims:
             self._claims[claim.step] = (until, claim.capacity)
+            _log.info(
+                "Capacity claimed for a gang",
+                step=claim.step,
+                workers=len(claim.capacity),
+                victims=len(preemption.victims),
+                for_ms=until - now,
+            )
         for attempt in preemption.victims:
             self.state.order_stop(attempt, "preempted by more urgent work")
         self.orders.stop_all(self.state.pop_stop_orders())
