control: a planned stop leaves no gang started in part

On its resignation a leader cancelled the start orders in flight, and the planner went on until then. A successor that finds a gang started in part, with no silent worker left that could run the rest, stops it at once instead of waiting for its end. Tests red before: the members of a gang beside a planned stop; a gang in part after a takeover.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -163,6 +163,7 @@
         self._last_plan = Plan()
         self._load = LoadMeter()
         self._next_preemption_at = clock.now()
+        self._is_resigning = False
         self._claims: dict[StepKey, tuple[Instant, dict[WorkerId, Resources]]] = {}
 
     # External events
@@ -237,7 +238,13 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def resign(self) -> None:
-        """Store all changes and let a successor take over at once."""
+        """Store all changes and let a successor take over at once.
+
+        Start orders in flight are completed and no others are given: a gang of which
+        only some members were started would wait for the others in vain.
+        """
+        self._is_resigning = True
+        await self.orders.wait_started(self.cfg.start_timeout_ms)
         try:
             await self.progress_writer.flush(resign=True)
         except FencedError as exc:
@@ -360,7 +367,11 @@
     def _plan(self) -> None:
         self._check_survey()
         self.state.evacuate()
+        self.state.stop_partial_gangs()
         self.orders.stop_all(self.state.pop_stop_orders())
+        if self._is_resigning:
+            self.progress_writer.wake()
+            return
         now = self.clock.now()
         steps = order_steps(self.state.ready_steps(), now)
         claims = self._current_claims(now)
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -337,6 +337,17 @@
             if other.run == run:
                 self.order_stop(other, "a member of the gang ended")
 
+    def stop_partial_gangs(self) -> None:
+        """Stop inherited gangs of which only some members have been started.
+
+        They would wait for the others until the worker gives them up, and only then
+        could the gang start as a whole.
+        """
+        for step in self.ready_steps():
+            if step.spec.gang and step.active:
+                for attempt in list(step.active.values()):
+                    self.order_stop(attempt, "the gang was started in part")
+
     @staticmethod
     def _record_checkpoint(step: StepRun, index: int, checkpoint: str) -> None:
         step.checkpoints[0 if step.spec.gang else index] = checkpoint
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -39,6 +39,7 @@
     def __init__(self, context: ControlContext) -> None:
         self.context = context
         self._tasks: set[asyncio.Task] = set()
+        self._starts: set[asyncio.Task] = set()
 
     def start_all(self, placements: list[Placement]) -> None:
         """Send the start orders of a plan."""
@@ -54,22 +55,30 @@
             attempt = self.context.state.begin_attempt(
                 step, placement.index, placement.worker, run
             )
-            self._spawn(self._start(attempt, placement))
+            task = self._spawn(self._start(attempt, placement))
+            self._starts.add(task)
+            task.add_done_callback(self._starts.discard)
 
     def stop_all(self, stops: list[StopOrder]) -> None:
         """Send stop orders."""
         for stop in stops:
             self._spawn(self._stop(stop))
 
+    async def wait_started(self, limit_ms: int) -> None:
+        """Wait until all start orders have been answered, up to a limit."""
+        if self._starts:
+            await asyncio.wait(self._starts, timeout=limit_ms / 1000)
+
     def close(self) -> None:
         """Cancel all orders in flight."""
         for task in self._tasks:
             task.cancel()
 
-    def _spawn(self, coro) -> None:
+    def _spawn(self, coro) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _start(self, attempt: Attempt, placement: Placement) -> None:
         step, worker = placement.step, placement.worker
--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -92,6 +92,17 @@
         self.report(self.prompt, ended=[RunEnd(1, FIRST_TASK, 2, EndKind.DONE, "")])
         self.assertEqual(self.ready(), [])
 
+    def test_a_gang_that_was_started_in_part_is_stopped_once_that_is_certain(self):
+        self.inherit([step(count=2, gang=True)])
+        self.report(self.prompt, [RunStatus(FIRST_TASK, 1, "", 40, 0)])
+        self.end_survey()
+        self.state.stop_partial_gangs()
+        self.assertEqual(self.state.pop_stop_orders(), [])
+        self.report(self.silent)
+        self.state.stop_partial_gangs()
+        stops = [order.task for order in self.state.pop_stop_orders()]
+        self.assertEqual(stops, [FIRST_TASK])
+
     def test_a_gang_with_a_member_that_nobody_reports_waits(self):
         self.inherit([step(count=2, gang=True)])
         self.report(self.prompt, [RunStatus(FIRST_TASK, 1, "", 40, 0)])
--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -175,6 +175,31 @@
         self.workers.end(worker, task, EndKind.DONE)
         await self.wait_until(lambda: not self.workers.workers[worker].ended)
 
+    async def test_a_planned_stop_completes_the_starts_of_a_gang(self):
+        """An entry that leads gets SIGTERM just as it starts a gang."""
+        leader = self.start_leader(1)
+        await self.wait_until(lambda: leader.state.workers and leader._surveyed)
+        start, second_may_start = self.workers.start, asyncio.Event()
+        ordered = []
+
+        async def start_second_late(worker_info, order):
+            ordered.append(order.task.index)
+            if len(ordered) > 1:
+                await second_may_start.wait()
+            return await start(worker_info, order)
+
+        with mock.patch.object(self.workers, "start", start_second_late):
+            self.submit(leader, [step(count=2, gang=True)])
+            await self.wait_until(lambda: len(ordered) == 2)
+            asyncio.get_running_loop().call_later(0.05, second_may_start.set)
+            resigned = asyncio.ensure_future(leader.resign())
+            await asyncio.sleep(0)
+            self.submit(leader, [step()], job="b" * 16)
+            await resigned
+            await asyncio.wait_for(self.tasks[0], WAIT_S)
+        started = {(task.job, task.index) for _, task, _ in self.workers.started}
+        self.assertEqual(started, {(JOB, 0), (JOB, 1)})
+
     async def test_a_successor_uses_no_worker_that_has_left_the_list(self):
         await self.store.append("workers", [KeyedRecord("w2", b"")])
         leader = self.start_leader(2, fleet=self.infos.values())
