--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -117,12 +117,14 @@
                 "Worker is unreachable", worker=worker.info.worker, why=str(exc)
             )
         worker.is_reachable = False
+        now = self.context.clock.now()
+        reason = "worker lease has expired"
         if isinstance(exc, ConflictError):
-            # Another worker has the address, so the one that held the lease has ended
-            # and nothing of what it ran is left.
-            worker.lease_until = min(worker.lease_until, self.context.clock.now())
-        if worker.attempts and self.context.clock.now() >= worker.lease_until:
-            self.context.state.release_lost(worker, f"worker is gone: {exc}")
+            # The worker that held the lease has ended, and nothing that it ran is left.
+            reason = "another worker has its address"
+            worker.lease_until = min(worker.lease_until, now)
+        if worker.attempts and now >= worker.lease_until:
+            self.context.state.release_lost(worker, reason)
             self.context.on_change()
 
     async def _pause(self, worker: Worker) -> None:
