--- a/pimentomill/node/_election.py
+++ b/pimentomill/node/_election.py
@@ -190,6 +190,8 @@
             )
         except (FencedError, OutOfSequenceError) as exc:
             _log.info("Leadership claim rejected", epoch=epoch, why=str(exc))
+            await self._wait_for_winner(epoch)
+            return
         except LogUnavailableError as exc:
             _log.warning("Leadership claim failed", epoch=epoch, why=str(exc))
             return
@@ -199,3 +201,16 @@
             )
         deadline = Instant(self.clock.now() + CLAIM_TIMEOUT_MS)
         await self.work.wait_current(deadline)
+
+    async def _wait_for_winner(self, epoch: Epoch) -> None:
+        """Wait until the claim that has won an epoch can be read.
+
+        The store has accepted it, but a slow store shows it seconds later. To claim
+        again meanwhile would only delay it.
+        """
+        deadline = Instant(self.clock.now() + CLAIM_TIMEOUT_MS)
+        while self.watch.epoch < epoch and self.clock.now() < deadline:
+            if self.work.age_ms() > MAX_SUSPICION_AGE_MS:
+                self.work.request_read()
+            self.watch.changed.clear()
+            await wait_for_event(self.watch.changed, ELECTION_TICK_MS)
--- a/pimentomill/node/tests/test_election.py
+++ b/pimentomill/node/tests/test_election.py
@@ -2,6 +2,9 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
+from pimentomill.exceptions import OutOfSequenceError
 from pimentomill.links import WatchOutcome
 from pimentomill.node import Members
 from pimentomill.node import _election as election
@@ -109,6 +112,25 @@
         await self.until(lambda: any(entry.led for entry in others))
         self.assertEqual([entry.led for entry in others if entry.led], [[2]])
 
+    async def test_a_rejected_claim_is_not_repeated_before_the_winner_is_read(self):
+        """The store is slow: it has accepted another claim that can't be read yet."""
+        entry = self.entries[0]
+        claims = []
+
+        async def reject(stream, records, writer=None):
+            claims.append(writer.epoch)
+            raise OutOfSequenceError("another claim was first", 1)
+
+        self.store.append = reject
+        self.tasks += entry.run()
+        await self.until(lambda: claims)
+        await asyncio.sleep(0.2)
+        self.assertEqual(claims, [1])
+        winner = LeaderRecord(1, "b", "life-b")
+        entry.watch.apply(msgspec.msgpack.encode(winner))
+        await asyncio.sleep(0.05)
+        self.assertEqual(claims, [1])
+
     async def test_an_entry_that_can_not_lead_claims_nothing(self):
         self.entries[0].can_lead = False
         self.tasks += self.entries[0].run()
