control, node, dispatch: one piece for what the change wrote twice

Read once more: the steps that are ready were collected twice in each pass, once for gangs started in part; the wait for news of the leader stood twice in the election; the check of a step's label stood beside its twin in StepRun.may_use. No behaviour changes.

--- a/pimentomill/control/_inheritance.py
+++ b/pimentomill/control/_inheritance.py
@@ -110,9 +110,8 @@
     The placement policy is left out, as this leader does not know its answers yet.
     """
     info = worker.info
-    label = step.spec.required_label
     return (
         info.service == step.job.queue.service
-        and (not label or label in info.labels)
+        and step.matches_label(info)
         and step.spec.reserved.fits_in(info.capacity)
     )
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -367,13 +367,14 @@
     def _plan(self) -> None:
         self._check_survey()
         self.state.evacuate()
-        self.state.stop_partial_gangs()
+        ready = list(self.state.ready_steps())
+        self.state.stop_partial_gangs(ready)
         self.orders.stop_all(self.state.pop_stop_orders())
         if self._is_resigning:
             self.progress_writer.wake()
             return
         now = self.clock.now()
-        steps = order_steps(self.state.ready_steps(), now)
+        steps = order_steps(ready, now)
         claims = self._current_claims(now)
         plan = self.planner.plan(now, steps, self.state.workers.values(), claims)
         self._last_plan = plan
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -1,7 +1,7 @@
 """In-memory state of the leader: unfinished jobs, their attempts, workers."""
 
 import statistics
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from ..catalog import Catalog
@@ -337,13 +337,18 @@
             if other.run == run:
                 self.order_stop(other, "a member of the gang ended")
 
-    def stop_partial_gangs(self) -> None:
+    def stop_partial_gangs(self, steps: Iterable[StepRun]) -> None:
         """Stop inherited gangs of which only some members have been started.
 
         They would wait for the others until the worker gives them up, and only then
         could the gang start as a whole.
+
+        Parameters
+        ----------
+        steps : iterable of StepRun
+            Steps that have tasks ready to start.
         """
-        for step in self.ready_steps():
+        for step in steps:
             if step.spec.gang and step.active:
                 for attempt in list(step.active.values()):
                     self.order_stop(attempt, "the gang was started in part")
--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -96,10 +96,10 @@
         self.inherit([step(count=2, gang=True)])
         self.report(self.prompt, [RunStatus(FIRST_TASK, 1, "", 40, 0)])
         self.end_survey()
-        self.state.stop_partial_gangs()
+        self.state.stop_partial_gangs(self.state.ready_steps())
         self.assertEqual(self.state.pop_stop_orders(), [])
         self.report(self.silent)
-        self.state.stop_partial_gangs()
+        self.state.stop_partial_gangs(self.state.ready_steps())
         stops = [order.task for order in self.state.pop_stop_orders()]
         self.assertEqual(stops, [FIRST_TASK])
 
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -106,11 +106,15 @@
 
     def may_use(self, info: WorkerInfo) -> bool:
         """Return whether the required label and the placement policy admit a worker."""
-        label = self.spec.required_label
-        if label and label not in info.labels:
+        if not self.matches_label(info):
             return False
         return self.job.queue.placement_policy is None or info.worker in self.allowed
 
+    def matches_label(self, info: WorkerInfo) -> bool:
+        """Return whether a worker carries the label that the step requires, if any."""
+        label = self.spec.required_label
+        return not label or label in info.labels
+
     def is_starving(self, now: Instant) -> bool:
         """Return whether no task of the step has run for `STARVATION_MS`.
 
--- a/pimentomill/node/_election.py
+++ b/pimentomill/node/_election.py
@@ -159,12 +159,18 @@
 
     async def _pause(self) -> None:
         """Wait until the next check of the leader is due."""
-        is_suspected = self.watch.is_suspected(self.work.current_as_of_)
-        if is_suspected and self.work.age_ms() > MAX_SUSPICION_AGE_MS:
+        if self.watch.is_suspected(self.work.current_as_of_):
+            await self._wait_for_change()
+        else:
+            self.watch.changed.clear()
+            await wait_for_event(self.watch.changed, CALM_TICK_MS)
+
+    async def _wait_for_change(self) -> None:
+        """Wait briefly for news of the leader, and read the stream if it is old."""
+        if self.work.age_ms() > MAX_SUSPICION_AGE_MS:
             self.work.request_read()
-        tick_ms = ELECTION_TICK_MS if is_suspected else CALM_TICK_MS
         self.watch.changed.clear()
-        await wait_for_event(self.watch.changed, tick_ms)
+        await wait_for_event(self.watch.changed, ELECTION_TICK_MS)
 
     async def _lead(self, epoch: Epoch) -> None:
         self._led_epoch = epoch
@@ -210,7 +216,4 @@
         """
         deadline = Instant(self.clock.now() + CLAIM_TIMEOUT_MS)
         while self.watch.epoch < epoch and self.clock.now() < deadline:
-            if self.work.age_ms() > MAX_SUSPICION_AGE_MS:
-                self.work.request_read()
-            self.watch.changed.clear()
-            await wait_for_event(self.watch.changed, ELECTION_TICK_MS)
+            await self._wait_for_change()
