control: log how long a worker has been reserved and what runs there

`Step is waiting` names the job that a worker is kept for, but neither since when nor the runs that keep that job from starting. A reservation that outlives its use, a run that is counted after its end and a slow run could not be told apart.

--- a/pimentomill/control/_diagnosis.py
+++ b/pimentomill/control/_diagnosis.py
@@ -1,14 +1,22 @@
 """Diagnosis of waiting steps for the log."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from ..dispatch import Plan, QuotaBook, StepRun, assess_feasibility
 from ..fleet import Worker
+from ..jobs import StepKey, WorkerId
 from ..utils import Instant
 
-__all__ = ["NOT_ALLOWED", "QueueLoad", "queue_loads", "waiting_causes"]
+__all__ = [
+    "NOT_ALLOWED",
+    "QueueLoad",
+    "Reservation",
+    "ReservationTracker",
+    "queue_loads",
+    "waiting_causes",
+]
 
 NOT_ALLOWED = "not allowed"
 BEYOND_SHARE = "beyond share"
@@ -37,6 +45,75 @@
     unasked: int
 
 
+class Reservation(NamedTuple):
+    """A worker that is reserved for a step, and what keeps the step from it.
+
+    Parameters
+    ----------
+    worker : WorkerId
+        Reserved worker.
+    step : StepKey
+        Step that the worker is reserved for.
+    reserved_ms : int
+        Milliseconds since the reservation began.
+    free : str
+        Free capacity of the worker.
+    runs : dict of str to int
+        Progress in percent of the runs on the worker, by task.
+    """
+
+    worker: WorkerId
+    step: StepKey
+    reserved_ms: int
+    free: str
+    runs: dict[str, int]
+
+
+class ReservationTracker:
+    """Records since when each worker has been reserved for the same step."""
+
+    def __init__(self) -> None:
+        self._since: dict[tuple[WorkerId, StepKey], Instant] = {}
+
+    def update(self, reserved_for: Mapping[WorkerId, StepKey], now: Instant) -> None:
+        """Apply the reservations of the latest plan."""
+        self._since = {
+            pair: self._since.get(pair, now) for pair in reserved_for.items()
+        }
+
+    def report(
+        self, workers: Mapping[WorkerId, Worker], now: Instant
+    ) -> list[Reservation]:
+        """Return the reservations, the oldest first.
+
+        Parameters
+        ----------
+        workers : mapping of WorkerId to Worker
+            Known workers; reservations of others are left out.
+        now : Instant
+            Current time.
+        """
+        found = sorted(self._since.items(), key=lambda item: item[1])
+        return [
+            Reservation(
+                name,
+                step,
+                now - since,
+                workers[name].free.describe(),
+                _percent_by_task(workers[name]),
+            )
+            for (name, step), since in found
+            if name in workers
+        ]
+
+
+def _percent_by_task(worker: Worker) -> dict[str, int]:
+    return {
+        f"{task.job}.{task.occurrence}.{task.step}.{task.index}": run.percent
+        for task, run in worker.attempts.items()
+    }
+
+
 def queue_loads(steps: Iterable[StepRun], now: Instant) -> list[QueueLoad]:
     """Return the running and waiting tasks of each queue.
 
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -23,7 +23,12 @@
 from ..telemetry import ComponentLogger
 from ..utils import Clock, Instant, JobId, Resources, supervise, wait_for_event
 from ._context import ControlContext
-from ._diagnosis import NOT_ALLOWED, queue_loads, waiting_causes
+from ._diagnosis import (
+    NOT_ALLOWED,
+    ReservationTracker,
+    queue_loads,
+    waiting_causes,
+)
 from ._expiry import expired_keys
 from ._leader_state import LeaderState
 from ._lease_keeper import LeaseKeeper
@@ -71,6 +76,8 @@
 """Steps in one report; bounds the log when the cell is full."""
 DIAGNOSED_QUEUES = 8
 """Queues in one report; bounds the log when the cell is full."""
+DIAGNOSED_RESERVATIONS = 6
+"""Reservations in one report; bounds the log when the cell is full."""
 
 WorkerDecoder = Callable[[str, bytes], WorkerInfo | None]
 
@@ -161,6 +168,7 @@
         self._surveyed = False
         self._survey_until = clock.now()
         self._last_plan = Plan()
+        self._reservations = ReservationTracker()
         self._load = LoadMeter()
         self._next_preemption_at = clock.now()
         self._is_resigning = False
@@ -378,6 +386,7 @@
         claims = self._current_claims(now)
         plan = self.planner.plan(now, steps, self.state.workers.values(), claims)
         self._last_plan = plan
+        self._reservations.update(plan.reserved_for, now)
         self.orders.start_all(plan.placements)
         self._preempt([step for step in steps if step.waiting], now)
         self._query_ready_steps(steps, plan)
@@ -524,6 +533,7 @@
             self._record_fleet()
             now = self.clock.now()
             self._log_queue_loads(now)
+            self._log_reservations(now)
             _log.info("Load of the leader", **self._load.report())
             workers = list(self.state.workers.values())
             oldest = now - DIAGNOSIS_INTERVAL_MS
@@ -560,6 +570,13 @@
             if load.waiting:
                 _log.info("Queue has waiting tasks", **load._asdict())
 
+    def _log_reservations(self, now: Instant) -> None:
+        """Log the workers that have been reserved for some time."""
+        reservations = self._reservations.report(self.state.workers, now)
+        for reservation in reservations[:DIAGNOSED_RESERVATIONS]:
+            if reservation.reserved_ms >= DIAGNOSIS_INTERVAL_MS:
+                _log.info("Worker is reserved", **reservation._asdict())
+
     # Timers
 
     async def _due_loop(self) -> None:
--- a/pimentomill/control/tests/test_diagnosis.py
+++ b/pimentomill/control/tests/test_diagnosis.py
@@ -1,8 +1,16 @@
 import unittest
 
 from pimentomill.catalog import PlacementPolicy
-from pimentomill.control._diagnosis import QueueLoad, queue_loads
-from pimentomill.dispatch.tests.samples import SERVICE, first_step, queue, step
+from pimentomill.control._diagnosis import (
+    QueueLoad,
+    Reservation,
+    ReservationTracker,
+    queue_loads,
+)
+from pimentomill.dispatch.tests.samples import SERVICE, first_step, queue, step, worker
+from pimentomill.fleet import Attempt
+from pimentomill.jobs import StepKey, TaskKey
+from pimentomill.utils import Resources
 
 
 class TestQueueLoads(unittest.TestCase):
@@ -25,3 +33,21 @@
                 QueueLoad("b", SERVICE, 0, {}, {"beyond share": 2}, 0),
             ],
         )
+
+
+class TestReservationTracker(unittest.TestCase):
+    def test_a_reservation_is_reported_with_its_age_and_the_runs_in_its_way(self):
+        reserved = worker("w1", cpu=16000)
+        run = Attempt(TaskKey("b" * 16, 0, 0, 3), 1, reserved, Resources(6000), 0)
+        run.percent = 40
+        reserved.add_attempt(run)
+        key, other = StepKey("a" * 16, 0, 0), StepKey("c" * 16, 0, 0)
+        tracker = ReservationTracker()
+        tracker.update({"w1": other}, 1000)
+        tracker.update({"w1": key, "w2": other}, 2000)
+        tracker.update({"w1": key, "w2": other}, 2500)
+        free = "10.0 cpu 32000 MB 0 acc"
+        self.assertEqual(
+            tracker.report({"w1": reserved}, 3000),
+            [Reservation("w1", key, 1000, free, {f"{'b' * 16}.0.0.3": 40})],
+        )
