planner: a starving step may use a reserved worker of a pool that is mostly free

Cause: a large task reserves a worker whose runs it has to wait for, and nobody else may start there until it does. The reservation has no end but that of those runs (here one of 17 s), it passes from one large step to the next, and it holds however long another step has waited and however empty the pool is.

In a crowded pool reservations hold as before, as they protect large work from a stream of small work.

--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -29,6 +29,8 @@
 NO_CLAIMS: Mapping = MappingProxyType({})
 MAX_RESERVED_WORKERS = 2
 """Workers reserved per step; more would idle more capacity than the step needs."""
+CROWDED_DIVISOR = 2
+"""A pool is crowded if this part of one of its resources, a half, is in use."""
 
 
 class Placement(NamedTuple):
@@ -97,7 +99,7 @@
         self.others_free = ZERO
         self.allocated = 0
 
-    def fits(self, step: StepRun) -> bool:
+    def fits(self, step: StepRun, ignores_reservation: bool) -> bool:
         need = step.spec.reserved
         if (
             need.cpu_milli > self.cpu
@@ -107,7 +109,11 @@
             return False
         if self.is_suspect and self.allocated and self.is_trusted:
             return False
-        return self.reserved_for in (None, step.key) or need.fits_in(self.others_free)
+        return (
+            ignores_reservation
+            or self.reserved_for in (None, step.key)
+            or need.fits_in(self.others_free)
+        )
 
     def reserve(self, step: StepRun) -> None:
         """Limit other steps to the capacity that a task of this step leaves unused."""
@@ -153,12 +159,25 @@
         self.candidates: list[_Candidate] = []
         self._fits_nowhere: list[Resources] = []
         self._min_capacity: Resources | None = None
+        self._capacity = ZERO
+        self._used = ZERO
 
     def add(self, candidate: _Candidate) -> None:
         capacity = candidate.worker.info.capacity
         self.candidates.append(candidate)
         known = self._min_capacity
         self._min_capacity = capacity if known is None else known.minimum(capacity)
+        self._capacity = self._capacity + capacity
+        self._used = self._used + candidate.worker.used
+
+    def is_crowded(self) -> bool:
+        """Return whether much of any resource was in use before the pass."""
+        used, capacity = self._used * CROWDED_DIVISOR, self._capacity
+        return (
+            0 < capacity.cpu_milli <= used.cpu_milli
+            or 0 < capacity.memory_mb <= used.memory_mb
+            or 0 < capacity.accelerators <= used.accelerators
+        )
 
     def withhold(self, capacity: Mapping[WorkerId, Resources]) -> None:
         """Keep capacity from all further steps, as far as it is free."""
@@ -244,6 +263,7 @@
                 self.pools[worker.info.service].add(candidate)
         self.planned: dict[str, Resources] = {}
         self.result = Plan()
+        self._ignores_reservations = False
 
     def run(self, steps: Iterable[StepRun]) -> Plan:
         for step in steps:
@@ -252,11 +272,23 @@
                 continue
             placed_before = len(self.result.placements)
             if not pool.is_out_of_reach(step):
+                self._ignores_reservations = self._may_ignore_reservations(step, pool)
                 self._place_step(step, pool.candidates)
             if step.key in self.claims and len(self.result.placements) == placed_before:
                 pool.withhold(self.claims[step.key])
         return self.result
 
+    def _may_ignore_reservations(self, step: StepRun, pool: _Pool) -> bool:
+        """Return whether a step may use workers reserved for others.
+
+        A reservation lasts as long as the runs that it waits for. In a pool that is
+        mostly free it protects its step from no crowd, and the other step may have no
+        worker but this one. Lasting tasks have to run however full the pool is.
+        """
+        if not step.is_starving(self.now):
+            return False
+        return step.spec.long_running or not pool.is_crowded()
+
     def _place_step(self, step: StepRun, candidates: list[_Candidate]) -> None:
         eligible = _eligible(step, candidates)
         candidates = [candidate for candidate in eligible if candidate.is_trusted]
@@ -378,7 +410,7 @@
 
     def admits(self, step: StepRun, candidate: _Candidate) -> bool:
         """Return whether one more task of a step may be placed on a candidate."""
-        if not candidate.fits(step):
+        if not candidate.fits(step, self._ignores_reservations):
             return False
         limit = step.spec.max_per_worker
         return not limit or self._count(step, candidate) < limit
