dispatch: a lasting step starves as soon as one of its tasks has waited

Cause: a step counts as starving only while nothing of it runs. Each task of a lasting step has to be at work, so one task that waits beside running siblings for a reserved or an avoided worker was never starving and could wait without a bound.

Change: the time since which each task waits is kept, and a lasting step starves with the one that has waited longest. The test failed before.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -326,7 +326,7 @@
             self._drop_if_idle(step.job)
             return
         if requeue and index not in step.done:
-            step.requeue(index)
+            step.requeue(index, step.idle_since)
             self.open_steps[step.key] = step
         if step.spec.gang and requeue and not step.is_done:
             self._stop_gang(step, attempt.run)
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -71,6 +71,8 @@
         Time at which the step became runnable, None before.
     idle_since : Instant or None
         Time at which a run of the step last ended.
+    waiting_since : dict of int to Instant
+        Times at which the last runs of waiting tasks ended, by task index.
     queried, allowed : set of WorkerId
         Workers that the placement policy was queried about, and those it allows.
     tickets : dict of WorkerId to Ticket
@@ -92,6 +94,7 @@
         self.next_run: dict[int, int] = {}
         self.ready_at: Instant | None = None
         self.idle_since: Instant | None = None
+        self.waiting_since: dict[int, Instant] = {}
         self.queried: set[WorkerId] = set()
         self.allowed: set[WorkerId] = set()
         self.tickets: dict[WorkerId, Ticket] = {}
@@ -119,9 +122,15 @@
         """Return whether no task of the step has run for `STARVATION_MS`.
 
         Workers that failed recently are avoided for a while. A starving step may use
-        them, as they may be the only workers that it can run on.
+        them, as they may be the only workers that it can run on. Each task of a lasting
+        step has to run, so one that has waited as long is enough.
         """
-        if self.active or self.ready_at is None:
+        if self.ready_at is None:
+            return False
+        if self.spec.long_running:
+            since = (self.waiting_since.get(i, self.ready_at) for i in self.waiting)
+            return now - min(since, default=now) >= STARVATION_MS
+        if self.active:
             return False
         return now - (self.idle_since or self.ready_at) >= STARVATION_MS
 
@@ -143,9 +152,10 @@
         if run >= self.next_run.get(index, self.first_run):
             self.next_run[index] = run + 1
 
-    def requeue(self, index: int) -> None:
-        """Add a task to the waiting tasks again unless it is done."""
+    def requeue(self, index: int, now: Instant) -> None:
+        """Add a task whose run has ended to the waiting tasks unless it is done."""
         if index not in self.done and index not in self.waiting:
+            self.waiting_since[index] = now
             heapq.heappush(self.waiting, index)
 
     def dequeue(self, index: int) -> None:
--- a/pimentomill/dispatch/tests/test_reservations.py
+++ b/pimentomill/dispatch/tests/test_reservations.py
@@ -79,6 +79,20 @@
         )
         self.assertEqual(self.plan(), [self.small, self.small])
 
+    # Guards against LOST: a lasting task that waits beside running ones of its step.
+    def test_one_waiting_task_makes_a_lasting_step_starve(self):
+        self.small = allowed_step(
+            "b" * 16, step(2, cpu=4000, long_running=True), ["w1"], priority=1
+        )
+        self.small.dequeue(0)
+        self.small.active[0] = object()
+        self.small.dequeue(1)
+        self.small.requeue(1, STARVING_SINCE + 1)
+        self.assertEqual(self.plan(), [])
+        self.small.dequeue(1)
+        self.small.requeue(1, STARVING_SINCE)
+        self.assertEqual(self.plan(), [self.small])
+
 
 class TestRandomPools(unittest.TestCase):
     def draw(self, seed):
