planner: no worker is reserved behind a run that lasts

Cause: a reservation waits for the runs on its worker to end, and counted on the whole capacity of the worker. A lasting run ends only when its job is cancelled, so a large task could keep such a worker from all others for as long as that, and never start there.

Change: a task reserves only workers that have room for it beside their lasting runs, and the check whether a step fits at all counts in the same way. The test failed before.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -294,6 +294,7 @@
         return attempt
 
     def _add_attempt(self, step: StepRun, attempt: Attempt) -> None:
+        attempt.is_long_running = step.spec.long_running
         step.active[attempt.task.index] = attempt
         step.last_workers[attempt.task.index] = attempt.worker.info.worker
         attempt.worker.add_attempt(attempt)
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -68,6 +68,7 @@
     """Capacity of a worker that the pass has not allocated yet."""
 
     __slots__ = (
+        "_lasting_used",
         "acc",
         "allocated",
         "cpu",
@@ -98,6 +99,21 @@
         self.reserved_for: StepKey | None = None
         self.others_free = ZERO
         self.allocated = 0
+        self._lasting_used: Resources | None = None
+
+    def vacated_capacity(self) -> Resources:
+        """Return the capacity that is free once all runs that end by themselves have.
+
+        Runs that last leave only when their job is cancelled.
+        """
+        if self._lasting_used is None:
+            lasting = (
+                attempt.reserved
+                for attempt in self.worker.attempts.values()
+                if attempt.is_long_running
+            )
+            self._lasting_used = sum(lasting, ZERO)
+        return self.worker.info.capacity - self._lasting_used
 
     def fits(self, step: StepRun, ignores_reservation: bool) -> bool:
         need = step.spec.reserved
@@ -476,7 +492,7 @@
         self, step: StepRun, candidates: list[_Candidate], blocked: int
     ) -> None:
         """Reserve workers against later steps for tasks that need most of a worker."""
-        if step.job.over_share or not _fits_empty_workers(step, candidates):
+        if step.job.over_share or not _fits_vacated_workers(step, candidates):
             return
         if assess_feasibility(step, self.now) is Feasibility.TOO_LATE:
             return
@@ -487,7 +503,7 @@
             if candidate.reserved_for is not None:
                 continue
             if (
-                need.fits_in(capacity)
+                need.fits_in(candidate.vacated_capacity())
                 and dominant_fraction(need, capacity) > LARGE_TASK_SHARE
             ):
                 reservable.append(candidate)
@@ -583,14 +599,14 @@
     return FREE_CAPACITY_WEIGHT * total - dot_product / math.sqrt(wanted * free)
 
 
-def _fits_empty_workers(step: StepRun, candidates: list[_Candidate]) -> bool:
-    """Return whether the step could be placed if the workers were empty.
+def _fits_vacated_workers(step: StepRun, candidates: list[_Candidate]) -> bool:
+    """Return whether the step could be placed once the workers' runs have ended.
 
     Workers reserved for a step that fits nowhere would stay idle forever.
     """
     remaining = step.spec.count if step.spec.gang else 1
     for candidate in candidates:
-        remaining -= _max_tasks(step, candidate.worker.info.capacity)
+        remaining -= _max_tasks(step, candidate.vacated_capacity())
         if remaining <= 0:
             return True
     return False
@@ -603,6 +619,6 @@
         (need.memory_mb, capacity.memory_mb),
         (need.accelerators, capacity.accelerators),
     )
-    count = min((have // want for want, have in pairs if want), default=1)
+    count = min((max(0, have) // want for want, have in pairs if want), default=1)
     limit = step.spec.max_per_worker
     return min(count, limit) if limit else count
--- a/pimentomill/dispatch/tests/test_reservations.py
+++ b/pimentomill/dispatch/tests/test_reservations.py
@@ -93,6 +93,14 @@
         self.small.requeue(1, STARVING_SINCE)
         self.assertEqual(self.plan(), [self.small])
 
+    # Guards against LOST: a reservation that could only end with a run that lasts.
+    def test_no_worker_is_reserved_behind_a_run_that_lasts(self):
+        next(iter(self.shared.attempts.values())).is_long_running = True
+        steps = order_steps([self.large, self.small], NOW)
+        found = Planner(QuotaBook()).plan(NOW, steps, [self.shared])
+        self.assertEqual(found.reserved_for, {})
+        self.assertEqual(len(found.placements), 2)
+
 
 class TestRandomPools(unittest.TestCase):
     def draw(self, seed):
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -84,12 +84,15 @@
         Speed limit set for the run, in percent of full speed.
     is_start_unconfirmed : bool
         Whether the request to start the run got no reply.
+    is_long_running : bool
+        Whether the run lasts until its job is cancelled.
     """
 
     __slots__ = (
         "checkpoint",
         "first_percent",
         "first_progress_at",
+        "is_long_running",
         "is_resumed",
         "is_start_unconfirmed",
         "last_answer_at",
@@ -124,6 +127,7 @@
         self.load = 0
         self.pace = 100
         self.is_start_unconfirmed = False
+        self.is_long_running = False
 
     def update_progress(self, percent: int, now: Instant) -> bool:
         """Record the reported progress and return whether it changed."""
