dispatch: a claim must not hide that a worker is over its capacity

Callers would have seen nothing; a worker got a start although it was over its capacity already (LIMIT).

Cause: capacity that is being freed for a gang is kept from later steps by subtracting it from what is free and bounding the result by 0 from below. Where the capacity has shrunk below what runs, what is free is negative, and the bound raised it to 0. A task that needs nothing of that resource then passed the check of the worker, such as one without accelerators on a worker with 4 in use of 2.

The class of fault: a bound that was written for values that could not be negative. The remaining uses of free capacity compare or subtract only (planner, preemption, reservations, diagnosis).

The bound now only applies as far as it lowers what is free. The test failed before with one placement on such a worker.

--- a/pimentomill/control/tests/test_capacity_changes.py
+++ b/pimentomill/control/tests/test_capacity_changes.py
@@ -13,6 +13,7 @@
     AttemptPhase,
     EndKind,
 )
+from pimentomill.utils import Resources
 
 from .test_leader_state import LeaderStateCase
 
@@ -127,3 +128,20 @@
         self.resize(cpu=11000)
         self.assertEqual(self.plan().reserved_for, {})
         self.assertEqual(len(self.plan().placements), 1)
+
+    # Guards against tasks that start on a worker over its capacity because a gang has
+    # claimed part of it.
+    def test_a_claim_does_not_hide_that_a_worker_is_over_its_capacity(self):
+        self.resize(accelerators=4)
+        job = self.submit([step(accelerators=4)])
+        self.start(job)
+        self.resize(accelerators=2)
+        gang = self.submit(
+            [step(count=2, accelerators=2, gang=True)],
+            job="b" * 16,
+            of=queue("p0", priority=0),
+        )
+        self.submit([step()], job="c" * 16)
+        self.assertEqual(self.plan().placements, [])
+        claim = {next(iter(gang.steps)): {"w1": Resources(2000, 200, 2)}}
+        self.assertEqual(self.plan(claim).placements, [])
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -127,9 +127,10 @@
         self.acc -= need.accelerators
 
     def withhold(self, claimed: Resources) -> None:
-        self.cpu = max(0, self.cpu - claimed.cpu_milli)
-        self.mem = max(0, self.mem - claimed.memory_mb)
-        self.acc = max(0, self.acc - claimed.accelerators)
+        # What is free is negative where the capacity has shrunk below what runs.
+        self.cpu = min(self.cpu, max(0, self.cpu - claimed.cpu_milli))
+        self.mem = min(self.mem, max(0, self.mem - claimed.memory_mb))
+        self.acc = min(self.acc, max(0, self.acc - claimed.accelerators))
 
     def release(self, step: StepRun) -> None:
         need = step.spec.reserved
