control: a run of unknown size keeps its worker from new runs until it has ended

Cause: a leader that is told of a run whose job has no records any more stops it, and reserves what is free on the worker at that moment, in place of the size that it can't know. That is an upper bound only while the capacity stays. If the worker is over its capacity, what is free is negative, and adding it to what is used hides exactly that; if the worker grows before the run has ended, the growth is used although the run may be as large as the worker had been before it shrank.

Such a run now reserves nothing of its own. Instead nothing counts as free on its worker while it lasts, which is a stop's time. A job of which some record but not the accepted one is left counts as unknown too; it raised an AttributeError in the report before.

The test failed before: a task of 12 cores was placed beside the run.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -18,7 +18,7 @@
 )
 from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
 from ..telemetry import CellMetrics, ComponentLogger
-from ..utils import Clock, Epoch, Instant, JobId
+from ..utils import ZERO, Clock, Epoch, Instant, JobId, Resources
 from ._inheritance import Inheritance
 from ._relocation import is_straggler, is_stuck, must_evacuate
 
@@ -536,16 +536,22 @@
         )
         if task in worker.attempts:
             return
-        reserved = worker.free if step is None else step.spec.reserved
-        entry = self.find_job(task.job)
-        if step is None and entry is not None:
-            steps = entry.accepted_.spec.steps
-            if task.step < len(steps):
-                reserved = steps[task.step].reserved
-        orphan = Attempt(task, status.run, worker, reserved, self.clock.now())
+        reserved = self._reserved_by(task, step)
+        orphan = Attempt(task, status.run, worker, reserved or ZERO, self.clock.now())
+        orphan.is_size_unknown = reserved is None
         orphan.phase = AttemptPhase.STOPPING
         worker.add_attempt(orphan)
 
+    def _reserved_by(self, task: TaskKey, step: StepRun | None) -> Resources | None:
+        """Return what a run of a task reserves, None if its job is unknown."""
+        if step is not None:
+            return step.spec.reserved
+        entry = self.find_job(task.job)
+        if entry is None or entry.accepted_ is None:
+            return None
+        steps = entry.accepted_.spec.steps
+        return steps[task.step].reserved if task.step < len(steps) else None
+
     def evacuate(self) -> None:
         """Stop runs on draining workers that must move to another worker."""
         now = self.clock.now()
--- a/pimentomill/control/tests/test_capacity_changes.py
+++ b/pimentomill/control/tests/test_capacity_changes.py
@@ -12,11 +12,15 @@
 from pimentomill.fleet import (
     AttemptPhase,
     EndKind,
+    RunEnd,
+    RunStatus,
 )
+from pimentomill.jobs import TaskKey
 from pimentomill.utils import Resources
 
 from .test_leader_state import LeaderStateCase
 
+UNKNOWN_TASK = TaskKey("f" * 16, 0, 0, 0)
 COST = PreemptionCost(restore_ms=100, stop_ms=200)
 
 
@@ -145,3 +149,18 @@
         self.assertEqual(self.plan().placements, [])
         claim = {next(iter(gang.steps)): {"w1": Resources(2000, 200, 2)}}
         self.assertEqual(self.plan(claim).placements, [])
+
+    # Guards against a start beyond the capacity beside a run of unknown size, whose
+    # job has no records any more, on a worker that has grown since it was reported.
+    def test_a_run_of_unknown_size_keeps_a_worker_from_new_tasks_while_it_lasts(self):
+        worker = self.resize(cpu=2000, memory=2000)
+        running = [RunStatus(UNKNOWN_TASK, 1, "", 50, 0)]
+        self.state.apply_report(worker, self.report(running), self.clock.now())
+        self.resize(cpu=16000)
+        self.submit([step(cpu=12000)])
+        self.assertEqual(self.start_planned(), 0)
+        self.clock.advance(10)
+        ended = [RunEnd(1, UNKNOWN_TASK, 1, EndKind.STOPPED, "")]
+        self.state.apply_report(worker, self.report((), ended), self.clock.now())
+        self.assertEqual(self.start_planned(), 1)
+        self.assertEqual(worker.used, Resources(12000, 100, 0))
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -84,6 +84,9 @@
         Speed limit set for the run, in percent of full speed.
     is_start_unconfirmed : bool
         Whether the request to start the run got no reply.
+    is_size_unknown : bool
+        Whether the run uses an unknown amount of resources, because its job has no
+        records any more. Set before the attempt is added to its worker.
     """
 
     __slots__ = (
@@ -91,6 +94,7 @@
         "first_percent",
         "first_progress_at",
         "is_resumed",
+        "is_size_unknown",
         "is_start_unconfirmed",
         "last_answer_at",
         "last_progress_at",
@@ -124,6 +128,7 @@
         self.load = 0
         self.pace = 100
         self.is_start_unconfirmed = False
+        self.is_size_unknown = False
 
     def update_progress(self, percent: int, now: Instant) -> bool:
         """Record the reported progress and return whether it changed."""
@@ -186,6 +191,7 @@
         self.info = info
         self.attempts: dict[TaskKey, Attempt] = {}
         self.used = ZERO
+        self._unsized_count = 0
         self.is_listed = True
         self.is_reachable = False
         self.has_answered = False
@@ -207,8 +213,12 @@
 
     @property
     def free(self) -> Resources:
-        """Capacity not reserved by any attempt."""
-        return self.info.capacity - self.used
+        """Capacity not reserved by any attempt; none while the size of one is unknown.
+
+        A component is negative if the capacity has shrunk below what is reserved.
+        """
+        free = self.info.capacity - self.used
+        return free.minimum(ZERO) if self._unsized_count else free
 
     def accepts_runs(self) -> bool:
         """Return whether the worker is eligible for new runs at all."""
@@ -258,6 +268,7 @@
         """Reserve capacity for an attempt."""
         self.attempts[attempt.task] = attempt
         self.used = self.used + attempt.reserved
+        self._unsized_count += attempt.is_size_unknown
 
     def remove_attempt(self, attempt: Attempt) -> bool:
         """Release the capacity of an attempt and return whether it was reserved."""
@@ -265,6 +276,7 @@
             return False
         del self.attempts[attempt.task]
         self.used = self.used - attempt.reserved
+        self._unsized_count -= attempt.is_size_unknown
         return True
 
     def update_clock(self, clock_ms: int, now: Instant) -> None:
