fleet: the record of an earlier incarnation does not tell the capacity of a worker

Callers would have seen nothing; a worker got starts beyond its capacity (LIMIT).

Cause: an executor may start again under its name, as another kind. Its answer to a hold says so at once, by another time of birth, while its record in the store is still that of the life before until it has registered and the leader has read that. In between the planner filled the new incarnation by the capacity of the old one.

A worker now gets runs only while the record and the answers name the same incarnation; either may come first, and records without a time of birth are taken as they are. Holds go on, so ends and runs are reported as before. The diagnosis names the cause.

The test failed before with one placement.

--- a/pimentomill/control/_diagnosis.py
+++ b/pimentomill/control/_diagnosis.py
@@ -128,6 +128,7 @@
     conditions = (
         (not worker.is_listed or worker.info.is_draining, "leaving"),
         (not worker.is_reachable, "silent"),
+        (not worker.is_record_current, "restarted, not registered"),
         (policy is not None and name not in step.queried, "not asked about"),
         (policy is not None and name not in step.allowed, NOT_ALLOWED),
         (now < worker.avoid_until, "avoided"),
--- a/pimentomill/control/tests/test_capacity_changes.py
+++ b/pimentomill/control/tests/test_capacity_changes.py
@@ -164,3 +164,16 @@
         self.state.apply_report(worker, self.report((), ended), self.clock.now())
         self.assertEqual(self.start_planned(), 1)
         self.assertEqual(worker.used, Resources(12000, 100, 0))
+
+    # Guards against a start beyond the capacity of a worker that came back as another
+    # kind under its name: its record is still that of the life before.
+    def test_the_record_of_an_earlier_incarnation_does_not_tell_the_capacity(self):
+        worker = self.state.workers["w1"]
+        report = self.report(incarnation_ms=2)
+        self.state.apply_report(worker, report, self.clock.now())
+        self.submit([step(cpu=12000)])
+        self.assertEqual(self.start_planned(), 0)
+        self.resize(cpu=4000, incarnation_ms=2)
+        self.assertEqual(self.start_planned(), 0)
+        self.resize(cpu=12000, incarnation_ms=2)
+        self.assertEqual(self.start_planned(), 1)
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -222,7 +222,18 @@
 
     def accepts_runs(self) -> bool:
         """Return whether the worker is eligible for new runs at all."""
-        return self.is_listed and self.is_reachable and not self.info.is_draining
+        is_available = self.is_listed and not self.info.is_draining
+        return is_available and self.is_reachable and self.is_record_current
+
+    @property
+    def is_record_current(self) -> bool:
+        """Whether the registration is that of the incarnation that answers.
+
+        Another incarnation may have another capacity and other labels.
+        """
+        registered_ms = self.info.incarnation_ms
+        is_known = registered_ms and self.incarnation_ms
+        return not is_known or registered_ms == self.incarnation_ms
 
     def can_start(self, now: Instant) -> bool:
         """Return whether a new run should be placed on the worker now."""
