control: a successor counts with the capacity that a silent worker had, not only has

Cause: starts are not recorded ahead, so a successor withholds an inherited task while a silent worker could run it, by label and size. The size was the capacity of today. If the worker has shrunk since the leader before started the task there, the task doesn't fit any more, is taken for not started, and starts elsewhere beside the run that goes on. The fleet record, from which a successor starts, did not help: the list of workers replaced its capacities, and it was written only when workers came or went.

The leader now keeps the largest amount of each resource that a worker has registered, stores it in the fleet record, also when it has grown, and a successor judges by the larger of record and list. The layout of the record is unchanged: an older build reads a capacity that its list of workers replaces before any start.

What remains: a worker that grows, gets a run, shrinks and falls silent, all before the append with its growth is stored, while the leader fails too.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -157,7 +157,7 @@
         self._plan_wanted = asyncio.Event()
         self._end_reason: asyncio.Future = asyncio.get_running_loop().create_future()
         self._query_tasks: set[asyncio.Task] = set()
-        self._recorded_fleet: frozenset[WorkerId] = frozenset()
+        self._recorded_fleet: frozenset[tuple[WorkerId, Resources]] = frozenset()
         self._surveyed = False
         self._survey_until = clock.now()
         self._last_plan = Plan()
@@ -298,9 +298,10 @@
             has_changed = info.is_draining != worker.info.is_draining
             if info.is_draining and has_changed:
                 _log.info("Worker is draining", worker=info.worker)
+            has_grown = not info.capacity.fits_in(worker.largest_capacity)
             self.state.sync_worker(info)
             # Workers renew their records each second or two without a change.
-            if has_changed:
+            if has_changed or has_grown:
                 self._record_fleet()
         self.lease_keeper.watch(worker)
 
@@ -309,16 +310,19 @@
             worker.is_listed = False
 
     def _record_fleet(self) -> None:
-        """Store the workers in use for a successor, also those no longer listed."""
+        """Store the workers in use for a successor, also those no longer listed.
+
+        Each is stored with its largest capacity, by which runs may have been started.
+        """
         infos = [
-            worker.info
+            worker.info._replace(capacity=worker.largest_capacity)
             for worker in self.state.workers.values()
             if worker.attempts or not worker.info.is_draining
         ]
-        names = frozenset(info.worker for info in infos)
-        if names == self._recorded_fleet:
+        fleet = frozenset((info.worker, info.capacity) for info in infos)
+        if fleet == self._recorded_fleet:
             return
-        self._recorded_fleet = names
+        self._recorded_fleet = fleet
         value = msgspec.msgpack.encode(infos)
         self.progress_writer.extra_records = [
             record
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -391,7 +391,7 @@
         if worker is None:
             worker = Worker(info, self.clock.now())
             self.workers[info.worker] = worker
-        worker.info = info
+        worker.register(info)
         worker.is_listed = True
         if not info.is_draining:
             worker.earliest_leave_at = None
--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -58,6 +58,16 @@
         self.end_survey()
         self.assertEqual(self.ready(), [0])
 
+    # Guards against two runs of a task at a time: the previous leader started it while
+    # the silent worker was larger.
+    def test_a_task_that_fitted_on_the_silent_worker_before_it_shrank_waits(self):
+        self.inherit([step(cpu=7000)])
+        self.state.sync_worker(info("w2", cpu=2000))
+        self.end_survey()
+        self.assertEqual(self.ready(), [])
+        self.report(self.silent)
+        self.assertEqual(self.ready(), [0])
+
     def test_a_task_without_the_label_of_the_silent_worker_does_not_wait(self):
         self.inherit([step(required_label="gpu")])
         self.end_survey()
--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -2,11 +2,19 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from pimentomill.catalog import Catalog, RequestLimits, Team
-from pimentomill.control import ControlSettings, Leader, PolicyQueryDispatcher, _leader
+from pimentomill.control import (
+    FLEET_KEY,
+    ControlSettings,
+    Leader,
+    PolicyQueryDispatcher,
+    _leader,
+)
 from pimentomill.dispatch import Preemption
 from pimentomill.dispatch.tests.samples import accepted, info, queue, step
-from pimentomill.fleet import EndKind
+from pimentomill.fleet import EndKind, WorkerInfo
 from pimentomill.jobs import (
     JobState,
     JobTable,
@@ -259,6 +267,46 @@
         await self.wait_until(lambda: len(self.workers.started) == 3)
         self.assertNotEqual(self.workers.started[2][0], worker)
 
+    def stored_fleet(self):
+        """Return the workers that a successor would start from."""
+        values = [r.value for r in self.store.records("work") if r.key == FLEET_KEY]
+        if not values:
+            return {}
+        fleet = msgspec.msgpack.decode(values[-1], type=list[WorkerInfo])
+        return {item.worker: item for item in fleet}
+
+    # Guards against two runs of a task at a time: its worker shrinks after the start,
+    # and a successor takes the silent worker for too small to run it.
+    async def test_a_successor_waits_for_a_silent_worker_that_has_shrunk(self):
+        first = self.start_leader(1)
+        self.submit(first, [step(cpu=12000)])
+        await self.wait_until(lambda: self.workers.started)
+        worker, _, _ = self.workers.started[0]
+        await self.list_worker(worker, cpu=4000)
+        await self.wait_until(
+            lambda: first.state.workers[worker].info.capacity.cpu_milli == 4000
+        )
+        first.request_plan()
+        await self.wait_until(lambda: len(self.stored_fleet()) == 2)
+        self.tasks[0].cancel()
+        self.workers.unresponsive.add(worker)
+        fleet = self.stored_fleet().values()
+        second = self.start_leader(2, fleet=fleet, lease_ms=2000)
+        await self.wait_until(lambda: second._surveyed)
+        lease_until = second.state.workers[worker].lease_until
+        await self.wait_until(lambda: len(self.workers.started) == 2)
+        self.assertGreaterEqual(self.clock.now(), lease_until)
+
+    # Guards against a successor that knows a worker only as it was before it grew.
+    async def test_a_worker_is_recorded_with_the_largest_capacity_that_it_had(self):
+        self.start_leader(1)
+        for cpu, largest in ((16000, 16000), (32000, 32000), (1000, 32000)):
+            await self.list_worker("w1", cpu=cpu)
+            await self.list_worker(f"x{cpu}")
+            await self.wait_until(lambda cpu=cpu: f"x{cpu}" in self.stored_fleet())
+            recorded = self.stored_fleet()["w1"].capacity
+            self.assertEqual(recorded.cpu_milli, largest)
+
     # After a change of the leader, jobs beyond a team's share must not start before
     # others. A team with a share of one job per second submits six at once, of which
     # one is done.
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -173,6 +173,9 @@
         Attempts that may occupy capacity, by task.
     used : Resources
         Capacity reserved by the attempts.
+    largest_capacity : Resources
+        Largest amount of each resource that the worker has registered. A previous
+        leader may have started runs by it that still last.
     is_listed : bool
         Whether the platform lists the worker.
     is_reachable : bool
@@ -189,6 +192,7 @@
 
     def __init__(self, info: WorkerInfo, now: Instant) -> None:
         self.info = info
+        self.largest_capacity = info.capacity
         self.attempts: dict[TaskKey, Attempt] = {}
         self.used = ZERO
         self._unsized_count = 0
@@ -211,6 +215,11 @@
         self._pending_ends: deque[int] = deque()
         self.acknowledged = 0
 
+    def register(self, info: WorkerInfo) -> None:
+        """Apply a new registration of the worker."""
+        self.info = info
+        self.largest_capacity = self.largest_capacity.maximum(info.capacity)
+
     @property
     def free(self) -> Resources:
         """Capacity not reserved by any attempt; none while the size of one is unknown.
