control: log each change of a worker's capacity, and say what becomes of its runs

Without the line nobody on call could tell a worker that shrank from one that is full: the capacity was not in the log at all. The first record of a worker is logged with its capacity, each change with the old and the new one, what runs there reserve, and whether that is over it. Records that workers renew without a change log nothing.

Runs that no longer fit go on. The limit is on starts, and a stop would throw away work that nothing requires to be thrown away; the worker gets no start until enough has ended.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -292,6 +292,7 @@
                 worker=info.worker,
                 service=info.service,
                 rack=info.rack,
+                capacity=info.capacity.describe(),
             )
             self._record_fleet()
         else:
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -391,6 +391,15 @@
         if worker is None:
             worker = Worker(info, self.clock.now())
             self.workers[info.worker] = worker
+        elif info.capacity != worker.info.capacity:
+            _log.info(
+                "Worker capacity changed",
+                worker=info.worker,
+                old=worker.info.capacity.describe(),
+                new=info.capacity.describe(),
+                used=worker.used.describe(),
+                is_over=not worker.used.fits_in(info.capacity),
+            )
         worker.register(info)
         worker.is_listed = True
         if not info.is_draining:
--- a/pimentomill/control/tests/test_capacity_changes.py
+++ b/pimentomill/control/tests/test_capacity_changes.py
@@ -1,7 +1,9 @@
 """Workers whose capacity shrinks and grows again while they run tasks."""
 
+from unittest import mock
+
 from pimentomill.catalog import PlacementPolicy
-from pimentomill.control import Leader
+from pimentomill.control import Leader, _leader_state
 from pimentomill.dispatch import (
     Planner,
     PreemptionCost,
@@ -133,6 +135,22 @@
         self.assertEqual(self.plan().reserved_for, {})
         self.assertEqual(len(self.plan().placements), 1)
 
+    # Guards against a change of capacity that can't be found in the log.
+    def test_a_change_of_capacity_is_logged_with_what_is_used(self):
+        self.start(self.submit([step(cpu=8000)]))
+        with mock.patch.object(_leader_state, "_log") as log:
+            self.resize()
+            log.info.assert_not_called()
+            self.resize(cpu=4000)
+        log.info.assert_called_once_with(
+            "Worker capacity changed",
+            worker="w1",
+            old="16.0 cpu 32000 MB 0 acc",
+            new="4.0 cpu 32000 MB 0 acc",
+            used="8.0 cpu 100 MB 0 acc",
+            is_over=True,
+        )
+
     # Guards against tasks that start on a worker over its capacity because a gang has
     # claimed part of it.
     def test_a_claim_does_not_hide_that_a_worker_is_over_its_capacity(self):
