platform: tests over the wire of a worker that shrinks and grows

A real entry against the stand-ins of the store and of a worker: the worker tells a smaller capacity while two runs use more; from the leader's log line on, what still fits starts, and what doesn't waits until the worker has grown again.

The fault soak changes capacities too, beside all other faults. It takes a smaller one to count 4.5 s after its record, ContactMs and one heartbeat, in which the store was up at a stretch.

--- a/pimentomill/platform/tests/soak/_cell.py
+++ b/pimentomill/platform/tests/soak/_cell.py
@@ -13,7 +13,7 @@
 from ._store import WireStore
 from ._worker import WireWorker
 
-__all__ = ["Cell", "Entry"]
+__all__ = ["WORKER_CPU_MILLI", "Cell", "Entry"]
 
 ROOT = Path(__file__).resolve().parents[4]
 KEYS = {"t": "key-t", "u": "key-u"}
@@ -175,11 +175,15 @@
         await proxy.start(("127.0.0.1", worker.port))
         self.workers[name] = worker
         self.proxies[name] = proxy
+        self.register_worker(name, WORKER_CPU_MILLI)
+
+    def register_worker(self, name, cpu_milli):
+        """Publish the registration of a worker with a CPU capacity."""
         registration = {
             "Service": "s",
-            "Address": f"127.0.0.1:{proxy.port}",
+            "Address": f"127.0.0.1:{self.proxies[name].port}",
             "State": "ready",
-            "Capacity": {"Cpu": WORKER_CPU_MILLI, "MemMb": 1000},
+            "Capacity": {"Cpu": cpu_milli, "MemMb": 1000},
             "Labels": ["kind", "r1"],
             "born": 1,
         }
--- a/pimentomill/platform/tests/soak/_faults.py
+++ b/pimentomill/platform/tests/soak/_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from ._cell import KEYS
+from ._cell import KEYS, WORKER_CPU_MILLI
 from ._proxy import NetworkFault
 
 __all__ = ["FaultInjector"]
@@ -16,6 +16,10 @@
     NetworkFault.LOW_BANDWIDTH,
 )
 
+SHRUNK_CAPACITY_COUNTS_S = 4.5
+"""Time from a record with a smaller capacity until starts have to respect it: the
+platform's `ContactMs` and one heartbeat."""
+
 
 class FaultInjector:
     """Inject randomly chosen faults.
@@ -37,6 +41,7 @@
         self.cell = cell
         self.rng = rng
         self.injected = []
+        self._resizing = set()
 
     async def run(self, count, mean_interval_s):
         """Start `count` faults without waiting for earlier ones to end."""
@@ -50,6 +55,7 @@
             self.kill_all,
             self.replace_worker,
             self.change_settings,
+            self.resize_worker,
         )
         tasks = []
         for _ in range(count):
@@ -120,3 +126,29 @@
         self.cell.publish_settings({"t": KEYS["t"]})
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
         self.cell.publish_settings()
+
+    async def resize_worker(self):
+        """Shrink the capacity of a worker for a while."""
+        name, worker = self.rng.choice(list(self.cell.workers.items()))
+        if name in self._resizing:
+            return
+        self._resizing.add(name)
+        cpu_milli = self.rng.choice((0, 1000, 2000))
+        lasts_s = self.rng.uniform(0.5, 4.0)
+        self.cell.register_worker(name, cpu_milli)
+        await self._sleep_while_store_is_up(SHRUNK_CAPACITY_COUNTS_S)
+        worker.capacity = cpu_milli
+        await asyncio.sleep(lasts_s)
+        worker.capacity = WORKER_CPU_MILLI
+        if name in self.cell.workers:
+            self.cell.register_worker(name, WORKER_CPU_MILLI)
+        self._resizing.discard(name)
+
+    async def _sleep_while_store_is_up(self, duration_s):
+        """Sleep until the store has been up for so long at a stretch."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + duration_s
+        while loop.time() < until:
+            if self.cell.store.is_down:
+                until = loop.time() + duration_s
+            await asyncio.sleep(0.05)
--- a/pimentomill/platform/tests/soak/test_soak.py
+++ b/pimentomill/platform/tests/soak/test_soak.py
@@ -4,10 +4,12 @@
 import unittest
 from pathlib import Path
 
-from pimentomill.platform.tests.soak._cell import Cell
+from pimentomill.platform.tests.soak._callers import Caller
+from pimentomill.platform.tests.soak._cell import WORKER_CPU_MILLI, Cell
 from pimentomill.platform.tests.soak._proxy import NetworkFault
 from pimentomill.platform.tests.soak._soak import run_seed
 
+WAIT_S = 60.0
 SEEDS = (1,)
 """Seeds run in CI; a seed that fails is added here with a line on the cause."""
 
@@ -18,6 +20,55 @@
             with tempfile.TemporaryDirectory() as name:
                 self.assertEqual(asyncio.run(run_seed(seed, Path(name))), [])
 
+    # Guards against starts beyond a capacity that a worker has told over the wire, and
+    # against work that waits although the capacity is there again.
+    def test_starts_follow_the_capacity_that_a_worker_tells(self):
+        with tempfile.TemporaryDirectory() as name:
+            violations = asyncio.run(self.resize_a_worker(Path(name)))
+        self.assertEqual(violations, [])
+
+    async def resize_a_worker(self, folder):
+        cell = Cell(folder, random.Random(1), entries=1, workers=1)
+        caller = Caller(cell, random.Random(2))
+        try:
+            await cell.start()
+            name, worker = next(iter(cell.workers.items()))
+            worker.draw_duration_s = lambda: 1.0
+            await self.submit(caller, "a" * 16, count=2, cpu=2000)
+            await self.wait_until(lambda: len(worker.running) == 2)
+            cell.register_worker(name, 1000)
+            log = cell.entries[0].log
+            await self.wait_until(lambda: "Worker capacity changed" in log.read_text())
+            # The ledger reports each start that is over the capacity from now on.
+            worker.capacity = 1000
+            await self.submit(caller, "b" * 16, count=1, cpu=2000)
+            await self.submit(caller, "c" * 16, count=3, cpu=500)
+            await self.wait_completed(caller, "c" * 16)
+            started = {task.split(".")[0] for task in cell.ledger.runs}
+            self.assertEqual(started, {"a" * 16, "c" * 16})
+            worker.capacity = WORKER_CPU_MILLI
+            cell.register_worker(name, WORKER_CPU_MILLI)
+            await self.wait_completed(caller, "b" * 16)
+        finally:
+            await cell.stop()
+        return cell.ledger.violations
+
+    async def submit(self, caller, job, count, cpu):
+        caller.cell.cpu_by_job[job] = cpu
+        steps = [{"Count": count, "Cpu": cpu, "EstimateMs": 300}]
+        status, _ = await caller.call("POST", job, {"Spec": job, "Steps": steps})
+        self.assertEqual(status, 200)
+
+    async def wait_completed(self, caller, job):
+        async with asyncio.timeout(WAIT_S):
+            while not await caller.is_completed(job):
+                await asyncio.sleep(0.05)
+
+    async def wait_until(self, condition):
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.05)
+
     # Guards against an entry that never loads its state over a slow link (inc1).
     def test_entry_on_low_bandwidth_link_becomes_ready(self):
         with tempfile.TemporaryDirectory() as name:
