dispatch: a worker that has shrunk must not slow down every pass of the planner

Cause: steps that fit nowhere and need too little to reserve a worker are passed over. 'Too little' was judged against the least of each resource among all workers, so one worker that has shrunk to nothing made every need a large one, and each waiting step was held against each worker again. The same holds for a record without amounts.

A need is now judged by each capacity that the pool has: it is large only for a worker on which it fits and of which it takes most. That is what the reservation itself asks, and the randomised test shows that no plan changes, also beside shrunk workers.

--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -153,13 +153,12 @@
     def __init__(self) -> None:
         self.candidates: list[_Candidate] = []
         self._fits_nowhere: list[Resources] = []
-        self._min_capacity: Resources | None = None
+        self._capacities: set[Resources] = set()
+        self._small_needs: dict[Resources, bool] = {}
 
     def add(self, candidate: _Candidate) -> None:
-        capacity = candidate.worker.info.capacity
         self.candidates.append(candidate)
-        known = self._min_capacity
-        self._min_capacity = capacity if known is None else known.minimum(capacity)
+        self._capacities.add(candidate.worker.info.capacity)
 
     def withhold(self, capacity: Mapping[WorkerId, Resources]) -> None:
         """Keep capacity from all further steps, as far as it is free."""
@@ -174,8 +173,18 @@
         return self._is_small(need) and self._is_too_full(need)
 
     def _is_small(self, need: Resources) -> bool:
-        """Return whether a need is never large enough to reserve a worker for."""
-        return (need * LARGE_TASK_DIVISOR).fits_in(self._min_capacity)
+        """Return whether no worker is ever reserved for a need.
+
+        It is large only for a worker that it fits on, if it takes most of it.
+        """
+        is_small = self._small_needs.get(need)
+        if is_small is None:
+            multiple = need * LARGE_TASK_DIVISOR
+            is_small = self._small_needs[need] = all(
+                multiple.fits_in(capacity) or not need.fits_in(capacity)
+                for capacity in self._capacities
+            )
+        return is_small
 
     def _is_too_full(self, need: Resources) -> bool:
         if any(smaller.fits_in(need) for smaller in self._fits_nowhere):
--- a/pimentomill/dispatch/tests/test_against_naive.py
+++ b/pimentomill/dispatch/tests/test_against_naive.py
@@ -6,6 +6,8 @@
 
 from pimentomill.catalog import Team
 from pimentomill.dispatch import Planner, QuotaBook, _planner
+from pimentomill.fleet import Attempt
+from pimentomill.jobs import TaskKey
 from pimentomill.utils import ZERO, Resources
 
 from .samples import first_step, queue, step, worker
@@ -56,6 +58,20 @@
     return steps, workers, quotas
 
 
+def shrink_some(seed, workers):
+    """Shrink some workers, below what runs there or above it."""
+    rng = random.Random(seed)
+    for number, item in enumerate(workers):
+        used = Resources(rng.choice((0, 3000, 8000)), rng.choice((0, 9000)), 0)
+        task = TaskKey("f" * 16, 0, 0, number)
+        item.add_attempt(Attempt(task, 1, item, used, 0))
+        if rng.random() < 0.5:
+            capacity = Resources(
+                rng.choice((0, 600, 2000, 7000)), rng.choice((50, 4000, 32000)), 0
+            )
+            item.register(item.info._replace(capacity=capacity))
+
+
 class TestAgainstNaive(unittest.TestCase):
     def check_plan(self, seed, plan, workers, quotas):
         used = {item.info.worker: ZERO for item in workers}
@@ -127,6 +143,38 @@
             with mock.patch.object(_planner._Pool, "is_out_of_reach", return_value=0):
                 self.assertEqual(found, planned(seed), seed)
 
+    def test_steps_out_of_reach_change_no_plan_beside_shrunk_workers(self):
+        def planned(seed):
+            steps, workers, quotas = draw_load(seed, gangs=True, most_steps=60)
+            shrink_some(seed, workers)
+            plan = Planner(quotas).plan(0, steps, workers)
+            placements = [
+                (item.step.key, item.index, item.worker.info.worker)
+                for item in plan.placements
+            ]
+            return placements, plan.reserved_for, plan.missing_tickets
+
+        for seed in SEEDS:
+            found = planned(seed)
+            with mock.patch.object(_planner._Pool, "is_out_of_reach", return_value=0):
+                self.assertEqual(found, planned(seed), seed)
+
+    # Guards against passes that look at every worker for every waiting step, because a
+    # single worker of a full cell has shrunk to nothing.
+    def test_a_shrunk_worker_does_not_bring_steps_back_into_reach(self):
+        workers = [worker(f"w{number}") for number in range(10)]
+        for number, item in enumerate(workers):
+            task = TaskKey("f" * 16, 0, 0, number)
+            whole = item.info.capacity
+            item.add_attempt(Attempt(task, 1, item, whole, 0))
+        steps = [first_step(f"{number:016x}", [step()]) for number in range(20)]
+        for cpu in (16000, 0, 900):
+            capacity = Resources(cpu, 32000, 0)
+            workers[0].register(workers[0].info._replace(capacity=capacity))
+            with mock.patch.object(_planner._Pass, "_place_step") as place:
+                Planner(QuotaBook()).plan(0, steps, workers)
+            self.assertEqual(place.call_count, 0, cpu)
+
     def test_aligned_packing_places_more_than_first_fit(self):
         # Excludes tasks over half a worker, as the planner reserves workers for them.
         ours = naive = 0
