control: test that a successor starts nothing by stored capacities

The fleet record holds the largest capacity that each worker had. A successor that can't read the list of workers yet must not start by it. Passes on the code as it stands, as such workers count as not listed; fails when that check is taken out.

--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -297,6 +297,31 @@
         await self.wait_until(lambda: len(self.workers.started) == 2)
         self.assertGreaterEqual(self.clock.now(), lease_until)
 
+    # Guards against a successor that starts tasks by the stored capacities, before it
+    # has read the list of workers.
+    async def test_a_successor_starts_nothing_before_it_has_read_the_capacities(self):
+        fleet = list(self.infos.values())
+        for name in ("w1", "w2"):
+            await self.list_worker(name, cpu=4000)
+        self.store.is_down = True
+        leader = self.start_leader(2, fleet=fleet)
+        await self.wait_until(
+            lambda: (
+                leader.state.workers
+                and all(w.has_answered for w in leader.state.workers.values())
+            )
+        )
+        self.submit(leader, [step(cpu=12000)])
+        self.submit(leader, [step(cpu=3000)], job="b" * 16)
+        leader._plan()
+        self.assertEqual(leader._last_plan.placements, [])
+        self.assertEqual(self.workers.started, [])
+        self.store.is_down = False
+        await self.wait_until(lambda: self.workers.started)
+        leader._plan()
+        self.assertEqual(leader._last_plan.placements, [])
+        self.assertEqual([task.job for _, task, _ in self.workers.started], ["b" * 16])
+
     # Guards against a successor that knows a worker only as it was before it grew.
     async def test_a_worker_is_recorded_with_the_largest_capacity_that_it_had(self):
         self.start_leader(1)
