--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -86,6 +86,9 @@
         Whether the request to start the run got no reply.
     is_long_running : bool
         Whether the run lasts until its job is cancelled.
+    is_size_unknown : bool
+        Whether the run uses an unknown amount of resources, because its job has no
+        records any more. Set before the attempt is added to its worker.
     """
 
     __slots__ = (
@@ -94,6 +97,7 @@
         "first_progress_at",
         "is_long_running",
         "is_resumed",
+        "is_size_unknown",
         "is_start_unconfirmed",
         "last_answer_at",
         "last_progress_at",
@@ -128,6 +132,7 @@
         self.pace = 100
         self.is_start_unconfirmed = False
         self.is_long_running = False
+        self.is_size_unknown = False
 
     def update_progress(self, percent: int, now: Instant) -> bool:
         """Record the reported progress and return whether it changed."""
@@ -172,6 +177,9 @@
         Attempts that may occupy capacity, by task.
     used : Resources
         Capacity reserved by the attempts.
+    largest_capacity : Resources
+        Largest amount of each resource that the worker has registered. A previous
+        leader may have started runs by it that still last.
     is_listed : bool
         Whether the platform lists the worker.
     is_reachable : bool
@@ -188,8 +196,10 @@
 
     def __init__(self, info: WorkerInfo, now: Instant) -> None:
         self.info = info
+        self.largest_capacity = info.capacity
         self.attempts: dict[TaskKey, Attempt] = {}
         self.used = ZERO
+        self._unsized_count = 0
         self.is_listed = True
         self.is_reachable = False
         self.has_answered = False
@@ -209,14 +219,34 @@
         self._pending_ends: deque[int] = deque()
         self.acknowledged = 0
 
+    def register(self, info: WorkerInfo) -> None:
+        """Apply a new registration of the worker."""
+        self.info = info
+        self.largest_capacity = self.largest_capacity.maximum(info.capacity)
+
     @property
     def free(self) -> Resources:
-        """Capacity not reserved by any attempt."""
-        return self.info.capacity - self.used
+        """Capacity not reserved by any attempt; none while the size of one is unknown.
+
+        A component is negative if the capacity has shrunk below what is reserved.
+        """
+        free = self.info.capacity - self.used
+        return free.minimum(ZERO) if self._unsized_count else free
 
     def accepts_runs(self) -> bool:
         """Return whether the worker is eligible for new runs at all."""
-        return self.is_listed and self.is_reachable and not self.info.is_draining
+        is_available = self.is_listed and not self.info.is_draining
+        return is_available and self.is_reachable and self.is_record_current
+
+    @property
+    def is_record_current(self) -> bool:
+        """Whether the registration is that of the incarnation that answers.
+
+        Another incarnation may have another capacity and other labels.
+        """
+        registered_ms = self.info.incarnation_ms
+        is_known = registered_ms and self.incarnation_ms
+        return not is_known or registered_ms == self.incarnation_ms
 
     def can_start(self, now: Instant) -> bool:
         """Return whether a new run should be placed on the worker now."""
@@ -262,6 +292,7 @@
         """Reserve capacity for an attempt."""
         self.attempts[attempt.task] = attempt
         self.used = self.used + attempt.reserved
+        self._unsized_count += attempt.is_size_unknown
 
     def remove_attempt(self, attempt: Attempt) -> bool:
         """Release the capacity of an attempt and return whether it was reserved."""
@@ -269,6 +300,7 @@
             return False
         del self.attempts[attempt.task]
         self.used = self.used - attempt.reserved
+        self._unsized_count -= attempt.is_size_unknown
         return True
 
     def update_clock(self, clock_ms: int, now: Instant) -> None:
