dispatch: a starving step may use a worker on probation that has room

Cause: after two failures a worker runs one task at a time until one succeeds. A worker that runs a task which lasts, or a long one, stays on probation for as long as that run, which for tasks that last has no end. A starving step could use it only if no trusted worker was eligible at all; one trusted worker without room was enough to keep the step waiting beside the room of the other. A worker that keeps failing is still avoided while a trusted one exists.

--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -260,8 +260,8 @@
     def _place_step(self, step: StepRun, candidates: list[_Candidate]) -> None:
         eligible = _eligible(step, candidates)
         candidates = [candidate for candidate in eligible if candidate.is_trusted]
-        if not candidates and step.is_starving(self.now):
-            candidates = eligible
+        if step.is_starving(self.now):
+            candidates = self._add_suspects(step, candidates, eligible)
         if step.spec.gang:
             blocked = self._place_gang(step, candidates)
         else:
@@ -269,6 +269,32 @@
         if blocked:
             self._reserve_workers(step, candidates, blocked)
 
+    def _add_suspects(
+        self, step: StepRun, trusted: list[_Candidate], eligible: list[_Candidate]
+    ) -> list[_Candidate]:
+        """Return the candidates of a starving step.
+
+        If no trusted worker has room, workers on probation are added once they have
+        not failed for a while: one that runs only long tasks may stay on probation.
+        """
+        if not trusted:
+            return eligible
+        wanted = step.spec.count if step.spec.gang else 1
+        if sum(self._max_more(step, candidate) for candidate in trusted) >= wanted:
+            return trusted
+        return [
+            candidate
+            for candidate in eligible
+            if candidate.is_trusted or candidate.worker.is_calm(self.now)
+        ]
+
+    def _max_more(self, step: StepRun, candidate: _Candidate) -> int:
+        """Return how many more tasks of a step may be placed on a candidate."""
+        if not self.admits(step, candidate):
+            return 0
+        free = Resources(candidate.cpu, candidate.mem, candidate.acc)
+        return _max_tasks(step, free)
+
     def _place_tasks(self, step: StepRun, candidates: list[_Candidate]) -> int:
         """Place tasks in order; return 1 if one does not fit on any worker, else 0."""
         unplaced = 0
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -121,6 +121,38 @@
         )
         self.assertEqual(placed(self.plan([busy], [failing])), [])
 
+    def test_probation_of_a_worker_with_room_does_not_outlast_starvation(self):
+        """Guards against runnable work that waits beside a worker with room (LOST)."""
+        waiting = first_step(steps=[step()])
+        full = worker("w2")
+        whole = Resources(16000, 100, 0)
+        full.add_attempt(Attempt(TaskKey("x", 0, 0, 0), 1, full, whole, 0))
+        suspect = worker("w1")
+        suspect.failed_jobs = {"x", "y"}
+        suspect.failed_at = 0
+        small = Resources(1, 0, 0)
+        suspect.add_attempt(Attempt(TaskKey("x", 0, 0, 1), 1, suspect, small, 0))
+        workers = [full, suspect]
+        self.assertEqual(placed(self.plan([waiting], workers, now=1699)), [])
+        self.assertEqual(placed(self.plan([waiting], workers, now=1700)), [(0, "w1")])
+        trusted = worker("w3")
+        plan = self.plan([waiting], [*workers, trusted], now=1700)
+        self.assertEqual(placed(plan), [(0, "w3")])
+        suspect.failed_at = 1000
+        self.assertEqual(placed(self.plan([waiting], workers, now=1700)), [])
+
+    def test_probation_of_workers_with_room_does_not_hold_a_gang_back(self):
+        """Guards against a gang that waits beside workers with room (LOST)."""
+        gang = first_step(steps=[step(count=2, cpu=9000, gang=True)])
+        suspect = worker("w1")
+        suspect.failed_jobs = {"x", "y"}
+        suspect.failed_at = 0
+        small = Resources(1, 0, 0)
+        suspect.add_attempt(Attempt(TaskKey("x", 0, 0, 1), 1, suspect, small, 0))
+        workers = [suspect, worker("w2")]
+        self.assertEqual(placed(self.plan([gang], workers, now=1699)), [])
+        self.assertEqual(len(self.plan([gang], workers, now=1700).placements), 2)
+
     def test_urgent_tasks_prefer_faster_workers(self):
         slow = worker("w1")
         half = Resources(8000, 16000, 0)
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -249,6 +249,10 @@
         )
         return self.consecutive_failed_jobs > 0 and is_recent
 
+    def is_calm(self, now: Instant) -> bool:
+        """Return whether the worker is in no backoff and has not failed recently."""
+        return now >= self.avoid_until and not self.has_failed_recently(now)
+
     @property
     def is_suspect(self) -> bool:
         """Whether the worker's last runs failed or stalled."""
