dispatch: a step of tasks that last starves beside its own runs

Cause: a step counted as starving only while none of its tasks was active. Of a step whose tasks last, some always are, so a waiting task could never use a worker that had failed before, however long it waited and however much room was there. Change: the runs of a step of long-running tasks no longer keep it from starving; the time since its last run ended, or since it became ready, decides. Evidence: a test that was red before (no placement at 1.7 s, nor later).

--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -119,9 +119,10 @@
         """Return whether no task of the step has run for `STARVATION_MS`.
 
         Workers that failed recently are avoided for a while. A starving step may use
-        them, as they may be the only workers that it can run on.
+        them, as they may be the only workers that it can run on. Tasks that last do not
+        end in favour of those that wait, so a step starves beside its own runs.
         """
-        if self.active or self.ready_at is None:
+        if self.ready_at is None or (self.active and not self.spec.long_running):
             return False
         return now - (self.idle_since or self.ready_at) >= STARVATION_MS
 
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -4,7 +4,7 @@
 from pimentomill.dispatch import Planner, QuotaBook, Ticket, order_steps
 from pimentomill.fleet import Attempt
 from pimentomill.jobs import TaskKey
-from pimentomill.utils import Resources
+from pimentomill.utils import ZERO, Resources
 
 from .samples import first_step, job_run, queue, step, worker
 
@@ -153,6 +153,23 @@
         self.assertEqual(placed(self.plan([gang], workers, now=1699)), [])
         self.assertEqual(len(self.plan([gang], workers, now=1700).placements), 2)
 
+    def test_a_long_running_task_starves_while_others_of_its_step_run(self):
+        """Guards against a lasting task that waits for good beside its step (LOST)."""
+        steps = [step(count=2, max_per_worker=1, long_running=True)]
+        lasting = first_step(steps=steps)
+        lasting.dequeue(0)
+        lasting.active[0] = Attempt(TaskKey("a" * 16, 0, 0, 0), 1, worker(), ZERO, 0)
+        lasting.idle_since = 10_000
+        suspect = worker("w2")
+        suspect.failed_jobs = {"x", "y"}
+        suspect.failed_at = 10_000
+        small = Resources(1, 0, 0)
+        suspect.add_attempt(Attempt(TaskKey("x", 0, 0, 0), 1, suspect, small, 0))
+        plan = self.plan([lasting], [suspect], now=11_699)
+        self.assertEqual(placed(plan), [])
+        plan = self.plan([lasting], [suspect], now=11_700)
+        self.assertEqual(placed(plan), [(1, "w2")])
+
     def test_urgent_tasks_prefer_faster_workers(self):
         slow = worker("w1")
         half = Resources(8000, 16000, 0)
