control: short policy queries go on after all entries have failed

Cause: an entry whose last policy query failed gets no short query until one has succeeded there. Once a query had failed at every entry of the cell, for instance while the policy service could not be reached, no short query was sent any more, unless a long query of another queue succeeded meanwhile. Steps of a queue with a short policy then waited until the leader changed. Change: the rule applies only while some other entry is sound. Evidence: a test that was red before (no entry accepts a short query after the backoff).

--- a/pimentomill/control/_policy_queries.py
+++ b/pimentomill/control/_policy_queries.py
@@ -123,11 +123,17 @@
         )
 
     def _choose(self, is_short: bool) -> PolicyPort | None:
-        """Return an idle entry; one whose last query failed gets no short query."""
+        """Return an idle entry.
+
+        One whose last query failed gets no short query while another is sound.
+        """
+        must_be_sound = is_short and any(
+            not self._failures.get(name, 0) for name in self.ports
+        )
         idle = [
             port
             for port in self._idle()
-            if not (is_short and self._failures.get(port.name, 0))
+            if not (must_be_sound and self._failures.get(port.name, 0))
         ]
         return min(
             idle, key=lambda port: self._failures.get(port.name, 0), default=None
--- a/pimentomill/control/tests/test_policy_queries.py
+++ b/pimentomill/control/tests/test_policy_queries.py
@@ -97,6 +97,19 @@
         self.assertTrue(await self.answer(self.step("f", LONG)))
         self.assertTrue(self.dispatcher.can_accept(self.step("g", SHORT), 2))
 
+    async def test_short_queries_go_on_after_all_entries_failed(self):
+        """Guards against short queries that are never sent again (LOST)."""
+        for port in self.ports:
+            port.fails = True
+            port.may_answer.set()
+        for letter in "abcd":
+            await self.answer(self.step(letter, LONG))
+        self.clock.advance(2000)
+        for port in self.ports:
+            port.fails = False
+        self.assertTrue(self.dispatcher.can_accept(self.step("e", SHORT), 2))
+        self.assertTrue(await self.answer(self.step("f", SHORT)))
+
     async def test_queries_of_one_pass_use_different_entries(self):
         """All queries are reserved before one is sent, as in a planner pass."""
         queries = [
