control: the backoff of policy queries is short while all entries fail

Cause: an entry that got no answer from a placement policy is left out for up to 16 s. If the policy service answered none of the entries for some seconds, all of them stood aside for up to 16 s after it was back, and no step of a queue with a policy could start, while work that could run has to start within 3 s (LOST). Change: as long as the last query of every entry has failed, each is tried again after 0.5 s. One sound entry is enough for the longer backoff of the others. Evidence: a test that was red before (no entry accepts a query 0.5 s after the failures).

--- a/pimentomill/control/_policy_queries.py
+++ b/pimentomill/control/_policy_queries.py
@@ -25,6 +25,9 @@
 failure."""
 MAX_BACKOFF_MS = 16000
 """Upper bound of that backoff."""
+ALL_FAILED_BACKOFF_MS = 500
+"""Upper bound of that backoff while the last query of every entry has failed: runnable
+work must not wait for 3 s once one of them gets answers again."""
 SHORT_QUERY_MS = 100
 """Expected duration up to which a query is short: queries of the most urgent queues
 take 20 ms, all others 150 to 900 ms."""
@@ -109,6 +112,7 @@
         self._busy: dict[str, bool] = {}
         self._backoff_until: dict[str, Instant] = {}
         self._failures: dict[str, int] = {}
+        self._failed_at: dict[str, Instant] = {}
 
     def idle_count(self) -> int:
         """Return the number of entries that could accept a query now."""
@@ -116,20 +120,28 @@
 
     def _idle(self):
         now = self.clock.now()
+        backoff_until = self._backoff_until
+        if not self._is_any_sound():
+            backoff_until = {
+                name: min(until, self._failed_at[name] + ALL_FAILED_BACKOFF_MS)
+                for name, until in backoff_until.items()
+            }
         return (
             port
             for name, port in self.ports.items()
-            if name not in self._busy and self._backoff_until.get(name, now) <= now
+            if name not in self._busy and backoff_until.get(name, now) <= now
         )
 
+    def _is_any_sound(self) -> bool:
+        """Return whether the last query of some entry did not fail."""
+        return any(not self._failures.get(name, 0) for name in self.ports)
+
     def _choose(self, is_short: bool) -> PolicyPort | None:
         """Return an idle entry.
 
         One whose last query failed gets no short query while another is sound.
         """
-        must_be_sound = is_short and any(
-            not self._failures.get(name, 0) for name in self.ports
-        )
+        must_be_sound = is_short and self._is_any_sound()
         idle = [
             port
             for port in self._idle()
@@ -214,6 +226,7 @@
         return True
 
     def _record_failure(self, port: PolicyPort, step: StepRun, exc: Exception) -> None:
+        self._failed_at[port.name] = self.clock.now()
         unreachable = isinstance(exc, TimeoutError | TransportError)
         if unreachable and len(self.ports) > 1:
             failures = self._failures.get(port.name, 0)
--- a/pimentomill/control/tests/test_policy_queries.py
+++ b/pimentomill/control/tests/test_policy_queries.py
@@ -85,6 +85,25 @@
         self.clock.advance(2000)
         self.assertEqual(self.dispatcher.idle_count(), 4)
 
+    async def test_a_query_is_soon_tried_again_after_all_entries_failed(self):
+        """Guards against work that waits out the longest backoff (LOST)."""
+        for port in self.ports:
+            port.fails = True
+            port.may_answer.set()
+        for _ in range(4):
+            self.clock.advance(20_000)
+            for letter in "abcd":
+                await self.answer(self.step(letter, LONG))
+        self.assertEqual(self.dispatcher.idle_count(), 0)
+        self.ports[0].fails = False
+        for _ in range(4):
+            self.clock.advance(500)
+            step_run = self.step("e", LONG)
+            self.assertTrue(self.dispatcher.can_accept(step_run, 2))
+            if await self.answer(step_run):
+                return
+        self.fail("the entry that answers again was not tried")
+
     async def test_an_entry_that_failed_last_gets_no_short_query(self):
         self.ports[0].fails = True
         self.ports[0].may_answer.set()
