dispatch: a task in its last attempt holds no other task of its step back

Cause: the last attempt of a task avoids workers that failed within 1.5 s. If no other worker had room for it, the planner left the step, and its remaining tasks, which may run on any worker, were not placed either. As long as the reliable workers were full and the others failed now and then, the whole step waited. Change: such a task is passed over, and the next one is tried. Evidence: a test that was red before (no placement instead of one).

--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -310,7 +310,9 @@
             else:
                 candidate = ranking.best()
             if candidate is None:
-                unplaced += 1
+                unplaced = 1
+                if index in step.failed_runs:
+                    continue
                 break
             ticket = self._ticket(step, candidate.id)
             self._allocate(step, candidate)
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -97,6 +97,18 @@
         only.record_failure("x", 0)
         self.assertEqual(len(self.plan([last], [only], now=1500).placements), 1)
 
+    def test_the_last_attempt_of_a_task_holds_no_other_task_back(self):
+        """Guards against a step that waits for the last attempt of one task (LOST)."""
+        pair = first_step(steps=[step(count=2)])
+        pair.failed_runs[0] = {1}
+        full = worker("w2")
+        whole = Resources(16000, 100, 0)
+        full.add_attempt(Attempt(TaskKey("x", 0, 0, 0), 1, full, whole, 0))
+        failing = worker("w1")
+        failing.record_failure("x", 0)
+        plan = self.plan([pair], [failing, full], now=100)
+        self.assertEqual(placed(plan), [(1, "w1")])
+
     def test_failures_of_other_jobs_do_not_starve_a_step_of_its_only_worker(self):
         """Several failing jobs share the only worker that they may use."""
         waiting = first_step(steps=[step()])
