node: forwarded queries look for an entry that can answer, not only at two

What callers saw: `503 keys can't be checked now` to queries about accepted jobs while the platform's store turned most entries away and served the others. Cause: an entry that can't follow the store passes a query on to two others. These were always the two of the most recent heartbeats, once the cooldown of 0.6 s was over, and retries come about 1 s apart; an entry that was turned away as well used up an attempt, although its rejection comes within 2 ms. Change: only entries that give no answer count as attempts. Rejections lead to the next entry, eight at most and while an answer can still be in time. Entries that failed last come last, so that retries meet others. Evidence: four of the five new tests were red before (the bound on silent entries was kept before, too).

--- a/pimentomill/node/tests/test_forwarding.py
+++ b/pimentomill/node/tests/test_forwarding.py
@@ -6,7 +6,7 @@
 from pimentomill.jobs import KeyedRecord
 from pimentomill.links import CallerAnswer, CallerRequest
 from pimentomill.node import MemberRecord, Members
-from pimentomill.node._forwarding import Forwarder
+from pimentomill.node._forwarding import FORWARD_START_LIMIT_MS, Forwarder
 from pimentomill.utils import ManualClock
 
 GET = CallerRequest("GET", "h", "/q/1", "key", b"")
@@ -58,6 +58,52 @@
         await self.forwarder.forward(GET)
         self.assertEqual(self.links.tried, ["a3", "a3", "a2", "a2"])
 
+    # Guards against callers without an answer while one entry could still give it.
+    async def test_rejections_do_not_use_up_the_attempts(self):
+        for number in (2, 3):
+            self.links.errors[f"a{number}"] = StateUnavailableError("lost here too")
+        self.assertEqual(await self.forwarder.forward(GET), DONE)
+        self.assertEqual(self.links.tried, ["a3", "a2", "a1"])
+
+    # Guards against callers who meet the same unusable entries with each retry.
+    async def test_sparse_requests_do_not_return_to_entries_that_did_not_answer(self):
+        for number in (2, 3):
+            self.links.errors[f"a{number}"] = TransportError("silent", sent=True)
+        self.assertIsNone(await self.forwarder.forward(GET))
+        self.clock.advance(1000)
+        self.assertEqual(await self.forwarder.forward(GET), DONE)
+        self.assertEqual(self.links.tried, ["a3", "a2", "a1"])
+
+    async def test_only_two_entries_are_waited_for(self):
+        for number in range(1, 4):
+            self.links.errors[f"a{number}"] = TransportError("silent", sent=True)
+        await self.forwarder.forward(GET)
+        self.assertEqual(self.links.tried, ["a3", "a2"])
+
+    async def test_no_entry_is_tried_once_the_time_is_used_up(self):
+        slow = self.links.forward
+
+        async def reject_late(address, req):
+            self.clock.advance(FORWARD_START_LIMIT_MS + 1)
+            return await slow(address, req)
+
+        self.links.forward = reject_late
+        self.links.errors["a3"] = StateUnavailableError("lost here too")
+        self.assertIsNone(await self.forwarder.forward(GET))
+        self.assertEqual(self.links.tried, ["a3"])
+
+    async def test_a_large_cell_is_tried_in_parts(self):
+        for number in range(4, 30):
+            member = MemberRecord(f"n{number}", f"a{number}", f"life-{number}")
+            value = msgspec.msgpack.encode(member)
+            self.members.apply(KeyedRecord(f"m:n{number}", value))
+        for number in range(1, 30):
+            self.links.errors[f"a{number}"] = StateUnavailableError("lost here too")
+        del self.links.errors["a1"]
+        answers = [await self.forwarder.forward(GET) for _ in range(4)]
+        self.assertEqual(answers, [None, None, None, DONE])
+        self.assertEqual(len(self.links.tried), 29)
+
     async def test_failed_entries_are_not_tried_during_the_cooldown(self):
         for number in range(1, 4):
             self.links.errors[f"a{number}"] = StateUnavailableError("lost here too")
