dispatch: count the room of trusted workers only where others are on probation

Without it each starving step of a full pool looks at all workers once more in each pass, also where no worker is on probation. No change of the result; not measured.

--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -277,7 +277,7 @@
         If no trusted worker has room, workers on probation are added once they have
         not failed for a while: one that runs only long tasks may stay on probation.
         """
-        if not trusted:
+        if not trusted or len(trusted) == len(eligible):
             return eligible
         wanted = step.spec.count if step.spec.gang else 1
         if sum(self._max_more(step, candidate) for candidate in trusted) >= wanted:
