dispatch: capacity is held for a missing ticket for 2 s at most if queries fail

Cause: tasks that fit but have no ticket of the placement policy yet are allocated in each pass, so that the capacity is free when the ticket comes. If the policy doesn't answer the queries of a step, this had no end, and steps behind it, of queues without a policy or with valid tickets, found no capacity. Change: a step remembers since when its queries have failed. After 2 s its queries go on, but the capacity is left to the steps behind it.

--- a/pimentomill/control/_policy_queries.py
+++ b/pimentomill/control/_policy_queries.py
@@ -227,6 +227,8 @@
 
     def _record_failure(self, port: PolicyPort, step: StepRun, exc: Exception) -> None:
         self._failed_at[port.name] = self.clock.now()
+        if step.unanswered_since is None:
+            step.unanswered_since = self.clock.now()
         unreachable = isinstance(exc, TimeoutError | TransportError)
         if unreachable and len(self.ports) > 1:
             failures = self._failures.get(port.name, 0)
@@ -243,6 +245,7 @@
         self, step: StepRun, names: list[WorkerId], answer: PolicyTickets
     ) -> None:
         valid_until = Instant(self.clock.now() + answer.valid_ms - self.margin_ms)
+        step.unanswered_since = None
         step.queried.update(names)
         for worker, text in answer.tickets.items():
             step.allowed.add(worker)
--- a/pimentomill/control/tests/test_policy_queries.py
+++ b/pimentomill/control/tests/test_policy_queries.py
@@ -150,6 +150,22 @@
         self.assertFalse(self.dispatcher.can_accept(self.step("d", LONG), 2))
         self.assertTrue(self.dispatcher.can_accept(self.step("e", SHORT), 2))
 
+    async def test_a_step_remembers_since_when_its_queries_fail(self):
+        step_run = self.step("a", SHORT)
+        for port in self.ports:
+            port.fails = True
+            port.may_answer.set()
+        self.clock.advance(100)
+        await self.answer(step_run)
+        failed_at = self.clock.now()
+        self.clock.advance(100)
+        await self.answer(step_run)
+        self.assertEqual(step_run.unanswered_since, failed_at)
+        for port in self.ports:
+            port.fails = False
+        await self.answer(step_run)
+        self.assertIsNone(step_run.unanswered_since)
+
     async def test_a_rejected_query_is_retried_later(self):
         self.dispatcher.ports = {"n0": self.ports[0]}
         self.ports[0].fails = True
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -26,6 +26,9 @@
 """Slowness above which urgent tasks avoid a worker; kinds of workers differ by 1.3."""
 FREE_CAPACITY_WEIGHT = 0.3
 """Weight of free capacity against alignment: large tasks need whole workers."""
+MAX_TICKET_WAIT_MS = 2000
+"""Time for which capacity is held for a step whose policy queries fail. Work that could
+run there must not wait for 3 s."""
 NO_CLAIMS: Mapping = MappingProxyType({})
 MAX_RESERVED_WORKERS = 2
 """Workers reserved per step; more would idle more capacity than the step needs."""
@@ -298,7 +301,7 @@
     def _place_tasks(self, step: StepRun, candidates: list[_Candidate]) -> int:
         """Place tasks in order; return 1 if one does not fit on any worker, else 0."""
         unplaced = 0
-        without_ticket: set[WorkerId] = set()
+        without_ticket: list[_Candidate] = []
         ranking = _Ranking(self, step, candidates)
         for index in sorted(step.waiting):
             if not self._within_limit(step):
@@ -318,15 +321,31 @@
             self._allocate(step, candidate)
             ranking.update(candidate)
             if ticket is None:
-                without_ticket.add(candidate.id)
+                without_ticket.append(candidate)
                 continue
             self.result.placements.append(
                 Placement(step, index, candidate.worker, ticket)
             )
         if without_ticket:
-            self.result.missing_tickets.append((step, sorted(without_ticket)))
+            self._request_tickets(step, without_ticket)
         return unplaced
 
+    def _request_tickets(self, step: StepRun, candidates: list[_Candidate]) -> None:
+        """Request tickets, and hold the allocated capacity unless that takes too long.
+
+        Parameters
+        ----------
+        step : StepRun
+            Step that holds no ticket for some of the candidates.
+        candidates : list of _Candidate
+            Candidate of each task that can't start without a ticket.
+        """
+        wanted = sorted({candidate.id for candidate in candidates})
+        self.result.missing_tickets.append((step, wanted))
+        since = step.unanswered_since
+        if since is not None and self.now - since >= MAX_TICKET_WAIT_MS:
+            self._deallocate(step, candidates)
+
     def _reliable(
         self, step: StepRun, index: int, candidates: list[_Candidate]
     ) -> list[_Candidate]:
@@ -364,7 +383,6 @@
         self, step: StepRun, candidates: list[_Candidate]
     ) -> list[_Candidate] | None:
         chosen: list[_Candidate] = []
-        planned_before = self.planned.get(step.job.accepted.team, ZERO)
         for _ in range(step.spec.count):
             candidate = (
                 self._best_candidate(step, candidates, 0)
@@ -372,10 +390,7 @@
                 else None
             )
             if candidate is None:
-                for allocated in chosen:
-                    allocated.release(step)
-                    allocated.step_counts[step.key] -= 1
-                self.planned[step.job.accepted.team] = planned_before
+                self._deallocate(step, chosen)
                 return None
             self._allocate(step, candidate)
             chosen.append(candidate)
@@ -384,8 +399,7 @@
     def _start_gang(self, step: StepRun, chosen: list[_Candidate]) -> None:
         tickets = [self._ticket(step, candidate.id) for candidate in chosen]
         if None in tickets:
-            wanted = sorted({candidate.id for candidate in chosen})
-            self.result.missing_tickets.append((step, wanted))
+            self._request_tickets(step, chosen)
             return
         for index, (candidate, ticket) in enumerate(zip(chosen, tickets, strict=True)):
             placement = Placement(step, index, candidate.worker, ticket)
@@ -455,6 +469,14 @@
         team = step.job.accepted.team
         self.planned[team] = self.planned.get(team, ZERO) + step.spec.need
 
+    def _deallocate(self, step: StepRun, candidates: list[_Candidate]) -> None:
+        """Undo one allocation of a step for each given candidate."""
+        team = step.job.accepted.team
+        for candidate in candidates:
+            candidate.release(step)
+            candidate.step_counts[step.key] -= 1
+            self.planned[team] = self.planned[team] - step.spec.need
+
     def _within_limit(self, step: StepRun) -> bool:
         team = step.job.accepted.team
         planned = self.planned.get(team, ZERO)
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -75,6 +75,8 @@
         Workers that the placement policy was queried about, and those it allows.
     tickets : dict of WorkerId to Ticket
         Tickets by worker.
+    unanswered_since : Instant or None
+        Time since which all queries to the placement policy have failed.
     durations : list of int
         Milliseconds from order to end of tasks without a checkpoint.
     """
@@ -96,6 +98,7 @@
         self.allowed: set[WorkerId] = set()
         self.tickets: dict[WorkerId, Ticket] = {}
         self.query_open = False
+        self.unanswered_since: Instant | None = None
         self.durations: list[int] = []
         self.last_workers: dict[int, WorkerId] = {}
 
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -223,6 +223,22 @@
         plan = self.planner.plan(0, [self.step, later], [worker("w2")])
         self.assertEqual(placed(plan), [])
 
+    def test_capacity_is_not_held_for_a_ticket_that_never_comes(self):
+        """Guards against work that waits for the answer to another's query (LOST)."""
+        gang = first_step(
+            "c" * 16,
+            [step(count=2, cpu=8000, gang=True)],
+            of=queue(placement_policy=PlacementPolicy(10.0, 1.0, 2000)),
+        )
+        gang.allowed = {"w2"}
+        for unanswered in (self.step, gang):
+            later = first_step("b" * 16, [step(cpu=16000)])
+            unanswered.unanswered_since = 1000
+            for now, expected in ((2999, []), (3000, [(0, "w2")])):
+                plan = self.planner.plan(now, [unanswered, later], [worker("w2")])
+                self.assertEqual(placed(plan), expected)
+                self.assertEqual(plan.missing_tickets, [(unanswered, ["w2"])])
+
 
 class TestReservedWorkers(unittest.TestCase):
     """A large task competes with a stream of small ones that would starve it."""
