control: a stop order is sent until it is answered or the run has ended

Cause: a stop order was given up after 40 attempts, on the assumption that the lease expires long before. A worker that rejects orders while it answers holds gets its lease renewed all the time, and rejections come at once, so that 40 attempts take 6 s. The run was then neither stopped nor ordered to stop again: its attempt stayed in the stopping phase, with its task and its capacity, until the run ended by itself, which a task that lasts never does. Change: the order is repeated for as long as the attempt holds capacity of the worker. It is released when the worker reports its end, restarts, or its lease expires. Evidence: a test that was red before (no second start within 20 s after 80 rejected stops).

--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -22,7 +22,7 @@
 UNHEALTHY_BACKOFF_MS = 700
 """Backoff of a worker that rejects a start, about the length of a short task."""
 MAX_STOP_ATTEMPTS = 40
-"""Attempts to send a stop order; the lease expires long before the last."""
+"""Attempts to send a stop order for a run that holds no capacity of the worker."""
 
 _log = ComponentLogger("orders")
 
@@ -169,7 +169,14 @@
         self.stop_all(self.context.state.pop_stop_orders())
 
     async def _stop(self, stop: StopOrder) -> None:
-        for _ in range(MAX_STOP_ATTEMPTS):
+        """Send a stop order until it is answered or the run is known to have ended.
+
+        A worker may reject orders for a long time while it renews its lease, so that
+        the run neither stops nor expires.
+        """
+        attempts = 0
+        while attempts < MAX_STOP_ATTEMPTS or self._held_attempt(stop) is not None:
+            attempts += 1
             try:
                 await self.context.port.stop(
                     stop.worker.info, stop.task, stop.run, self.context.state.epoch
@@ -192,6 +199,12 @@
             worker=stop.worker.info.worker,
             why=stop.reason,
         )
-        attempt = stop.worker.attempts.get(stop.task)
-        if attempt is not None and attempt.run == stop.run:
+        attempt = self._held_attempt(stop)
+        if attempt is not None:
             attempt.last_answer_at = self.context.clock.now()
+
+    @staticmethod
+    def _held_attempt(stop: StopOrder) -> Attempt | None:
+        """Return the attempt that a stop order is for, None if it has been released."""
+        attempt = stop.worker.attempts.get(stop.task)
+        return attempt if attempt is not None and attempt.run == stop.run else None
--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -6,7 +6,8 @@
 from pimentomill.control import ControlSettings, Leader, PolicyQueryDispatcher, _leader
 from pimentomill.dispatch import Preemption
 from pimentomill.dispatch.tests.samples import accepted, info, queue, step
-from pimentomill.fleet import EndKind
+from pimentomill.exceptions import TransportError
+from pimentomill.fleet import AttemptPhase, EndKind
 from pimentomill.jobs import (
     JobState,
     JobTable,
@@ -21,6 +22,8 @@
 
 JOB = "a" * 16
 WAIT_S = 20.0
+REJECTED_STOPS = 80
+"""Stops that a worker rejects while it answers holds; 12 s at the usual pause."""
 
 
 class LeaderCase(unittest.IsolatedAsyncioTestCase):
@@ -230,6 +233,32 @@
             await self.wait_until(lambda: ordered.called)
         await self.wait_until(lambda: self.workers.started)
 
+    # Guards against a run that is never stopped, and keeps its task and capacity.
+    async def test_a_stop_is_sent_until_the_worker_accepts_it(self):
+        leader = self.start_leader(1)
+        self.submit(leader, [step(long_running=True)])
+        await self.wait_until(lambda: self.workers.started)
+        worker, task, _ = self.workers.started[0]
+        await self.wait_until(
+            lambda: (
+                leader.state.workers[worker].attempts[task].phase
+                is AttemptPhase.RUNNING
+            )
+        )
+        stop, rejected = self.workers.stop, []
+
+        async def reject_at_first(*args):
+            if len(rejected) < REJECTED_STOPS:
+                rejected.append(args)
+                raise TransportError("rejected with status 503", sent=False)
+            await stop(*args)
+
+        self.workers.stop = reject_at_first
+        attempt = leader.state.workers[worker].attempts[task]
+        leader.state.order_stop(attempt, "worker is draining")
+        leader.request_plan()
+        await self.wait_until(lambda: len(self.workers.started) == 2)
+
     async def test_a_successor_fences_the_previous_leader(self):
         first = self.start_leader(1)
         self.submit(first, [step(count=2)])
