--- a/pimentomill/control/tests/test_policy_queries.py
+++ b/pimentomill/control/tests/test_policy_queries.py
@@ -85,6 +85,25 @@
         self.clock.advance(2000)
         self.assertEqual(self.dispatcher.idle_count(), 4)
 
+    async def test_a_query_is_soon_tried_again_after_all_entries_failed(self):
+        """Guards against work that waits out the longest backoff (LOST)."""
+        for port in self.ports:
+            port.fails = True
+            port.may_answer.set()
+        for _ in range(4):
+            self.clock.advance(20_000)
+            for letter in "abcd":
+                await self.answer(self.step(letter, LONG))
+        self.assertEqual(self.dispatcher.idle_count(), 0)
+        self.ports[0].fails = False
+        for _ in range(4):
+            self.clock.advance(500)
+            step_run = self.step("e", LONG)
+            self.assertTrue(self.dispatcher.can_accept(step_run, 2))
+            if await self.answer(step_run):
+                return
+        self.fail("the entry that answers again was not tried")
+
     async def test_an_entry_that_failed_last_gets_no_short_query(self):
         self.ports[0].fails = True
         self.ports[0].may_answer.set()
@@ -97,6 +116,19 @@
         self.assertTrue(await self.answer(self.step("f", LONG)))
         self.assertTrue(self.dispatcher.can_accept(self.step("g", SHORT), 2))
 
+    async def test_short_queries_go_on_after_all_entries_failed(self):
+        """Guards against short queries that are never sent again (LOST)."""
+        for port in self.ports:
+            port.fails = True
+            port.may_answer.set()
+        for letter in "abcd":
+            await self.answer(self.step(letter, LONG))
+        self.clock.advance(2000)
+        for port in self.ports:
+            port.fails = False
+        self.assertTrue(self.dispatcher.can_accept(self.step("e", SHORT), 2))
+        self.assertTrue(await self.answer(self.step("f", SHORT)))
+
     async def test_queries_of_one_pass_use_different_entries(self):
         """All queries are reserved before one is sent, as in a planner pass."""
         queries = [
@@ -118,6 +150,22 @@
         self.assertFalse(self.dispatcher.can_accept(self.step("d", LONG), 2))
         self.assertTrue(self.dispatcher.can_accept(self.step("e", SHORT), 2))
 
+    async def test_a_step_remembers_since_when_its_queries_fail(self):
+        step_run = self.step("a", SHORT)
+        for port in self.ports:
+            port.fails = True
+            port.may_answer.set()
+        self.clock.advance(100)
+        await self.answer(step_run)
+        failed_at = self.clock.now()
+        self.clock.advance(100)
+        await self.answer(step_run)
+        self.assertEqual(step_run.unanswered_since, failed_at)
+        for port in self.ports:
+            port.fails = False
+        await self.answer(step_run)
+        self.assertIsNone(step_run.unanswered_since)
+
     async def test_a_rejected_query_is_retried_later(self):
         self.dispatcher.ports = {"n0": self.ports[0]}
         self.ports[0].fails = True
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -26,6 +26,9 @@
 """Slowness above which urgent tasks avoid a worker; kinds of workers differ by 1.3."""
 FREE_CAPACITY_WEIGHT = 0.3
 """Weight of free capacity against alignment: large tasks need whole workers."""
+MAX_TICKET_WAIT_MS = 2000
+"""Time for which capacity is held for a step whose policy queries fail. Work that could
+run there must not wait for 3 s."""
 NO_CLAIMS: Mapping = MappingProxyType({})
 MAX_RESERVED_WORKERS = 2
 """Workers reserved per step; more would idle more capacity than the step needs."""
@@ -319,8 +322,8 @@
     def _place_step(self, step: StepRun, candidates: list[_Candidate]) -> None:
         eligible = _eligible(step, candidates)
         candidates = [candidate for candidate in eligible if candidate.is_trusted]
-        if not candidates and step.is_starving(self.now):
-            candidates = eligible
+        if step.is_starving(self.now):
+            candidates = self._add_suspects(step, candidates, eligible)
         if step.spec.gang:
             blocked = self._place_gang(step, candidates)
         else:
@@ -328,10 +331,36 @@
         if blocked:
             self._reserve_workers(step, candidates, blocked)
 
+    def _add_suspects(
+        self, step: StepRun, trusted: list[_Candidate], eligible: list[_Candidate]
+    ) -> list[_Candidate]:
+        """Return the candidates of a starving step.
+
+        If no trusted worker has room, workers on probation are added once they have
+        not failed for a while: one that runs only long tasks may stay on probation.
+        """
+        if not trusted or len(trusted) == len(eligible):
+            return eligible
+        wanted = step.spec.count if step.spec.gang else 1
+        if sum(self._max_more(step, candidate) for candidate in trusted) >= wanted:
+            return trusted
+        return [
+            candidate
+            for candidate in eligible
+            if candidate.is_trusted or candidate.worker.is_calm(self.now)
+        ]
+
+    def _max_more(self, step: StepRun, candidate: _Candidate) -> int:
+        """Return how many more tasks of a step may be placed on a candidate."""
+        if not self.admits(step, candidate):
+            return 0
+        free = Resources(candidate.cpu, candidate.mem, candidate.acc)
+        return _max_tasks(step, free)
+
     def _place_tasks(self, step: StepRun, candidates: list[_Candidate]) -> int:
         """Place tasks in order; return 1 if one does not fit on any worker, else 0."""
         unplaced = 0
-        without_ticket: set[WorkerId] = set()
+        without_ticket: list[_Candidate] = []
         ranking = _Ranking(self, step, candidates)
         for index in sorted(step.waiting):
             if not self._within_limit(step):
@@ -343,21 +372,39 @@
             else:
                 candidate = ranking.best()
             if candidate is None:
-                unplaced += 1
+                unplaced = 1
+                if index in step.failed_runs:
+                    continue
                 break
             ticket = self._ticket(step, candidate.id)
             self._allocate(step, candidate)
             ranking.update(candidate)
             if ticket is None:
-                without_ticket.add(candidate.id)
+                without_ticket.append(candidate)
                 continue
             self.result.placements.append(
                 Placement(step, index, candidate.worker, ticket)
             )
         if without_ticket:
-            self.result.missing_tickets.append((step, sorted(without_ticket)))
+            self._request_tickets(step, without_ticket)
         return unplaced
 
+    def _request_tickets(self, step: StepRun, candidates: list[_Candidate]) -> None:
+        """Request tickets, and hold the allocated capacity unless that takes too long.
+
+        Parameters
+        ----------
+        step : StepRun
+            Step that holds no ticket for some of the candidates.
+        candidates : list of _Candidate
+            Candidate of each task that can't start without a ticket.
+        """
+        wanted = sorted({candidate.id for candidate in candidates})
+        self.result.missing_tickets.append((step, wanted))
+        since = step.unanswered_since
+        if since is not None and self.now - since >= MAX_TICKET_WAIT_MS:
+            self._deallocate(step, candidates)
+
     def _reliable(
         self, step: StepRun, index: int, candidates: list[_Candidate]
     ) -> list[_Candidate]:
@@ -395,7 +442,6 @@
         self, step: StepRun, candidates: list[_Candidate]
     ) -> list[_Candidate] | None:
         chosen: list[_Candidate] = []
-        planned_before = self.planned.get(step.job.accepted.team, ZERO)
         for _ in range(step.spec.count):
             candidate = (
                 self._best_candidate(step, candidates, 0)
@@ -403,10 +449,7 @@
                 else None
             )
             if candidate is None:
-                for allocated in chosen:
-                    allocated.release(step)
-                    allocated.step_counts[step.key] -= 1
-                self.planned[step.job.accepted.team] = planned_before
+                self._deallocate(step, chosen)
                 return None
             self._allocate(step, candidate)
             chosen.append(candidate)
@@ -415,8 +458,7 @@
     def _start_gang(self, step: StepRun, chosen: list[_Candidate]) -> None:
         tickets = [self._ticket(step, candidate.id) for candidate in chosen]
         if None in tickets:
-            wanted = sorted({candidate.id for candidate in chosen})
-            self.result.missing_tickets.append((step, wanted))
+            self._request_tickets(step, chosen)
             return
         for index, (candidate, ticket) in enumerate(zip(chosen, tickets, strict=True)):
             placement = Placement(step, index, candidate.worker, ticket)
@@ -486,6 +528,14 @@
         team = step.job.accepted.team
         self.planned[team] = self.planned.get(team, ZERO) + step.spec.need
 
+    def _deallocate(self, step: StepRun, candidates: list[_Candidate]) -> None:
+        """Undo one allocation of a step for each given candidate."""
+        team = step.job.accepted.team
+        for candidate in candidates:
+            candidate.release(step)
+            candidate.step_counts[step.key] -= 1
+            self.planned[team] = self.planned[team] - step.spec.need
+
     def _within_limit(self, step: StepRun) -> bool:
         team = step.job.accepted.team
         planned = self.planned.get(team, ZERO)
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -4,7 +4,7 @@
 from pimentomill.dispatch import Planner, QuotaBook, Ticket, order_steps
 from pimentomill.fleet import Attempt
 from pimentomill.jobs import TaskKey
-from pimentomill.utils import Resources
+from pimentomill.utils import ZERO, Resources
 
 from .samples import first_step, job_run, queue, step, worker
 
@@ -97,6 +97,18 @@
         only.record_failure("x", 0)
         self.assertEqual(len(self.plan([last], [only], now=1500).placements), 1)
 
+    def test_the_last_attempt_of_a_task_holds_no_other_task_back(self):
+        """Guards against a step that waits for the last attempt of one task (LOST)."""
+        pair = first_step(steps=[step(count=2)])
+        pair.failed_runs[0] = {1}
+        full = worker("w2")
+        whole = Resources(16000, 100, 0)
+        full.add_attempt(Attempt(TaskKey("x", 0, 0, 0), 1, full, whole, 0))
+        failing = worker("w1")
+        failing.record_failure("x", 0)
+        plan = self.plan([pair], [failing, full], now=100)
+        self.assertEqual(placed(plan), [(1, "w1")])
+
     def test_failures_of_other_jobs_do_not_starve_a_step_of_its_only_worker(self):
         """Several failing jobs share the only worker that they may use."""
         waiting = first_step(steps=[step()])
@@ -121,6 +133,56 @@
         )
         self.assertEqual(placed(self.plan([busy], [failing])), [])
 
+    def test_probation_of_a_worker_with_room_does_not_outlast_starvation(self):
+        """Guards against runnable work that waits beside a worker with room (LOST)."""
+        waiting = first_step(steps=[step()])
+        full = worker("w2")
+        whole = Resources(16000, 100, 0)
+        full.add_attempt(Attempt(TaskKey("x", 0, 0, 0), 1, full, whole, 0))
+        suspect = worker("w1")
+        suspect.failed_jobs = {"x", "y"}
+        suspect.failed_at = 0
+        small = Resources(1, 0, 0)
+        suspect.add_attempt(Attempt(TaskKey("x", 0, 0, 1), 1, suspect, small, 0))
+        workers = [full, suspect]
+        self.assertEqual(placed(self.plan([waiting], workers, now=1699)), [])
+        self.assertEqual(placed(self.plan([waiting], workers, now=1700)), [(0, "w1")])
+        trusted = worker("w3")
+        plan = self.plan([waiting], [*workers, trusted], now=1700)
+        self.assertEqual(placed(plan), [(0, "w3")])
+        suspect.failed_at = 1000
+        self.assertEqual(placed(self.plan([waiting], workers, now=1700)), [])
+
+    def test_probation_of_workers_with_room_does_not_hold_a_gang_back(self):
+        """Guards against a gang that waits beside workers with room (LOST)."""
+        gang = first_step(steps=[step(count=2, cpu=9000, gang=True)])
+        suspect = worker("w1")
+        suspect.failed_jobs = {"x", "y"}
+        suspect.failed_at = 0
+        small = Resources(1, 0, 0)
+        suspect.add_attempt(Attempt(TaskKey("x", 0, 0, 1), 1, suspect, small, 0))
+        workers = [suspect, worker("w2")]
+        self.assertEqual(placed(self.plan([gang], workers, now=1699)), [])
+        self.assertEqual(len(self.plan([gang], workers, now=1700).placements), 2)
+
+    def test_a_long_running_task_starves_while_others_of_its_step_run(self):
+        """Guards against a lasting task that waits for good beside its step (LOST)."""
+        steps = [step(count=2, max_per_worker=1, long_running=True)]
+        lasting = first_step(steps=steps)
+        lasting.dequeue(0)
+        lasting.active[0] = Attempt(TaskKey("a" * 16, 0, 0, 0), 1, worker(), ZERO, 0)
+        lasting.dequeue(1)
+        lasting.requeue(1, 10_000)
+        suspect = worker("w2")
+        suspect.failed_jobs = {"x", "y"}
+        suspect.failed_at = 10_000
+        small = Resources(1, 0, 0)
+        suspect.add_attempt(Attempt(TaskKey("x", 0, 0, 0), 1, suspect, small, 0))
+        plan = self.plan([lasting], [suspect], now=11_699)
+        self.assertEqual(placed(plan), [])
+        plan = self.plan([lasting], [suspect], now=11_700)
+        self.assertEqual(placed(plan), [(1, "w2")])
+
     def test_urgent_tasks_prefer_faster_workers(self):
         slow = worker("w1")
         half = Resources(8000, 16000, 0)
@@ -162,6 +224,22 @@
         plan = self.planner.plan(0, [self.step, later], [worker("w2")])
         self.assertEqual(placed(plan), [])
 
+    def test_capacity_is_not_held_for_a_ticket_that_never_comes(self):
+        """Guards against work that waits for the answer to another's query (LOST)."""
+        gang = first_step(
+            "c" * 16,
+            [step(count=2, cpu=8000, gang=True)],
+            of=queue(placement_policy=PlacementPolicy(10.0, 1.0, 2000)),
+        )
+        gang.allowed = {"w2"}
+        for unanswered in (self.step, gang):
+            later = first_step("b" * 16, [step(cpu=16000)])
+            unanswered.unanswered_since = 1000
+            for now, expected in ((2999, []), (3000, [(0, "w2")])):
+                plan = self.planner.plan(now, [unanswered, later], [worker("w2")])
+                self.assertEqual(placed(plan), expected)
+                self.assertEqual(plan.missing_tickets, [(unanswered, ["w2"])])
+
 
 class TestReservedWorkers(unittest.TestCase):
     """A large task competes with a stream of small ones that would starve it."""
