Revert "node: a relayed append looks for an entry that can append, not only at two"

Submissions are refused at once as before; forwarded queries keep looking for an entry that can answer.

--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -56,11 +56,8 @@
 GATHERED_APPEND_TIMEOUT_MS = 2000
 """Timeout of an append through the leader, in milliseconds. It may take two appends to
 the store, of about 0.6 s each where the store is slow."""
-MAX_RELAY_ATTEMPTS = 8
-"""Maximum number of entries through which an append is tried. All but the last have
-rejected it, which takes a round trip."""
-RELAY_START_LIMIT_MS = 1000
-"""Milliseconds after which no further entry is tried: the answer would be too late."""
+MAX_RELAY_ATTEMPTS = 2
+"""Maximum number of entries through which an append is tried."""
 HEARTBEAT_INTERVAL_MS = 5000
 """Milliseconds between two heartbeats of an entry."""
 RULES_LONG_POLL_MS = 400
@@ -499,10 +496,7 @@
         leader = record.node if record is not None else ""
         others = self.members.others_by_recency()
         others.sort(key=lambda member: member.node != leader)
-        start_limit = self.clock.now() + RELAY_START_LIMIT_MS
         for member in others[:MAX_RELAY_ATTEMPTS]:
-            if self.clock.now() > start_limit:
-                break
             try:
                 await self.links.append(member.address, records)
                 return
