control: log the crash of a worker with the runs on it and their ages

`Runs lost` gave a count only: nothing told a run that had just been ordered from one that had been at work for long, nor a crash from a lease that lapsed. A worker counts as crashed once another incarnation answers at its address, it answers as another incarnation itself, or it is gone for good, unless it was draining. Ages are measured up to the time at which it fell silent.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -19,6 +19,7 @@
 from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
 from ..telemetry import CellMetrics, ComponentLogger
 from ..utils import Clock, Epoch, Instant, JobId
+from ._crashes import CrashLog
 from ._inheritance import Inheritance
 from ._relocation import is_straggler, is_stuck, must_evacuate
 
@@ -84,6 +85,8 @@
         Resources that teams use.
     inheritance : Inheritance
         Tasks that a previous leader may have started, unknown to this one.
+    crashes : CrashLog
+        Crashes of workers and the runs on them.
     dirty : set of JobId
         Jobs whose progress has to be stored soon.
     newly_started : set of JobId
@@ -116,6 +119,7 @@
         self.pending_acks: list[PendingAck] = []
         self.finished: set[JobId] = set()
         self.inheritance = Inheritance(clock)
+        self.crashes = CrashLog(clock)
 
     # Jobs
 
@@ -373,8 +377,24 @@
             StopOrder(attempt.worker, attempt.task, attempt.run, reason)
         )
 
-    def release_lost(self, worker: Worker, reason: str) -> None:
-        """Release all attempts of a worker that is certain to run nothing."""
+    def release_lost(
+        self, worker: Worker, reason: str, has_ended: bool = False
+    ) -> None:
+        """Release all attempts of a worker that is certain to run nothing.
+
+        Parameters
+        ----------
+        worker : Worker
+            Worker.
+        reason : str
+            How this became known.
+        has_ended : bool
+            Whether the worker itself is known to have ended.
+        """
+        if has_ended:
+            self._apply_crash(worker, reason)
+        else:
+            self.crashes.record_release(worker, worker.attempts.values())
         lost = list(worker.attempts.values())
         if lost:
             _log.warning(
@@ -383,8 +403,17 @@
         for attempt in lost:
             self.release(attempt)
 
+    def _apply_crash(self, worker: Worker, reason: str) -> None:
+        """Record the crash of a worker, before its attempts are released."""
+        self.crashes.confirm_crash(worker, reason)
+
     # Workers
 
+    def remove_worker(self, worker: Worker) -> None:
+        """Remove a worker that is gone for good."""
+        self.workers.pop(worker.info.worker, None)
+        self._apply_crash(worker, "worker is gone")
+
     def sync_worker(self, info: WorkerInfo) -> Worker:
         """Apply the worker record of the platform."""
         worker = self.workers.get(info.worker)
@@ -410,6 +439,7 @@
         _log.warning(
             "Worker restarted", worker=worker.info.worker, born_ms=incarnation_ms
         )
+        self._apply_crash(worker, "worker restarted")
         for attempt in list(worker.attempts.values()):
             # The new incarnation may still carry out an unanswered order.
             if attempt.phase is AttemptPhase.STARTING or attempt.is_start_unconfirmed:
@@ -433,6 +463,7 @@
         """
         now = self.clock.now()
         self.observe_incarnation(worker, report.incarnation_ms)
+        self.crashes.record_answer(worker)
         worker.update_clock(report.clock_ms, now)
         worker.is_reachable = True
         worker.has_answered = True
@@ -479,6 +510,7 @@
         if status.checkpoint:
             attempt.checkpoint = status.checkpoint
         attempt.load = status.load
+        attempt.is_settled = attempt.is_settled or not attempt.is_early(now)
         if attempt.update_progress(status.percent, now):
             self._check_straggler(attempt, now)
         elif is_stuck(attempt, self.step_of(attempt.task), now):
@@ -520,6 +552,7 @@
         )
         attempt.phase = AttemptPhase.RUNNING
         attempt.is_resumed = True
+        attempt.is_settled = True
         step.dequeue(task.index)
         self._add_attempt(step, attempt)
         self.inheritance.observe_run(step.job, step, task.index, status.run)
--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -7,7 +7,7 @@
 from ..fleet import HoldOrder, Worker
 from ..jobs import WorkerId
 from ..telemetry import ComponentLogger
-from ..utils import supervise
+from ..utils import Instant, supervise
 from ._context import ControlContext
 
 __all__ = ["LeaseKeeper"]
@@ -63,7 +63,7 @@
             await supervise("hold", lambda: self._hold_until_removed(worker), _log)
         finally:
             self._loops.pop(worker.info.worker, None)
-        self.context.state.workers.pop(worker.info.worker, None)
+        self.context.state.remove_worker(worker)
         self.on_removed()
         _log.info("Worker removed", worker=worker.info.worker)
 
@@ -103,7 +103,7 @@
             self.context.on_fenced(str(exc))
             return False
         except (TransportError, ConflictError) as exc:
-            self._on_hold_failure(worker, exc)
+            self._on_hold_failure(worker, exc, order, now)
             return False
         if not worker.is_reachable:
             _log.info("Worker is reachable again", worker=worker.info.worker)
@@ -111,7 +111,10 @@
         self.context.on_change()
         return True
 
-    def _on_hold_failure(self, worker: Worker, exc: Exception) -> None:
+    def _on_hold_failure(
+        self, worker: Worker, exc: Exception, order: HoldOrder, sent_at: Instant
+    ) -> None:
+        self._record_silence(worker, order, sent_at)
         if worker.is_reachable:
             _log.warning(
                 "Worker is unreachable", worker=worker.info.worker, why=str(exc)
@@ -119,14 +122,30 @@
         worker.is_reachable = False
         now = self.context.clock.now()
         reason = "worker lease has expired"
-        if isinstance(exc, ConflictError):
+        has_ended = isinstance(exc, ConflictError)
+        if has_ended:
             # The worker that held the lease has ended, and nothing that it ran is left.
             reason = "another worker has its address"
             worker.lease_until = min(worker.lease_until, now)
-        if worker.attempts and now >= worker.lease_until:
-            self.context.state.release_lost(worker, reason)
+        has_lost_runs = bool(worker.attempts) and now >= worker.lease_until
+        if has_lost_runs or has_ended:
+            self.context.state.release_lost(worker, reason, has_ended)
+        if has_lost_runs:
             self.context.on_change()
 
+    def _record_silence(
+        self, worker: Worker, order: HoldOrder, sent_at: Instant
+    ) -> None:
+        """Record since when the worker may have ended.
+
+        A process that ends breaks its connections at once. After a timeout, the worker
+        may have ended at any time since the hold was sent.
+        """
+        now = self.context.clock.now()
+        timeout_ms = order.wait_ms + self.context.cfg.hold_timeout_ms
+        since = sent_at if now - sent_at >= timeout_ms else now
+        self.context.state.crashes.record_silence(worker, since)
+
     async def _pause(self, worker: Worker) -> None:
         if worker.has_pending_ends:
             await self._wait_durable(worker)
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -162,6 +162,7 @@
         """
         attempt.is_start_unconfirmed = True
         attempt.worker.is_reachable = False
+        self.context.state.crashes.record_silence(attempt.worker, attempt.started_at)
         self.context.state.order_stop(attempt, "start order got no answer")
         attempt.last_answer_at = Instant(
             self.context.clock.now() + 10 * self.context.cfg.lease_ms
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -27,6 +27,9 @@
 """Time in milliseconds for which a failure on a worker keeps the last attempt of a task
 away from it. The task may have no other worker, and runnable work must not wait for
 3 s."""
+EARLY_RUN_MS = 500
+"""Time in milliseconds from its order in which a run counts as a possible cause of the
+crash of its worker."""
 LEASE_EXPIRY_MARGIN_MS = 150
 """Margin in milliseconds before a lease counts as expired: one slow round trip."""
 
@@ -84,6 +87,8 @@
         Speed limit set for the run, in percent of full speed.
     is_start_unconfirmed : bool
         Whether the request to start the run got no reply.
+    is_settled : bool
+        Whether the run was seen at work after its early phase.
     """
 
     __slots__ = (
@@ -91,6 +96,7 @@
         "first_percent",
         "first_progress_at",
         "is_resumed",
+        "is_settled",
         "is_start_unconfirmed",
         "last_answer_at",
         "last_progress_at",
@@ -124,6 +130,16 @@
         self.load = 0
         self.pace = 100
         self.is_start_unconfirmed = False
+        self.is_settled = False
+
+    def is_early(self, now: Instant) -> bool:
+        """Return whether the run may be the cause of a crash of its worker at a time.
+
+        An order without a reply may be carried out much later than it was sent.
+        """
+        if self.is_start_unconfirmed:
+            return True
+        return not self.is_settled and now - self.started_at < EARLY_RUN_MS
 
     def update_progress(self, percent: int, now: Instant) -> bool:
         """Record the reported progress and return whether it changed."""
@@ -176,6 +192,9 @@
         Whether the worker has ever replied to a hold request of this leader.
     lease_until : Instant
         Upper bound on the expiry of the lease, on this process's clock.
+    silent_since : Instant or None
+        Earliest time at which the worker may have ended since its last report, None
+        while it answers.
     earliest_leave_at : Instant or None
         Earliest time at which a draining worker leaves.
     slowness : float
@@ -189,6 +208,7 @@
         self.is_listed = True
         self.is_reachable = False
         self.has_answered = False
+        self.silent_since: Instant | None = None
         self.incarnation_ms = 0
         self.lease_until = now
         self.earliest_leave_at: Instant | None = None
