control, dispatch: give up a task that crashes its workers

What callers saw: tasks of one queue took down worker after worker, and the jobs beside them were late.

Cause: a run that was lost with its worker was queued again whatever its part in it. Only reported ends count as attempts, and a crash reports none. The log of crashes shows that each worker ended about 10 ms after it had answered a start order, that the other runs on it were mostly older, and that the leader notices the broken connection within milliseconds but knows only 3.3 s later, from another incarnation at the address, that the worker has ended.

Fix: a run that was ordered less than 500 ms before its worker fell silent is early, and its task is suspected. A suspected task starts isolated: no other early run is on its worker, and none is started there until the run has settled. It waits 0.8 s for an idle worker and then shares one with settled runs, for which the worker is held until it is quiet, so that runnable work still starts within 3 s. Suspects use a quarter of the workers at a time unless their step starves. A run that settles clears its task. A task is given up after three crashes, two of them isolated. Crashes at the same moment as that of a worker without early runs count against no task, and neither do silence, a lapsed lease or a planned end.

The runs are stored as soon as the worker falls silent, so that a successor knows them although the crash is not yet certain. They are dropped if the worker answers, or if it reports the run to a successor. Progress gets an optional field for this. Earlier builds ignore it, and it is left out unless there are crashes.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -19,7 +19,7 @@
 from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
 from ..telemetry import CellMetrics, ComponentLogger
 from ..utils import Clock, Epoch, Instant, JobId
-from ._crashes import CrashLog
+from ._crashes import CrashTracker
 from ._inheritance import Inheritance
 from ._relocation import is_straggler, is_stuck, must_evacuate
 
@@ -85,8 +85,8 @@
         Resources that teams use.
     inheritance : Inheritance
         Tasks that a previous leader may have started, unknown to this one.
-    crashes : CrashLog
-        Crashes of workers and the runs on them.
+    crashes : CrashTracker
+        Crashes of workers and the tasks that may have caused them.
     dirty : set of JobId
         Jobs whose progress has to be stored soon.
     newly_started : set of JobId
@@ -119,7 +119,7 @@
         self.pending_acks: list[PendingAck] = []
         self.finished: set[JobId] = set()
         self.inheritance = Inheritance(clock)
-        self.crashes = CrashLog(clock)
+        self.crashes = CrashTracker(clock, self.step_of, self.dirty)
 
     # Jobs
 
@@ -171,6 +171,10 @@
             job.stored_steps = {
                 (item.occurrence, item.step): item for item in entry.progress_.steps
             }
+            job.stored_crashes = {
+                (item.occurrence, item.step): item
+                for item in entry.progress_.crashes or ()
+            }
         self.jobs[accepted.job] = job
         if inherited:
             self.inheritance.add_job(accepted.job)
@@ -293,6 +297,8 @@
         task = TaskKey(key.job, key.occurrence, key.step, index)
         attempt = Attempt(task, run, worker, step.spec.reserved, self.clock.now())
         attempt.is_resumed = bool(self.checkpoint_of(step, index))
+        if step.is_suspect(index):
+            worker.close(self.clock.now())
         step.dequeue(index)
         self._add_attempt(step, attempt)
         return attempt
@@ -394,7 +400,7 @@
         if has_ended:
             self._apply_crash(worker, reason)
         else:
-            self.crashes.record_release(worker, worker.attempts.values())
+            self.crashes.record_release(worker)
         lost = list(worker.attempts.values())
         if lost:
             _log.warning(
@@ -404,8 +410,10 @@
             self.release(attempt)
 
     def _apply_crash(self, worker: Worker, reason: str) -> None:
-        """Record the crash of a worker, before its attempts are released."""
-        self.crashes.confirm_crash(worker, reason)
+        """Give up the tasks that have crashed enough workers, this one included."""
+        for step in self.crashes.confirm(worker, reason):
+            if not step.job.state.is_final:
+                self._finish(step.job, JobState.FAILED, "workers crashed under a task")
 
     # Workers
 
@@ -510,7 +518,8 @@
         if status.checkpoint:
             attempt.checkpoint = status.checkpoint
         attempt.load = status.load
-        attempt.is_settled = attempt.is_settled or not attempt.is_early(now)
+        if not attempt.is_settled and not attempt.is_early(now):
+            self.crashes.record_settled(attempt)
         if attempt.update_progress(status.percent, now):
             self._check_straggler(attempt, now)
         elif is_stuck(attempt, self.step_of(attempt.task), now):
@@ -544,6 +553,7 @@
         )
         if step is not None:
             step.observe_run(task.index, status.run)
+            self.crashes.observe_run(step, task.index, status.run)
         if not is_needed:
             self._stop_orphan(worker, status, step)
             return None
@@ -552,7 +562,7 @@
         )
         attempt.phase = AttemptPhase.RUNNING
         attempt.is_resumed = True
-        attempt.is_settled = True
+        attempt.is_settled = not step.is_suspect(task.index)
         step.dequeue(task.index)
         self._add_attempt(step, attempt)
         self.inheritance.observe_run(step.job, step, task.index, status.run)
@@ -608,6 +618,7 @@
         self.metrics.record_run_end(end.kind.value)
         if step is not None:
             step.observe_run(end.task.index, end.run)
+            self.crashes.observe_run(step, end.task.index, end.run)
         if end.kind is EndKind.DONE:
             self._apply_success(worker, step, attempt, end)
         elif end.kind is EndKind.FAILED:
@@ -630,6 +641,7 @@
         indices = range(step.spec.count) if step.spec.gang else [end.task.index]
         for index in indices:
             step.done.add(index)
+            step.clear_crashes(index)
             step.dequeue(index)
             other = step.active.get(index)
             if other is not None and not step.spec.gang:
@@ -687,7 +699,7 @@
                 records.append(job.progress(wall_ms))
         acks, self.pending_acks = self.pending_acks, []
         finished = [self.jobs[r.job] for r in records if r.state.is_final]
-        self.dirty = set()
+        self.dirty.clear()
         self.newly_started = set()
         for job in finished:
             self._drop_if_idle(job)
--- /dev/null
+++ b/pimentomill/control/tests/test_lease_keeper.py
@@ -0,0 +1,75 @@
+"""What a failed hold tells of a worker."""
+
+import asyncio
+
+from pimentomill.control import ControlSettings
+from pimentomill.control._context import ControlContext
+from pimentomill.control._lease_keeper import LeaseKeeper
+from pimentomill.dispatch.tests.samples import step
+from pimentomill.exceptions import ConflictError, TransportError
+from pimentomill.fleet import EARLY_RUN_MS
+
+from .test_leader_state import LeaderStateCase
+
+AGE_MS = 10
+
+
+class FailingPort:
+    """Fails holds after a delay on the injected clock."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.failures = []
+
+    async def hold(self, info, order):
+        delay_ms, exc = self.failures.pop(0)
+        self.clock.advance(delay_ms)
+        raise exc
+
+
+class LeaseKeeperTest(LeaderStateCase):
+    def setUp(self):
+        super().setUp()
+        self.cfg = ControlSettings()
+        self.port = FailingPort(self.clock)
+        self.changes = 0
+        context = ControlContext(
+            self.state, self.port, self.clock, self.cfg, self.count_change, self.fail
+        )
+        self.keeper = LeaseKeeper(context, asyncio.Event(), lambda: None)
+        job = self.submit([step()])
+        self.run_step = next(iter(job.steps.values()))
+        self.worker = self.start(job).worker
+        self.clock.advance(AGE_MS)
+
+    def count_change(self):
+        self.changes += 1
+
+    def hold(self, *failures):
+        self.port.failures += failures
+        for _ in failures:
+            asyncio.run(self.keeper._hold(self.worker))
+
+    # The runs of a crashed worker were queued again without a trace.
+    def test_another_worker_at_the_address_shows_a_crash(self):
+        broken = TransportError("connection broken", sent=True)
+        self.hold((0, broken), (3000, ConflictError("another incarnation")))
+        self.assertEqual(self.run_step.crashed_runs, {0: {1}})
+        self.assertFalse(self.worker.attempts)
+        self.assertEqual(self.changes, 1)
+
+    # The time until a timeout made an early run look like a settled one.
+    def test_a_timeout_counts_from_the_start_of_the_hold(self):
+        timeout_ms = self.cfg.hold_wait_ms + self.cfg.hold_timeout_ms
+        self.assertGreater(timeout_ms, EARLY_RUN_MS)
+        silent = TransportError("no answer", sent=True)
+        self.hold((timeout_ms, silent), (3000, ConflictError("another incarnation")))
+        self.assertEqual(self.run_step.crashed_runs, {0: {1}})
+
+    # A run at work for long was suspected for the crash of its worker.
+    def test_a_run_at_work_for_long_is_not_suspected(self):
+        self.clock.advance(EARLY_RUN_MS)
+        broken = TransportError("connection broken", sent=True)
+        self.hold((0, broken), (3000, ConflictError("another incarnation")))
+        self.assertFalse(self.run_step.crashed_runs)
+        self.assertFalse(self.worker.attempts)
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -3,13 +3,14 @@
 import heapq
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Hashable, Iterable, Mapping
 from types import MappingProxyType
 from typing import NamedTuple
 
 from ..fleet import Worker
-from ..jobs import StepKey, WorkerId
+from ..jobs import StepKey, TaskKey, WorkerId
 from ..utils import ZERO, Instant, Resources, dominant_fraction
+from ._isolation import Isolation, is_quiet
 from ._order import Feasibility, assess_feasibility
 from ._quota import QuotaBook
 from ._state import StepRun
@@ -74,6 +75,7 @@
         "is_slow",
         "is_suspect",
         "is_trusted",
+        "kept_for",
         "mem",
         "others_free",
         "reserved_for",
@@ -96,6 +98,7 @@
         self.reserved_for: StepKey | None = None
         self.others_free = ZERO
         self.allocated = 0
+        self.kept_for: Hashable | None = None
 
     def fits(self, step: StepRun) -> bool:
         need = step.spec.reserved
@@ -202,6 +205,7 @@
 
     def __init__(self, quotas: QuotaBook) -> None:
         self.quotas = quotas
+        self.isolation = Isolation()
 
     def plan(
         self,
@@ -229,18 +233,22 @@
         Plan
             Placements that respect the capacity of workers and the limits of teams.
         """
-        return _Pass(self.quotas, now, workers, claims).run(steps)
+        return _Pass(self.quotas, self.isolation, now, workers, claims).run(steps)
 
 
 class _Pass:
-    def __init__(self, quotas: QuotaBook, now: Instant, workers, claims) -> None:
+    def __init__(
+        self, quotas: QuotaBook, isolation: Isolation, now: Instant, workers, claims
+    ) -> None:
         self.quotas = quotas
+        self.isolation = isolation
         self.claims = claims
         self.now = now
         self.pools: defaultdict[str, _Pool] = defaultdict(_Pool)
         for worker in workers:
             if worker.accepts_runs():
                 candidate = _Candidate(worker, worker.can_start(now))
+                candidate.kept_for = isolation.holder_of(worker, now)
                 self.pools[worker.info.service].add(candidate)
         self.planned: dict[str, Resources] = {}
         self.result = Plan()
@@ -273,8 +281,13 @@
         """Place tasks in order; return 1 if one does not fit on any worker, else 0."""
         unplaced = 0
         without_ticket: set[WorkerId] = set()
+        indices = sorted(step.waiting)
+        if step.crashed_runs:
+            suspects = [index for index in indices if step.is_suspect(index)]
+            indices = [index for index in indices if not step.is_suspect(index)]
+            without_ticket |= self._place_suspects(step, suspects, candidates)
         ranking = _Ranking(self, step, candidates)
-        for index in sorted(step.waiting):
+        for index in indices:
             if not self._within_limit(step):
                 break
             if index in step.failed_runs:
@@ -299,6 +312,39 @@
             self.result.missing_tickets.append((step, sorted(without_ticket)))
         return unplaced
 
+    def _place_suspects(
+        self, step: StepRun, indices: list[int], candidates: list[_Candidate]
+    ) -> set[WorkerId]:
+        """Start suspected tasks isolated; return the workers that lack a ticket."""
+        without_ticket: set[WorkerId] = set()
+        for index in indices:
+            if not self._within_limit(step):
+                break
+            candidate = self.isolation.choose(
+                step, index, self._below_max_per_worker(step, candidates), self.now
+            )
+            if candidate is None:
+                continue
+            ticket = self._ticket(step, candidate.id)
+            if ticket is None:
+                without_ticket.add(candidate.id)
+                continue
+            if not is_quiet(candidate, self.now):
+                self.isolation.hold(candidate, TaskKey(*step.key, index), self.now)
+                continue
+            self._allocate(step, candidate)
+            self.isolation.close(candidate)
+            self.result.placements.append(
+                Placement(step, index, candidate.worker, ticket)
+            )
+        return without_ticket
+
+    def _below_max_per_worker(
+        self, step: StepRun, candidates: list[_Candidate]
+    ) -> list[_Candidate]:
+        limit = step.spec.max_per_worker
+        return [c for c in candidates if not limit or self._count(step, c) < limit]
+
     def _reliable(
         self, step: StepRun, index: int, candidates: list[_Candidate]
     ) -> list[_Candidate]:
@@ -326,10 +372,15 @@
                 racks.setdefault(candidate.worker.info.rack, []).append(candidate)
             groups = [*racks.values(), candidates]
         for group in groups:
+            planned_before = self.planned.get(step.job.accepted.team, ZERO)
             chosen = self._fit_gang(step, group)
-            if chosen is not None:
+            if chosen is None:
+                continue
+            if step.is_suspect(0) and not self._isolate_gang(step, chosen):
+                self._release_gang(step, chosen, planned_before)
+            else:
                 self._start_gang(step, chosen)
-                return 0
+            return 0
         return step.spec.count
 
     def _fit_gang(
@@ -344,15 +395,33 @@
                 else None
             )
             if candidate is None:
-                for allocated in chosen:
-                    allocated.release(step)
-                    allocated.step_counts[step.key] -= 1
-                self.planned[step.job.accepted.team] = planned_before
+                self._release_gang(step, chosen, planned_before)
                 return None
             self._allocate(step, candidate)
             chosen.append(candidate)
         return chosen
 
+    def _release_gang(
+        self, step: StepRun, chosen: list[_Candidate], planned_before: Resources
+    ) -> None:
+        for allocated in chosen:
+            allocated.release(step)
+            allocated.step_counts[step.key] -= 1
+        self.planned[step.job.accepted.team] = planned_before
+
+    def _isolate_gang(self, step: StepRun, chosen: list[_Candidate]) -> bool:
+        """Return whether a suspected gang may start, or still lacks its tickets."""
+        has_tickets = all(
+            self._ticket(step, candidate.id) is not None for candidate in chosen
+        )
+        if not has_tickets:
+            return True
+        if not self.isolation.isolate_gang(step, chosen, self.now):
+            return False
+        for candidate in chosen:
+            self.isolation.close(candidate)
+        return True
+
     def _start_gang(self, step: StepRun, chosen: list[_Candidate]) -> None:
         tickets = [self._ticket(step, candidate.id) for candidate in chosen]
         if None in tickets:
@@ -378,6 +447,9 @@
 
     def admits(self, step: StepRun, candidate: _Candidate) -> bool:
         """Return whether one more task of a step may be placed on a candidate."""
+        kept_for = candidate.kept_for
+        if kept_for is not None and kept_for != step.key:
+            return False
         if not candidate.fits(step):
             return False
         limit = step.spec.max_per_worker
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -1,6 +1,10 @@
 """State that the leader holds of unfinished jobs and their steps."""
 
 import heapq
+from collections.abc import Callable
+
+import msgspec
+from msgspec import UNSET
 
 from ..catalog import Queue
 from ..fleet import Attempt, WorkerInfo
@@ -8,6 +12,7 @@
     Accepted,
     JobState,
     Progress,
+    StepCrashes,
     StepKey,
     StepProgress,
     StepSpec,
@@ -21,6 +26,11 @@
 STARVATION_MS = 1700
 """Milliseconds without a run after which a step may use workers that failed: runnable
 work has to start within 3 s, and a ticket takes up to 1 s."""
+MIN_CRASHES = 3
+"""Crashed workers after which a task is given up."""
+MIN_ISOLATED_CRASHES = 2
+"""Crashes among them in which the run was isolated. A crash for another cause hits an
+early isolated run by chance at times, but hardly twice."""
 
 
 class Ticket:
@@ -65,6 +75,9 @@
         Indices of tasks that succeeded.
     failed_runs : dict of int to set of int
         Numbers of failed runs, by task index.
+    crashed_runs, isolated_crashes : dict of int to set of int
+        Numbers of the runs that were early on a worker when it crashed, and of those
+        that were isolated there, by task index; a gang has the index 0.
     checkpoints : dict of int to str
         Latest checkpoints, by task index.
     ready_at : Instant or None
@@ -88,6 +101,9 @@
         self.active: dict[int, Attempt] = {}
         self.done: set[int] = set()
         self.failed_runs: dict[int, set[int]] = {}
+        self.crashed_runs: dict[int, set[int]] = {}
+        self.isolated_crashes: dict[int, set[int]] = {}
+        self._suspected_since: dict[int, Instant] = {}
         self.checkpoints: dict[int, str] = {}
         self.next_run: dict[int, int] = {}
         self.ready_at: Instant | None = None
@@ -125,6 +141,63 @@
             return False
         return now - (self.idle_since or self.ready_at) >= STARVATION_MS
 
+    # Crashes of workers
+
+    def is_suspect(self, index: int) -> bool:
+        """Return whether a task may have crashed a worker."""
+        return self._crash_index(index) in self.crashed_runs
+
+    def suspected_since(self, index: int) -> Instant:
+        """Return since when a suspected task has been waiting for another run."""
+        since = self._suspected_since.get(self._crash_index(index))
+        return self.ready_at if since is None else since
+
+    def record_crash(
+        self, index: int, run: int, is_isolated: bool, now: Instant
+    ) -> None:
+        """Record that a worker crashed while a run of a task was early on it."""
+        index = self._crash_index(index)
+        self.crashed_runs.setdefault(index, set()).add(run)
+        if is_isolated:
+            self.isolated_crashes.setdefault(index, set()).add(run)
+        self._suspected_since[index] = now
+
+    def has_crash(self, index: int, run: int) -> bool:
+        """Return whether a crash has been recorded for a run."""
+        return run in self.crashed_runs.get(self._crash_index(index), ())
+
+    def discard_crash(self, index: int, run: int) -> bool:
+        """Drop the record of a run and return whether there was one."""
+        if not self.has_crash(index, run):
+            return False
+        index = self._crash_index(index)
+        self.isolated_crashes.get(index, set()).discard(run)
+        self.crashed_runs[index].discard(run)
+        if not self.crashed_runs[index]:
+            self.clear_crashes(index)
+        return True
+
+    def clear_crashes(self, index: int) -> None:
+        """Drop the suspicion against a task."""
+        index = self._crash_index(index)
+        self.crashed_runs.pop(index, None)
+        self.isolated_crashes.pop(index, None)
+        self._suspected_since.pop(index, None)
+
+    def count_crashes(self, index: int) -> tuple[int, int]:
+        """Return the numbers of crashes under a task, and of isolated ones."""
+        index = self._crash_index(index)
+        isolated = self.isolated_crashes.get(index, ())
+        return len(self.crashed_runs.get(index, ())), len(isolated)
+
+    def crashes_workers(self, index: int) -> bool:
+        """Return whether there is enough evidence that a task crashes its workers."""
+        crashes, isolated_crashes = self.count_crashes(index)
+        return crashes >= MIN_CRASHES and isolated_crashes >= MIN_ISOLATED_CRASHES
+
+    def _crash_index(self, index: int) -> int:
+        return 0 if self.spec.gang else index
+
     def allocate_run(self, index: int) -> int:
         """Allocate and return the number of the next run of a task.
 
@@ -159,11 +232,25 @@
         bits = int.from_bytes(progress.done_bitmap, "little")
         self.done = {index for index in range(self.spec.count) if bits >> index & 1}
         self.waiting = [i for i in range(self.spec.count) if i not in self.done]
-        self.failed_runs = {
-            index: set(runs) for index, runs in progress.failed_runs.items()
-        }
+        self.failed_runs = _to_sets(progress.failed_runs)
         self.checkpoints = dict(progress.checkpoints)
 
+    def restore_crashes(self, crashes: StepCrashes) -> None:
+        """Restore the stored crashes of workers."""
+        self.crashed_runs = _to_sets(crashes.early_runs)
+        self.isolated_crashes = _to_sets(crashes.isolated_runs)
+
+    def crashes(self) -> StepCrashes | None:
+        """Return the crashes of workers to store, None if there are none."""
+        if not self.crashed_runs:
+            return None
+        return StepCrashes(
+            self.key.occurrence,
+            self.key.step,
+            _to_tuples(self.crashed_runs),
+            _to_tuples(self.isolated_crashes),
+        )
+
     def progress(self) -> StepProgress | None:
         """Return the progress to store, None if there is none."""
         if not (self.done or self.failed_runs or self.checkpoints):
@@ -176,7 +263,7 @@
             self.key.occurrence,
             self.key.step,
             bits.to_bytes(size, "little"),
-            {index: tuple(sorted(runs)) for index, runs in self.failed_runs.items()},
+            _to_tuples(self.failed_runs),
             {i: text for i, text in self.checkpoints.items() if i not in self.done},
         )
 
@@ -217,6 +304,7 @@
         self.over_share = False
         self.remaining_path_ms = _remaining_path_ms(accepted.spec.steps)
         self.stored_steps: dict[tuple[int, int], StepProgress] = {}
+        self.stored_crashes: dict[tuple[int, int], StepCrashes] = {}
 
     @property
     def spec(self):
@@ -234,6 +322,9 @@
             stored = self.stored_steps.get((occurrence, number))
             if stored is not None:
                 step.restore(stored)
+            crashes = self.stored_crashes.get((occurrence, number))
+            if crashes is not None:
+                step.restore_crashes(crashes)
             self.steps[key] = step
             opened.append(step)
         return opened
@@ -254,14 +345,26 @@
 
     def progress(self, at_ms: int) -> Progress:
         """Return the progress record to store."""
-        steps = () if self.state.is_final else self._step_progress()
-        return Progress(self.accepted.job, self.state, at_ms, steps)
-
-    def _step_progress(self) -> tuple[StepProgress, ...]:
-        found = (step.progress() for step in self.steps.values())
+        progress = Progress(self.accepted.job, self.state, at_ms)
+        if self.state.is_final:
+            return progress
+        steps = self._collect(StepRun.progress)
+        crashes = self._collect(StepRun.crashes) or UNSET
+        return msgspec.structs.replace(progress, steps=steps, crashes=crashes)
+
+    def _collect(self, read: Callable) -> tuple:
+        found = (read(step) for step in self.steps.values())
         return tuple(item for item in found if item is not None)
 
 
+def _to_sets(runs: dict[int, tuple[int, ...]]) -> dict[int, set[int]]:
+    return {index: set(numbers) for index, numbers in runs.items()}
+
+
+def _to_tuples(runs: dict[int, set[int]]) -> dict[int, tuple[int, ...]]:
+    return {index: tuple(sorted(numbers)) for index, numbers in runs.items()}
+
+
 def _remaining_path_ms(specs: tuple[StepSpec, ...]) -> list[int]:
     """Return the declared time from the start of each step to the end of the job."""
     downstream_ms = [0] * len(specs)
--- a/pimentomill/fleet/__init__.py
+++ b/pimentomill/fleet/__init__.py
@@ -12,9 +12,16 @@
     WorkerPort,
     WorkerReport,
 )
-from ._worker import Attempt, AttemptPhase, Worker, lease_expiry_bound
+from ._worker import (
+    EARLY_RUN_MS,
+    Attempt,
+    AttemptPhase,
+    Worker,
+    lease_expiry_bound,
+)
 
 __all__ = [
+    "EARLY_RUN_MS",
     "Attempt",
     "AttemptPhase",
     "EndKind",
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -7,7 +7,13 @@
 from ..utils import ZERO, Instant, JobId, Resources
 from ._messages import WorkerInfo
 
-__all__ = ["Attempt", "AttemptPhase", "Worker", "lease_expiry_bound"]
+__all__ = [
+    "EARLY_RUN_MS",
+    "Attempt",
+    "AttemptPhase",
+    "Worker",
+    "lease_expiry_bound",
+]
 
 CLOCK_DRIFT = 0.02
 """Fraction by which a worker's clock may run slow under the platform's contract."""
@@ -197,6 +203,8 @@
         while it answers.
     earliest_leave_at : Instant or None
         Earliest time at which a draining worker leaves.
+    closed_until : Instant
+        Time until which an isolated run keeps other starts from the worker.
     slowness : float
         Ratio of task durations on this worker to those elsewhere; 1 if equal.
     """
@@ -209,6 +217,8 @@
         self.is_reachable = False
         self.has_answered = False
         self.silent_since: Instant | None = None
+        self.closed_until = now
+        self._last_added_at: Instant | None = None
         self.incarnation_ms = 0
         self.lease_until = now
         self.earliest_leave_at: Instant | None = None
@@ -239,6 +249,16 @@
         on_probation = self.is_suspect and bool(self.attempts)
         return self.accepts_runs() and now >= self.avoid_until and not on_probation
 
+    def is_quiet(self, now: Instant) -> bool:
+        """Return whether no run on the worker may still be in its early phase."""
+        if not self.attempts or self._last_added_at is None:
+            return True
+        return now - self._last_added_at >= EARLY_RUN_MS
+
+    def close(self, now: Instant) -> None:
+        """Keep other starts from the worker while an isolated run is early."""
+        self.closed_until = Instant(now + EARLY_RUN_MS)
+
     def update_slowness(self, ratio: float) -> None:
         """Update the slowness with a task's duration relative to other workers."""
         bounded = min(MAX_SLOWNESS_RATIO, ratio)
@@ -275,8 +295,9 @@
         return self.is_stalled or self.consecutive_failed_jobs >= PROBATION_FAILURES
 
     def add_attempt(self, attempt: Attempt) -> None:
-        """Reserve capacity for an attempt."""
+        """Reserve capacity for an attempt, which counts as early for a while."""
         self.attempts[attempt.task] = attempt
+        self._last_added_at = attempt.started_at
         self.used = self.used + attempt.reserved
 
     def remove_attempt(self, attempt: Attempt) -> bool:
--- a/pimentomill/jobs/_records.py
+++ b/pimentomill/jobs/_records.py
@@ -14,6 +14,7 @@
     "JobRecord",
     "KeyedRecord",
     "Progress",
+    "StepCrashes",
     "StepProgress",
     "accepted_key",
     "cancelled_key",
@@ -89,6 +90,25 @@
     checkpoints: dict[int, str]
 
 
+class StepCrashes(msgspec.Struct, frozen=True, array_like=True):
+    """Crashes of workers under the tasks of one step of one occurrence.
+
+    Parameters
+    ----------
+    occurrence, step : int
+        Indices of the occurrence and of the step.
+    early_runs : dict of int to tuple of int
+        Numbers of the runs that were early on a worker when it crashed, by task index.
+    isolated_runs : dict of int to tuple of int
+        Numbers of those among them that were isolated, by task index.
+    """
+
+    occurrence: int
+    step: int
+    early_runs: dict[int, tuple[int, ...]]
+    isolated_runs: dict[int, tuple[int, ...]]
+
+
 class Progress(msgspec.Struct, frozen=True, tag="progress"):
     """Durable progress of a job, written by the leader.
 
@@ -102,12 +122,15 @@
         Wall-clock time of the record, in milliseconds since 1970.
     steps : tuple of StepProgress
         Steps in which any run has ended.
+    crashes : tuple of StepCrashes, optional
+        Steps of which a task may have crashed a worker. Earlier builds ignore it.
     """
 
     job: JobId
     state: JobState
     at_ms: int
     steps: tuple[StepProgress, ...] = ()
+    crashes: tuple[StepCrashes, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 JobRecord = Accepted | Cancelled | Progress
