--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -19,6 +19,7 @@
 from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
 from ..telemetry import CellMetrics, ComponentLogger
 from ..utils import ZERO, Clock, Epoch, Instant, JobId, Resources
+from ._crashes import CrashTracker
 from ._inheritance import Inheritance
 from ._relocation import is_straggler, is_stuck, must_evacuate
 
@@ -84,6 +85,8 @@
         Resources that teams use.
     inheritance : Inheritance
         Tasks that a previous leader may have started, unknown to this one.
+    crashes : CrashTracker
+        Crashes of workers and the tasks that may have caused them.
     dirty : set of JobId
         Jobs whose progress has to be stored soon.
     newly_started : set of JobId
@@ -116,6 +119,7 @@
         self.pending_acks: list[PendingAck] = []
         self.finished: set[JobId] = set()
         self.inheritance = Inheritance(clock)
+        self.crashes = CrashTracker(clock, self.step_of, self.dirty)
 
     # Jobs
 
@@ -167,6 +171,10 @@
             job.stored_steps = {
                 (item.occurrence, item.step): item for item in entry.progress_.steps
             }
+            job.stored_crashes = {
+                (item.occurrence, item.step): item
+                for item in entry.progress_.crashes or ()
+            }
         self.jobs[accepted.job] = job
         if inherited:
             self.inheritance.add_job(accepted.job)
@@ -289,6 +297,8 @@
         task = TaskKey(key.job, key.occurrence, key.step, index)
         attempt = Attempt(task, run, worker, step.spec.reserved, self.clock.now())
         attempt.is_resumed = bool(self.checkpoint_of(step, index))
+        if step.is_suspect(index):
+            worker.close(self.clock.now())
         step.dequeue(index)
         self._add_attempt(step, attempt)
         return attempt
@@ -374,8 +384,24 @@
             StopOrder(attempt.worker, attempt.task, attempt.run, reason)
         )
 
-    def release_lost(self, worker: Worker, reason: str) -> None:
-        """Release all attempts of a worker that is certain to run nothing."""
+    def release_lost(
+        self, worker: Worker, reason: str, has_ended: bool = False
+    ) -> None:
+        """Release all attempts of a worker that is certain to run nothing.
+
+        Parameters
+        ----------
+        worker : Worker
+            Worker.
+        reason : str
+            How this became known.
+        has_ended : bool
+            Whether the worker itself is known to have ended.
+        """
+        if has_ended:
+            self._apply_crash(worker, reason)
+        else:
+            self.crashes.record_release(worker)
         lost = list(worker.attempts.values())
         if lost:
             _log.warning(
@@ -384,8 +410,19 @@
         for attempt in lost:
             self.release(attempt)
 
+    def _apply_crash(self, worker: Worker, reason: str) -> None:
+        """Give up the tasks that have crashed enough workers, this one included."""
+        for step in self.crashes.confirm(worker, reason):
+            if not step.job.state.is_final:
+                self._finish(step.job, JobState.FAILED, "workers crashed under a task")
+
     # Workers
 
+    def remove_worker(self, worker: Worker) -> None:
+        """Remove a worker that is gone for good."""
+        self.workers.pop(worker.info.worker, None)
+        self._apply_crash(worker, "worker is gone")
+
     def sync_worker(self, info: WorkerInfo) -> Worker:
         """Apply the worker record of the platform."""
         worker = self.workers.get(info.worker)
@@ -420,6 +457,7 @@
         _log.warning(
             "Worker restarted", worker=worker.info.worker, born_ms=incarnation_ms
         )
+        self._apply_crash(worker, "worker restarted")
         for attempt in list(worker.attempts.values()):
             # The new incarnation may still carry out an unanswered order.
             if attempt.phase is AttemptPhase.STARTING or attempt.is_start_unconfirmed:
@@ -443,6 +481,7 @@
         """
         now = self.clock.now()
         self.observe_incarnation(worker, report.incarnation_ms)
+        self.crashes.record_answer(worker)
         worker.update_clock(report.clock_ms, now)
         worker.is_reachable = True
         worker.has_answered = True
@@ -489,6 +528,8 @@
         if status.checkpoint:
             attempt.checkpoint = status.checkpoint
         attempt.load = status.load
+        if not attempt.is_settled and not attempt.is_early(now):
+            self.crashes.record_settled(attempt)
         if attempt.update_progress(status.percent, now):
             self._check_straggler(attempt, now)
         elif is_stuck(attempt, self.step_of(attempt.task), now):
@@ -522,6 +563,7 @@
         )
         if step is not None:
             step.observe_run(task.index, status.run)
+            self.crashes.observe_run(step, task.index, status.run)
         if not is_needed:
             self._stop_orphan(worker, status, step)
             return None
@@ -530,6 +572,7 @@
         )
         attempt.phase = AttemptPhase.RUNNING
         attempt.is_resumed = True
+        attempt.is_settled = not step.is_suspect(task.index)
         step.dequeue(task.index)
         self._add_attempt(step, attempt)
         self.inheritance.observe_run(step.job, step, task.index, status.run)
@@ -591,6 +634,7 @@
         self.metrics.record_run_end(end.kind.value)
         if step is not None:
             step.observe_run(end.task.index, end.run)
+            self.crashes.observe_run(step, end.task.index, end.run)
         if end.kind is EndKind.DONE:
             self._apply_success(worker, step, attempt, end)
         elif end.kind is EndKind.FAILED:
@@ -613,6 +657,7 @@
         indices = range(step.spec.count) if step.spec.gang else [end.task.index]
         for index in indices:
             step.done.add(index)
+            step.clear_crashes(index)
             step.dequeue(index)
             other = step.active.get(index)
             if other is not None and not step.spec.gang:
@@ -670,7 +715,7 @@
                 records.append(job.progress(wall_ms))
         acks, self.pending_acks = self.pending_acks, []
         finished = [self.jobs[r.job] for r in records if r.state.is_final]
-        self.dirty = set()
+        self.dirty.clear()
         self.newly_started = set()
         for job in finished:
             self._drop_if_idle(job)
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -7,7 +7,13 @@
 from ..utils import ZERO, Instant, JobId, Resources
 from ._messages import WorkerInfo
 
-__all__ = ["Attempt", "AttemptPhase", "Worker", "lease_expiry_bound"]
+__all__ = [
+    "EARLY_RUN_MS",
+    "Attempt",
+    "AttemptPhase",
+    "Worker",
+    "lease_expiry_bound",
+]
 
 CLOCK_DRIFT = 0.02
 """Fraction by which a worker's clock may run slow under the platform's contract."""
@@ -27,6 +33,9 @@
 """Time in milliseconds for which a failure on a worker keeps the last attempt of a task
 away from it. The task may have no other worker, and runnable work must not wait for
 3 s."""
+EARLY_RUN_MS = 500
+"""Time in milliseconds from its order in which a run counts as a possible cause of the
+crash of its worker."""
 LEASE_EXPIRY_MARGIN_MS = 150
 """Margin in milliseconds before a lease counts as expired: one slow round trip."""
 
@@ -89,6 +98,8 @@
     is_size_unknown : bool
         Whether the run uses an unknown amount of resources, because its job has no
         records any more. Set before the attempt is added to its worker.
+    is_settled : bool
+        Whether the run was seen at work after its early phase.
     """
 
     __slots__ = (
@@ -98,6 +109,7 @@
         "is_long_running",
         "is_resumed",
         "is_size_unknown",
+        "is_settled",
         "is_start_unconfirmed",
         "last_answer_at",
         "last_progress_at",
@@ -133,6 +145,16 @@
         self.is_start_unconfirmed = False
         self.is_long_running = False
         self.is_size_unknown = False
+        self.is_settled = False
+
+    def is_early(self, now: Instant) -> bool:
+        """Return whether the run may be the cause of a crash of its worker at a time.
+
+        An order without a reply may be carried out much later than it was sent.
+        """
+        if self.is_start_unconfirmed:
+            return True
+        return not self.is_settled and now - self.started_at < EARLY_RUN_MS
 
     def update_progress(self, percent: int, now: Instant) -> bool:
         """Record the reported progress and return whether it changed."""
@@ -188,8 +210,13 @@
         Whether the worker has ever replied to a hold request of this leader.
     lease_until : Instant
         Upper bound on the expiry of the lease, on this process's clock.
+    silent_since : Instant or None
+        Earliest time at which the worker may have ended since its last report, None
+        while it answers.
     earliest_leave_at : Instant or None
         Earliest time at which a draining worker leaves.
+    closed_until : Instant
+        Time until which an isolated run keeps other starts from the worker.
     slowness : float
         Ratio of task durations on this worker to those elsewhere; 1 if equal.
     """
@@ -203,6 +230,9 @@
         self.is_listed = True
         self.is_reachable = False
         self.has_answered = False
+        self.silent_since: Instant | None = None
+        self.closed_until = now
+        self._last_added_at: Instant | None = None
         self.incarnation_ms = 0
         self.lease_until = now
         self.earliest_leave_at: Instant | None = None
@@ -253,6 +283,16 @@
         on_probation = self.is_suspect and bool(self.attempts)
         return self.accepts_runs() and now >= self.avoid_until and not on_probation
 
+    def is_quiet(self, now: Instant) -> bool:
+        """Return whether no run on the worker may still be in its early phase."""
+        if not self.attempts or self._last_added_at is None:
+            return True
+        return now - self._last_added_at >= EARLY_RUN_MS
+
+    def close(self, now: Instant) -> None:
+        """Keep other starts from the worker while an isolated run is early."""
+        self.closed_until = Instant(now + EARLY_RUN_MS)
+
     def update_slowness(self, ratio: float) -> None:
         """Update the slowness with a task's duration relative to other workers."""
         bounded = min(MAX_SLOWNESS_RATIO, ratio)
@@ -293,8 +333,9 @@
         return self.is_stalled or self.consecutive_failed_jobs >= PROBATION_FAILURES
 
     def add_attempt(self, attempt: Attempt) -> None:
-        """Reserve capacity for an attempt."""
+        """Reserve capacity for an attempt, which counts as early for a while."""
         self.attempts[attempt.task] = attempt
+        self._last_added_at = attempt.started_at
         self.used = self.used + attempt.reserved
         self._unsized_count += attempt.is_size_unknown
 
