planner: no worker is reserved for a gang beyond its team's limit

What callers would see: two empty workers start nothing of another team for as long as a gang of large tasks waits for the limit of its team.

Cause: a gang that the limit keeps out was reported as blocked for want of room, like one that fits nowhere, and reserved up to two workers. Single tasks stop at the limit before that.

Change: the limit is checked once, for the whole gang, before workers are looked for. The sum is the one that the last member's check had, so the same gangs start.

--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -480,9 +480,14 @@
         return reliable
 
     def _place_gang(self, step: StepRun, candidates: list[_Candidate]) -> int:
-        """Place all tasks or none; return the number of tasks that do not fit."""
+        """Place all tasks or none; return the number of tasks that do not fit.
+
+        A gang beyond the limit of its team does not wait for a worker.
+        """
         if not step.waiting or step.active:
             return 0
+        if not self._within_limit(step, step.spec.count):
+            return 0
         groups = [candidates]
         if step.spec.rack_sensitive:
             racks: dict[str, list[_Candidate]] = {}
@@ -505,11 +510,7 @@
     ) -> list[_Candidate] | None:
         chosen: list[_Candidate] = []
         for _ in range(step.spec.count):
-            candidate = (
-                self._best_candidate(step, candidates, 0)
-                if self._within_limit(step)
-                else None
-            )
+            candidate = self._best_candidate(step, candidates, 0)
             if candidate is None:
                 self._deallocate(step, chosen)
                 return None
@@ -614,10 +615,11 @@
             candidate.step_counts[step.key] -= 1
             self.planned[team] = self.planned[team] - step.spec.need
 
-    def _within_limit(self, step: StepRun) -> bool:
+    def _within_limit(self, step: StepRun, count: int = 1) -> bool:
+        """Return whether the team may start so many more tasks of the step."""
         team = step.job.accepted.team
         planned = self.planned.get(team, ZERO)
-        return self.quotas.allows(team, step.spec.need, planned)
+        return self.quotas.allows(team, step.spec.need * count, planned)
 
     def _ticket(self, step: StepRun, worker: WorkerId) -> str | None:
         if step.job.queue.placement_policy is None:
