fleet: a run that lasts keeps no worker on probation

What callers would see: a worker whose last runs failed or stalled starts nothing more for as long as a lasting task runs there, unless every other worker that a step may use is avoided as well. One that is merely full is enough to keep the step waiting.

Cause: on probation a worker runs one task at a time until one succeeds. A lasting run does neither, so the probation has no end.

Change: runs that last are not counted; the worker gets one run that ends beside them. The test failed before; a second one holds that probation stays as it was otherwise.

--- a/pimentomill/dispatch/tests/test_withheld_capacity.py
+++ b/pimentomill/dispatch/tests/test_withheld_capacity.py
@@ -4,6 +4,8 @@
 
 from pimentomill.catalog import Team
 from pimentomill.dispatch import Planner, QuotaBook
+from pimentomill.fleet import Attempt
+from pimentomill.jobs import TaskKey
 from pimentomill.utils import Resources
 
 from .samples import first_step, queue, step, worker
@@ -11,6 +13,14 @@
 NOW = 10_000
 
 
+def occupy(occupied, cpu, job="f" * 16):
+    """Add a run that uses so many thousandths of a core."""
+    task = TaskKey(job, 0, 0, len(occupied.attempts))
+    run = Attempt(task, 1, occupied, Resources(cpu, 100), 0)
+    occupied.add_attempt(run)
+    return run
+
+
 class TestGangBeyondQuota(unittest.TestCase):
     # Guards against workers reserved for a gang that waits for its team's quota only.
     def test_no_worker_is_reserved_for_a_gang_beyond_the_quota(self):
@@ -28,3 +38,29 @@
         plan = Planner(quotas).plan(NOW, [gang, small], pool)
         self.assertEqual(plan.reserved_for, {})
         self.assertEqual([item.step for item in plan.placements], [small, small])
+
+
+class TestProbation(unittest.TestCase):
+    def setUp(self):
+        self.full, self.suspect = worker("w1"), worker("w2")
+        occupy(self.full, 14000)
+        self.run = occupy(self.suspect, 1000)
+        self.suspect.is_stalled = True
+
+    def placed(self):
+        waiting = first_step("b" * 16, [step(3, cpu=4000)], seen_at=0)
+        workers = [self.full, self.suspect]
+        plan = Planner(QuotaBook()).plan(NOW, [waiting], workers)
+        return [item.worker for item in plan.placements]
+
+    # Guards against LOST: probation ends with a run that succeeds, and one that lasts
+    # never does, so that the rest of the worker would stay idle.
+    def test_a_suspect_worker_with_a_run_that_lasts_gets_one_more(self):
+        self.run.is_long_running = True
+        self.assertEqual(self.placed(), [self.suspect])
+
+    def test_a_suspect_worker_runs_one_task_that_ends_at_a_time(self):
+        self.assertEqual(self.placed(), [])
+        self.run.is_long_running = True
+        occupy(self.suspect, 1000)
+        self.assertEqual(self.placed(), [])
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -279,8 +279,13 @@
         return not is_known or registered_ms == self.incarnation_ms
 
     def can_start(self, now: Instant) -> bool:
-        """Return whether a new run should be placed on the worker now."""
-        on_probation = self.is_suspect and bool(self.attempts)
+        """Return whether a new run should be placed on the worker now.
+
+        A run that lasts neither succeeds nor fails, so it ends no probation.
+        """
+        on_probation = self.is_suspect and not all(
+            attempt.is_long_running for attempt in self.attempts.values()
+        )
         return self.accepts_runs() and now >= self.avoid_until and not on_probation
 
     def is_quiet(self, now: Instant) -> bool:
