dispatch: a refused start does not keep a step off reserved workers

What callers would see: a step that may use two workers, one of them reserved for a large task and one that refuses its starts, starts nowhere.

Cause: a step may use a reserved worker once nothing of it has run for 1.7 s. The release of a refused start counted as the end of a run, and a worker that refuses is tried again every 700 ms.

Change: the ends of runs are kept apart from refused starts, and only the former count for reservations. For the use of avoided workers refusals still count: without that pause the step would be sent to the refusing worker in each pass.

The test failed before. test_one_waiting_task_makes_a_lasting_step_starve sets the ends of the runs as well now, which the rule looks at, and also asserts what it did about starving itself.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -330,6 +330,8 @@
             return
         del step.active[index]
         step.idle_since = self.clock.now()
+        if attempt.phase is not AttemptPhase.STARTING:
+            step.ended_at[index] = step.idle_since
         self.quotas.remove(step.job.accepted.team, step.spec.need)
         if attempt.checkpoint:
             self._record_checkpoint(step, index, attempt.checkpoint)
--- a/pimentomill/control/tests/test_leader_state.py
+++ b/pimentomill/control/tests/test_leader_state.py
@@ -1,12 +1,15 @@
 import unittest
 
+from pimentomill.catalog import PlacementPolicy
 from pimentomill.control import LeaderState
+from pimentomill.dispatch import Planner, Ticket
 from pimentomill.dispatch.tests.samples import (
     accepted,
     info,
     queue,
     step,
 )
+from pimentomill.dispatch.tests.samples import worker as idle_worker
 from pimentomill.fleet import (
     AttemptPhase,
     EndKind,
@@ -72,6 +75,13 @@
         report = self.report(others, [end])
         self.state.apply_report(attempt.worker, report, self.clock.now())
 
+    def policy_queue(self):
+        return queue(placement_policy=PlacementPolicy(10.0, 1.0, 2000))
+
+    def plan(self, steps):
+        workers = [*self.state.workers.values(), idle_worker("w3")]
+        return Planner(self.state.quotas).plan(self.clock.now(), steps, workers)
+
     def ready(self):
         return [ready_step.key for ready_step in self.state.ready_steps()]
 
@@ -125,6 +135,34 @@
         self.end(attempt, EndKind.STOPPED)
         self.assertNotIn(attempt.task, attempt.worker.attempts)
 
+    # Guards against LOST: a step that another worker refuses every 700 ms never used a
+    # reserved one, as each refusal counted as the end of a run.
+    def test_a_refused_start_is_no_run_of_a_step_that_needs_a_reserved_worker(self):
+        for lasts in (False, True):
+            state = self.state = self.new_state(1)
+            occupant = self.submit([step(cpu=6000)], job="f" * 16)
+            large, small = (
+                self.submit([spec], job=name * 16, of=self.policy_queue())
+                for name, spec in (
+                    ("a", step(cpu=12000, estimate_ms=10_000)),
+                    ("b", step(cpu=4000, long_running=lasts)),
+                )
+            )
+            self.start(occupant)
+            steps = [next(iter(job.steps.values())) for job in (large, small)]
+            for waiting in steps:
+                waiting.allowed = {"w1"}
+                waiting.tickets = {"w1": Ticket("ticket", 10**6)}
+            for _ in range(4):
+                self.clock.advance(700)
+                attempt = self.start(small, worker="w2")
+                attempt.phase = AttemptPhase.STARTING
+                state.release(attempt)
+            plan = self.plan(steps)
+            self.assertEqual([item.step for item in plan.placements], steps[1:])
+            state.release(self.start(small))
+            self.assertEqual(self.plan(steps).placements, [])
+
     def test_a_finished_job_is_remembered_only_until_its_records_are_dropped(self):
         job = self.submit([step()])
         self.end(self.start(job), EndKind.DONE)
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -323,7 +323,7 @@
         mostly free it protects its step from no crowd, and the other step may have no
         worker but this one. Lasting tasks have to run however full the pool is.
         """
-        if not step.is_starving(self.now):
+        if not step.lacks_runs(self.now):
             return False
         return step.spec.long_running or not pool.is_crowded()
 
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -86,6 +86,9 @@
         Time at which a run of the step last ended.
     waiting_since : dict of int to Instant
         Times at which the last runs of waiting tasks ended, by task index.
+    ended_at : dict of int to Instant
+        Times at which the last runs of tasks ended, by task index. A start that was
+        refused is no run.
     queried, allowed : set of WorkerId
         Workers that the placement policy was queried about, and those it allows.
     tickets : dict of WorkerId to Ticket
@@ -113,6 +116,7 @@
         self.ready_at: Instant | None = None
         self.idle_since: Instant | None = None
         self.waiting_since: dict[int, Instant] = {}
+        self.ended_at: dict[int, Instant] = {}
         self.queried: set[WorkerId] = set()
         self.allowed: set[WorkerId] = set()
         self.tickets: dict[WorkerId, Ticket] = {}
@@ -153,6 +157,22 @@
             return False
         return now - (self.idle_since or self.ready_at) >= STARVATION_MS
 
+    def lacks_runs(self, now: Instant) -> bool:
+        """Return whether a step starves even if refused starts are not counted.
+
+        Refused starts keep a step from starving, so that it is not sent to the same
+        worker again at once. They are no reason to keep it off others.
+        """
+        if self.ready_at is None:
+            return False
+        if self.spec.long_running:
+            ends = (self.ended_at.get(i, self.ready_at) for i in self.waiting)
+            return now - min(ends, default=now) >= STARVATION_MS
+        if self.active:
+            return False
+        last = max(self.ended_at.values(), default=self.ready_at)
+        return now - last >= STARVATION_MS
+
     # Crashes of workers
 
     def is_suspect(self, index: int) -> bool:
--- a/pimentomill/dispatch/tests/test_reservations.py
+++ b/pimentomill/dispatch/tests/test_reservations.py
@@ -88,9 +88,13 @@
         self.small.active[0] = object()
         self.small.dequeue(1)
         self.small.requeue(1, STARVING_SINCE + 1)
+        self.small.ended_at[1] = STARVING_SINCE + 1
+        self.assertFalse(self.small.is_starving(NOW))
         self.assertEqual(self.plan(), [])
         self.small.dequeue(1)
         self.small.requeue(1, STARVING_SINCE)
+        self.small.ended_at[1] = STARVING_SINCE
+        self.assertTrue(self.small.is_starving(NOW))
         self.assertEqual(self.plan(), [self.small])
 
     # Guards against LOST: a reservation that could only end with a run that lasts.
