placement: a gang that would not fit on empty workers blocks no backfill

What callers would see: on an empty group no job that is not urgent starts for up to ten minutes, while a gang waits that needs more workers of its size than the group has.

Cause: a job that has waited for 60 s for room stops all backfill behind it. Whether it is too large is asked of single tasks only, so a gang of three on two workers waits "for room".

Change: only a job that would fit if nothing ran on the workers that are not drained stops backfill.

--- a/pimentomill/placement/_scheduler.py
+++ b/pimentomill/placement/_scheduler.py
@@ -246,9 +246,25 @@
     def _record_reason(self, job: Job, missing: int, allowed: int) -> None:
         reason = self._wait_reason(job, missing, allowed)
         self.scheduler.reasons_[job.id] = reason
-        if reason.code is WaitCode.NO_CAPACITY and self._is_starving(job):
+        if (
+            reason.code is WaitCode.NO_CAPACITY
+            and self._is_starving(job)
+            and self._fits_empty_workers(job, missing)
+        ):
             self.is_backfill_blocked = True
 
+    def _fits_empty_workers(self, job: Job, missing: int) -> bool:
+        """Return whether a job could start if nothing ran on the workers.
+
+        Otherwise no job that ends would make room for it.
+        """
+        need = job.spec.resources
+        remaining = missing if isinstance(job.spec, GangSpec) else 1
+        for view in self.views:
+            if not view.is_drained_:
+                remaining -= _count_fits(need, view.capacity_)
+        return remaining <= 0
+
     def _is_starving(self, job: Job) -> bool:
         """Return whether younger jobs must wait until this job fits."""
         if job.urgent:
