placement: jobs that are too large do not use up the backfill depth

What callers would see: a team's small job is not tried, and shown as `not tried yet`, for as long as 32 older jobs of the team wait that are larger than any worker of the group.

Cause: a pass looks at the first 32 jobs of each team, whether they could ever start or not.

Change: jobs that no worker is large enough for are given their reason and passed over. The test failed before.

--- a/pimentomill/placement/_scheduler.py
+++ b/pimentomill/placement/_scheduler.py
@@ -1,6 +1,6 @@
 """Scheduler that places the waiting jobs of a group in passes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import singledispatch
 from itertools import islice
 
@@ -168,10 +168,11 @@
     def place_jobs(self, urgent: bool) -> None:
         """Place jobs of one urgency, always from the team furthest below its share."""
         queue = self.scheduler.queue_
-        candidates = {
-            team: list(islice(queue.jobs(urgent, team), BACKFILL_DEPTH))
-            for team in queue.teams(urgent)
-        }
+        candidates = {}
+        for team in queue.teams(urgent):
+            jobs = self._skip_too_large(queue.jobs(urgent, team))
+            if first := list(islice(jobs, BACKFILL_DEPTH)):
+                candidates[team] = first
         while candidates and not self.is_backfill_blocked:
             team = min(candidates, key=self._weighted_share)
             job = self.scheduler.find_job(candidates[team].pop(0))
@@ -179,6 +180,22 @@
                 del candidates[team]
             self._place_job(job)
 
+    def _skip_too_large(self, jobs: Iterator[JobId]) -> Iterator[JobId]:
+        """Yield the jobs but those whose tasks are larger than any worker.
+
+        They wait for as long as it takes and must not use up the backfill depth.
+        """
+        for job_id in jobs:
+            need = self.scheduler.find_job(job_id).spec.resources
+            if self.schedulable and self._is_too_large(need):
+                reason = WaitReason(WaitCode.TOO_LARGE, need.describe())
+                self.scheduler.reasons_[job_id] = reason
+            else:
+                yield job_id
+
+    def _is_too_large(self, need: Resources) -> bool:
+        return not any(need.fits_in(size) for size in self.capacities)
+
     def _weighted_share(self, team: TeamName) -> tuple[float, TeamName]:
         """Return a team's dominant fraction divided by its share, and its name."""
         if team not in self.weighted_shares:
@@ -276,8 +293,6 @@
         need = job.spec.resources
         if not self.schedulable:
             return WaitReason(WaitCode.NO_WORKERS)
-        if not any(need.fits_in(size) for size in self.capacities):
-            return WaitReason(WaitCode.TOO_LARGE, need.describe())
         if allowed < missing:
             usage = self.scheduler.team_usage(job.team)
             detail = (
--- a/pimentomill/placement/tests/test_scheduler.py
+++ b/pimentomill/placement/tests/test_scheduler.py
@@ -1,6 +1,7 @@
 import unittest
 
 from pimentomill.placement import Scheduler, TeamUsage, WaitCode
+from pimentomill.placement._scheduler import BACKFILL_DEPTH
 from pimentomill.utils import ZERO, Resources
 from pimentomill.work import BatchSpec, GangSpec, Job, ServiceSpec, Task
 from pimentomill.workers import WorkerHealth, WorkerView
@@ -121,6 +122,14 @@
         placed = self.run_pass(views, wall_ms=70_000)
         self.assertEqual([job for job, _ in placed], ["small"])
 
+    # Guards against a small job that is never tried behind many that fit nowhere.
+    def test_jobs_that_are_too_large_do_not_use_up_the_backfill_depth(self):
+        for index in range(BACKFILL_DEPTH):
+            self.add(f"wide{index}", self.batch(9_000), at=index)
+        self.add("small", self.batch(1_000), at=100)
+        self.assertEqual(self.run_pass([worker("w1")]), [("small", "w1")])
+        self.assertIs(self.reason("wide0"), WaitCode.TOO_LARGE)
+
     def test_drained_parked_and_suspected_workers_get_no_tasks(self):
         views = [worker("w1"), worker("w2"), worker("w3")]
         views[0].is_drained_ = True
