--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -72,7 +72,7 @@
     """Capacity of a worker that the pass has not allocated yet."""
 
     __slots__ = (
-        "_lasting_used",
+        "_vacated",
         "acc",
         "allocated",
         "cpu",
@@ -104,7 +104,7 @@
         self.reserved_for: StepKey | None = None
         self.others_free = ZERO
         self.allocated = 0
-        self._lasting_used: Resources | None = None
+        self._vacated: Resources | None = None
         self.kept_for: Hashable | None = None
 
     def vacated_capacity(self) -> Resources:
@@ -112,14 +112,13 @@
 
         Runs that last leave only when their job is cancelled.
         """
-        if self._lasting_used is None:
-            lasting = (
-                attempt.reserved
-                for attempt in self.worker.attempts.values()
-                if attempt.is_long_running
-            )
-            self._lasting_used = sum(lasting, ZERO)
-        return self.worker.info.capacity - self._lasting_used
+        if self._vacated is None:
+            vacated = self.worker.info.capacity
+            for attempt in self.worker.attempts.values():
+                if attempt.is_long_running:
+                    vacated = vacated - attempt.reserved
+            self._vacated = vacated
+        return self._vacated
 
     def fits(self, step: StepRun, ignores_reservation: bool) -> bool:
         need = step.spec.reserved
--- a/pimentomill/dispatch/tests/test_withheld_capacity.py
+++ b/pimentomill/dispatch/tests/test_withheld_capacity.py
@@ -48,7 +48,7 @@
         self.suspect.is_stalled = True
 
     def placed(self):
-        waiting = first_step("b" * 16, [step(3, cpu=4000)], seen_at=0)
+        waiting = first_step("b" * 16, [step(3, cpu=4000)], seen_at=NOW)
         workers = [self.full, self.suspect]
         plan = Planner(QuotaBook()).plan(NOW, [waiting], workers)
         return [item.worker for item in plan.placements]
