planner: backfills do not postpone a reservation without end

What callers would see: since a large task whose policy allows one worker starts only after a stream of small jobs for that worker has ended.

Change: a run that uses reserved capacity is marked as a backfill. Once a reservation waits for nothing but backfills it holds, so that the large task waits for the runs that were there and one round of small ones. Lasting tasks may start at any time as before.

What remains: a small step that becomes ready in that round waits until the large task has started, even in a pool that is mostly free.

The test failed before.

--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -55,6 +55,7 @@
             attempt = self.context.state.begin_attempt(
                 step, placement.index, placement.worker, run
             )
+            attempt.is_backfill = placement.is_backfill
             task = self._spawn(self._start(attempt, placement))
             self._starts.add(task)
             task.add_done_callback(self._starts.discard)
--- a/pimentomill/dispatch/_planner.py
+++ b/pimentomill/dispatch/_planner.py
@@ -40,13 +40,15 @@
 class Placement(NamedTuple):
     """Assignment of a task of a step to a worker.
 
-    The ticket is empty if the queue has no placement policy.
+    The ticket is empty if the queue has no placement policy. A backfill uses capacity
+    that is reserved for another step.
     """
 
     step: StepRun
     index: int
     worker: Worker
     ticket: str
+    is_backfill: bool = False
 
 
 class Plan:
@@ -78,6 +80,7 @@
         "cpu",
         "failures",
         "id",
+        "is_held_by_backfills",
         "is_slow",
         "is_suspect",
         "is_trusted",
@@ -103,6 +106,7 @@
         self.step_counts: dict = {}
         self.reserved_for: StepKey | None = None
         self.others_free = ZERO
+        self.is_held_by_backfills = False
         self.allocated = 0
         self._vacated: Resources | None = None
         self.kept_for: Hashable | None = None
@@ -130,11 +134,17 @@
             return False
         if self.is_suspect and self.allocated and self.is_trusted:
             return False
-        return (
-            ignores_reservation
-            or self.reserved_for in (None, step.key)
-            or need.fits_in(self.others_free)
-        )
+        if ignores_reservation and self.admits_backfill(step):
+            return True
+        return self.reserved_for in (None, step.key) or need.fits_in(self.others_free)
+
+    def admits_backfill(self, step: StepRun) -> bool:
+        """Return whether one more step may use the worker despite its reservation.
+
+        Once the reservation waits for nothing but earlier backfills, further ones would
+        postpone it without end.
+        """
+        return step.spec.long_running or not self.is_held_by_backfills
 
     def reserve(self, step: StepRun) -> None:
         """Limit other steps to the capacity that a task of this step leaves unused."""
@@ -143,6 +153,14 @@
         capacity = self.worker.info.capacity
         self.others_free = capacity - step.spec.reserved - others_used
         self.reserved_for = step.key
+        awaited = [
+            attempt
+            for task, attempt in self.worker.attempts.items()
+            if task.step_key != step.key and not attempt.is_long_running
+        ]
+        self.is_held_by_backfills = bool(awaited) and all(
+            attempt.is_backfill for attempt in awaited
+        )
 
     def allocate(self, step: StepRun) -> None:
         need = step.spec.reserved
@@ -396,12 +414,21 @@
                 without_ticket.append(candidate)
                 continue
             self.result.placements.append(
-                Placement(step, index, candidate.worker, ticket)
+                self._placement(step, index, candidate, ticket)
             )
         if without_ticket or suspects_without_ticket:
             self._request_tickets(step, without_ticket, suspects_without_ticket)
         return unplaced
 
+    @staticmethod
+    def _placement(
+        step: StepRun, index: int, candidate: _Candidate, ticket: str
+    ) -> Placement:
+        """Return the placement of a task that has been allocated."""
+        is_reserved = candidate.reserved_for not in (None, step.key)
+        is_backfill = is_reserved and not ZERO.fits_in(candidate.others_free)
+        return Placement(step, index, candidate.worker, ticket, is_backfill)
+
     def _request_tickets(
         self,
         step: StepRun,
@@ -452,7 +479,7 @@
             self._allocate(step, candidate)
             self.isolation.close(candidate)
             self.result.placements.append(
-                Placement(step, index, candidate.worker, ticket)
+                self._placement(step, index, candidate, ticket)
             )
         return without_ticket
 
@@ -536,7 +563,7 @@
             self._request_tickets(step, chosen)
             return
         for index, (candidate, ticket) in enumerate(zip(chosen, tickets, strict=True)):
-            placement = Placement(step, index, candidate.worker, ticket)
+            placement = self._placement(step, index, candidate, ticket)
             self.result.placements.append(placement)
 
     def _best_candidate(self, step: StepRun, candidates: list[_Candidate], index: int):
--- a/pimentomill/dispatch/tests/test_withheld_capacity.py
+++ b/pimentomill/dispatch/tests/test_withheld_capacity.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from pimentomill.catalog import Team
-from pimentomill.dispatch import Planner, QuotaBook
+from pimentomill.catalog import PlacementPolicy, Team
+from pimentomill.dispatch import Planner, QuotaBook, Ticket, order_steps
 from pimentomill.fleet import Attempt
 from pimentomill.jobs import TaskKey
 from pimentomill.utils import Resources
@@ -64,3 +64,39 @@
         self.run.is_long_running = True
         occupy(self.suspect, 1000)
         self.assertEqual(self.placed(), [])
+
+
+class TestLargeTaskAmongSmallOnes(unittest.TestCase):
+    # Guards against a large task that never starts, as starving small ones of a stream
+    # take the room that is reserved for it one after the other.
+    def test_a_stream_of_small_jobs_does_not_starve_a_large_task(self):
+        shared = worker("w1")
+        pool = [shared, *(worker(f"w{i}") for i in range(2, 8))]
+        ends = [(NOW + 3000, occupy(shared, 4000))]
+        large = self.job("a" * 16, step(cpu=14000, estimate_ms=30_000), 0, NOW)
+        waiting = []
+        # One job of 3 s a second, and ten passes a second, for 60 s.
+        for now in range(NOW, NOW + 60_000, 100):
+            for end in [end for end in ends if end[0] <= now]:
+                shared.remove_attempt(end[1])
+                ends.remove(end)
+            if now % 1000 == 0:
+                spec = step(cpu=4000, estimate_ms=3000)
+                waiting.append(self.job(f"{now:016x}", spec, 1, now))
+            steps = order_steps([large, *waiting], now)
+            for placement in Planner(QuotaBook()).plan(now, steps, pool).placements:
+                if placement.step is large:
+                    return
+                waiting.remove(placement.step)
+                run = occupy(shared, 4000, placement.step.key.job)
+                run.is_backfill = placement.is_backfill
+                ends.append((now + 3000, run))
+        self.fail("the large task has not started within 60 s")
+
+    def job(self, name, spec, priority, now):
+        policy = PlacementPolicy(10.0, 1.0, 2000)
+        of = queue(f"q{priority}", priority=priority, placement_policy=policy)
+        made = first_step(name, [spec], of=of, seen_at=now)
+        made.allowed = {"w1"}
+        made.tickets = {"w1": Ticket("ticket", 10**9)}
+        return made
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -93,6 +93,8 @@
         Speed limit set for the run, in percent of full speed.
     is_start_unconfirmed : bool
         Whether the request to start the run got no reply.
+    is_backfill : bool
+        Whether the run uses capacity that was reserved for another step at its start.
     is_long_running : bool
         Whether the run lasts until its job is cancelled.
     is_size_unknown : bool
@@ -106,6 +108,7 @@
         "checkpoint",
         "first_percent",
         "first_progress_at",
+        "is_backfill",
         "is_long_running",
         "is_resumed",
         "is_size_unknown",
@@ -143,6 +146,7 @@
         self.load = 0
         self.pace = 100
         self.is_start_unconfirmed = False
+        self.is_backfill = False
         self.is_long_running = False
         self.is_size_unknown = False
         self.is_settled = False
