--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -102,6 +102,7 @@
             run=attempt.run,
             worker=worker.info.worker,
             outcome=answer.outcome.value,
+            is_backfill=attempt.is_backfill,
             waited_ms=waited_ms,
             token=self.context.state.epoch,
         )
