dispatch: capacity of workers and pools in a module of its own

What a pass knows of a worker and of a pool moves to _candidates.py without a change of behaviour; the checks against the naive planner hold as before.

--- a/pimentomill/dispatch/_isolation.py
+++ b/pimentomill/dispatch/_isolation.py
@@ -6,6 +6,7 @@
 from ..fleet import EARLY_RUN_MS, Worker
 from ..jobs import TaskKey, WorkerId
 from ..utils import Instant
+from ._candidates import Candidate
 from ._state import StepRun
 
 __all__ = ["Isolation", "is_quiet"]
@@ -54,12 +55,12 @@
             return None
         return hold.holder
 
-    def hold(self, candidate, holder: Hashable, now: Instant) -> None:
+    def hold(self, candidate: Candidate, holder: Hashable, now: Instant) -> None:
         """Keep other starts from a worker until it is quiet."""
         self._holds[candidate.id] = _Hold(holder, Instant(now + HOLD_MS))
         candidate.kept_for = holder
 
-    def close(self, candidate) -> None:
+    def close(self, candidate: Candidate) -> None:
         """Keep other starts of this pass from the worker of an isolated run."""
         candidate.kept_for = CLOSED
         self._holds.pop(candidate.id, None)
@@ -68,10 +69,10 @@
         self,
         step: StepRun,
         index: int,
-        candidates: list,
+        candidates: list[Candidate],
         ignores_reservations: bool,
         now: Instant,
-    ):
+    ) -> Candidate | None:
         """Return the candidate for a suspected task, None if it should wait.
 
         Parameters
@@ -80,7 +81,7 @@
             Step of the task.
         index : int
             Index of the task.
-        candidates : list of candidates
+        candidates : list of Candidate
             Workers of the pool that the step may use, also those that are full.
         ignores_reservations : bool
             Whether the step may use workers that are reserved for others.
@@ -89,7 +90,7 @@
 
         Returns
         -------
-        candidate or None
+        Candidate or None
             Candidate, which is possibly not quiet yet.
         """
         holder = TaskKey(*step.key, index)
@@ -111,7 +112,7 @@
         return best
 
     @staticmethod
-    def _rank(step: StepRun, index: int, candidate, now: Instant) -> tuple:
+    def _rank(step: StepRun, index: int, candidate: Candidate, now: Instant) -> tuple:
         worker: Worker = candidate.worker
         return (
             candidate.kept_for is None,
@@ -121,7 +122,9 @@
             candidate.id == step.last_workers.get(index),
         )
 
-    def isolate_gang(self, step: StepRun, chosen: list, now: Instant) -> bool:
+    def isolate_gang(
+        self, step: StepRun, chosen: list[Candidate], now: Instant
+    ) -> bool:
         """Return whether a suspected gang can start isolated on its candidates.
 
         Otherwise the workers are held for it until they are quiet.
@@ -130,7 +133,7 @@
         ----------
         step : StepRun
             Step of the gang.
-        chosen : list of candidates
+        chosen : list of Candidate
             Candidate of each member.
         now : Instant
             Current time.
@@ -146,12 +149,12 @@
         return is_isolated
 
 
-def is_quiet(candidate, now: Instant, own_count: int = 0) -> bool:
+def is_quiet(candidate: Candidate, now: Instant, own_count: int = 0) -> bool:
     """Return whether all runs on a candidate have settled.
 
     Parameters
     ----------
-    candidate : candidate
+    candidate : Candidate
         Worker with the tasks that the pass has placed on it.
     now : Instant
         Current time.
--- a/pimentomill/dispatch/tests/test_against_naive.py
+++ b/pimentomill/dispatch/tests/test_against_naive.py
@@ -140,7 +140,7 @@
 
         for seed in SEEDS:
             found = planned(seed)
-            with mock.patch.object(_planner._Pool, "is_out_of_reach", return_value=0):
+            with mock.patch.object(_planner.Pool, "is_out_of_reach", return_value=0):
                 self.assertEqual(found, planned(seed), seed)
 
     def test_steps_out_of_reach_change_no_plan_beside_shrunk_workers(self):
@@ -156,7 +156,7 @@
 
         for seed in SEEDS:
             found = planned(seed)
-            with mock.patch.object(_planner._Pool, "is_out_of_reach", return_value=0):
+            with mock.patch.object(_planner.Pool, "is_out_of_reach", return_value=0):
                 self.assertEqual(found, planned(seed), seed)
 
     # Guards against passes that look at every worker for every waiting step, because a
