dispatch: one rule for steps that have waited, with two kinds of times

is_starving and lacks_runs differed only in the times that they look at, and three fields held these. The tests set the same times as before.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -329,9 +329,10 @@
         if step is None or step.active.get(index) is not attempt:
             return
         del step.active[index]
-        step.idle_since = self.clock.now()
+        now = self.clock.now()
+        step.released_at[index] = now
         if attempt.phase is not AttemptPhase.STARTING:
-            step.ended_at[index] = step.idle_since
+            step.ended_at[index] = now
         self.quotas.remove(step.job.accepted.team, step.spec.need)
         if attempt.checkpoint:
             self._record_checkpoint(step, index, attempt.checkpoint)
@@ -339,7 +340,7 @@
             self._drop_if_idle(step.job)
             return
         if requeue and index not in step.done:
-            step.requeue(index, step.idle_since)
+            step.requeue(index)
             self.open_steps[step.key] = step
         if step.spec.gang and requeue and not step.is_done:
             self._stop_gang(step, attempt.run)
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -82,13 +82,9 @@
         Latest checkpoints, by task index.
     ready_at : Instant or None
         Time at which the step became runnable, None before.
-    idle_since : Instant or None
-        Time at which a run of the step last ended.
-    waiting_since : dict of int to Instant
-        Times at which the last runs of waiting tasks ended, by task index.
-    ended_at : dict of int to Instant
-        Times at which the last runs of tasks ended, by task index. A start that was
-        refused is no run.
+    released_at, ended_at : dict of int to Instant
+        Times at which the last attempt of each task was released, and at which its last
+        run ended, by task index. A start that was refused is no run.
     queried, allowed : set of WorkerId
         Workers that the placement policy was queried about, and those it allows.
     tickets : dict of WorkerId to Ticket
@@ -114,8 +110,7 @@
         self.checkpoints: dict[int, str] = {}
         self.next_run: dict[int, int] = {}
         self.ready_at: Instant | None = None
-        self.idle_since: Instant | None = None
-        self.waiting_since: dict[int, Instant] = {}
+        self.released_at: dict[int, Instant] = {}
         self.ended_at: dict[int, Instant] = {}
         self.queried: set[WorkerId] = set()
         self.allowed: set[WorkerId] = set()
@@ -148,14 +143,7 @@
         them, as they may be the only workers that it can run on. Each task of a lasting
         step has to run, so one that has waited as long is enough.
         """
-        if self.ready_at is None:
-            return False
-        if self.spec.long_running:
-            since = (self.waiting_since.get(i, self.ready_at) for i in self.waiting)
-            return now - min(since, default=now) >= STARVATION_MS
-        if self.active:
-            return False
-        return now - (self.idle_since or self.ready_at) >= STARVATION_MS
+        return self._has_waited(self.released_at, now)
 
     def lacks_runs(self, now: Instant) -> bool:
         """Return whether a step starves even if refused starts are not counted.
@@ -163,15 +151,20 @@
         Refused starts keep a step from starving, so that it is not sent to the same
         worker again at once. They are no reason to keep it off others.
         """
+        return self._has_waited(self.ended_at, now)
+
+    def _has_waited(self, last_at: dict[int, Instant], now: Instant) -> bool:
+        """Return whether a task has waited for `STARVATION_MS` since these times."""
         if self.ready_at is None:
             return False
         if self.spec.long_running:
-            ends = (self.ended_at.get(i, self.ready_at) for i in self.waiting)
-            return now - min(ends, default=now) >= STARVATION_MS
-        if self.active:
+            waits = (last_at.get(index, self.ready_at) for index in self.waiting)
+            since = min(waits, default=now)
+        elif self.active:
             return False
-        last = max(self.ended_at.values(), default=self.ready_at)
-        return now - last >= STARVATION_MS
+        else:
+            since = max(last_at.values(), default=self.ready_at)
+        return now - since >= STARVATION_MS
 
     # Crashes of workers
 
@@ -248,10 +241,9 @@
         if run >= self.next_run.get(index, self.first_run):
             self.next_run[index] = run + 1
 
-    def requeue(self, index: int, now: Instant) -> None:
-        """Add a task whose run has ended to the waiting tasks unless it is done."""
+    def requeue(self, index: int) -> None:
+        """Add a task to the waiting tasks again unless it is done."""
         if index not in self.done and index not in self.waiting:
-            self.waiting_since[index] = now
             heapq.heappush(self.waiting, index)
 
     def dequeue(self, index: int) -> None:
--- a/pimentomill/dispatch/tests/test_planner.py
+++ b/pimentomill/dispatch/tests/test_planner.py
@@ -113,7 +113,7 @@
         """Several failing jobs share the only worker that they may use."""
         waiting = first_step(steps=[step()])
         waiting.failed_runs[0] = {1}
-        waiting.idle_since = 10_000
+        waiting.released_at[0] = 10_000
         failing = worker("w1")
         failing.failed_jobs = {"x", "y"}
         failing.failed_at = 11_600
@@ -171,8 +171,7 @@
         lasting = first_step(steps=steps)
         lasting.dequeue(0)
         lasting.active[0] = Attempt(TaskKey("a" * 16, 0, 0, 0), 1, worker(), ZERO, 0)
-        lasting.dequeue(1)
-        lasting.requeue(1, 10_000)
+        lasting.released_at[1] = 10_000
         suspect = worker("w2")
         suspect.failed_jobs = {"x", "y"}
         suspect.failed_at = 10_000
--- a/pimentomill/dispatch/tests/test_preemption.py
+++ b/pimentomill/dispatch/tests/test_preemption.py
@@ -169,7 +169,7 @@
         claims = {claim.step: claim.capacity for claim in self.preempt(gang).claims}
         stopped = next(iter(self.workers[0].attempts.values()))
         self.workers[0].remove_attempt(stopped)
-        self.long.requeue(stopped.task.index, NOW)
+        self.long.requeue(stopped.task.index)
         planner = Planner(QuotaBook())
         waiting = [gang, self.long]
         self.assertEqual(
--- a/pimentomill/dispatch/tests/test_reservations.py
+++ b/pimentomill/dispatch/tests/test_reservations.py
@@ -86,13 +86,11 @@
         )
         self.small.dequeue(0)
         self.small.active[0] = object()
-        self.small.dequeue(1)
-        self.small.requeue(1, STARVING_SINCE + 1)
+        self.small.released_at[1] = STARVING_SINCE + 1
         self.small.ended_at[1] = STARVING_SINCE + 1
         self.assertFalse(self.small.is_starving(NOW))
         self.assertEqual(self.plan(), [])
-        self.small.dequeue(1)
-        self.small.requeue(1, STARVING_SINCE)
+        self.small.released_at[1] = STARVING_SINCE
         self.small.ended_at[1] = STARVING_SINCE
         self.assertTrue(self.small.is_starving(NOW))
         self.assertEqual(self.plan(), [self.small])
