--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,5 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$root/target/deps:$root"
+python3 -c 'import review.common.main' || exit 2
 exec python3 "$here/case.py"
--- a/review/common/main.py
+++ b/review/common/main.py
@@ -30,7 +30,12 @@
     entries : int, default=3
         Number of entry processes.
     """
-    sys.exit(asyncio.run(_run(folder, case, entries)))
+    try:
+        result = asyncio.run(_run(folder, case, entries))
+    except Exception:
+        traceback.print_exc()
+        result = NOT_RUN
+    sys.exit(result)
 
 
 async def _run(folder: Path, case, entries: int) -> int:
