--- a/review/common/main.py
+++ b/review/common/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -32,13 +33,16 @@
     """
     try:
         result = asyncio.run(_run(folder, case, entries))
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         result = NOT_RUN
     sys.exit(result)
 
 
 async def _run(folder: Path, case, entries: int) -> int:
+    # A termination signal ends the processes of the cell as well.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     cell = Cell(folder / "record.txt", entries)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     keep_logs = bool(os.environ.get("KEEP_LOGS"))
