control: log on what evidence runs are released and which leases outlast a leader

Fields: token, lease_left_ms, silent_ms, runs in Runs lost; token and lease in Worker is unreachable and Worker is reachable again, the latter with what the worker lists; run and worker in a stop without an answer; the worker in the reason to step down; the silence before in Leader changed. New line Leadership ended with the last append and the leases that may still last.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -305,7 +305,9 @@
             done, _ = await asyncio.wait(
                 [*tasks, self._end_reason], return_when=asyncio.FIRST_COMPLETED
             )
-            return self._reason_of(done)
+            reason = self._reason_of(done)
+            self._log_end(reason)
+            return reason
         finally:
             await self._close(tasks)
 
@@ -318,6 +320,21 @@
                 return str(exc)
         return "cancelled"
 
+    def _log_end(self, reason: str) -> None:
+        """Log what a successor can't know: the leases that may still be in force."""
+        now = self.clock.now()
+        _log.info(
+            "Leadership ended",
+            epoch=self.record.epoch,
+            why=reason,
+            last_append_ms=now - self.progress_writer.written_at_,
+            lease_left_ms={
+                name: worker.lease_until - now
+                for name, worker in self.state.workers.items()
+                if worker.lease_until > now
+            },
+        )
+
     async def _close(self, tasks: list[asyncio.Task]) -> None:
         self.orders.close()
         self.lease_keeper.close()
@@ -460,6 +477,7 @@
         _log.info(
             "Worker survey finished",
             unknown=[worker.info.worker for worker in unknown],
+            lease_left_ms={w.info.worker: w.lease_until - now for w in unknown},
             withheld_ms=inheritance.waits_ms(),
         )
 
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -45,6 +45,8 @@
 """Finished tasks of a step that are needed before another is compared with them."""
 SLOW_WORKER_BACKOFF_MS = 2000
 """Backoff of a worker on which a run was slow; other workers are tried meanwhile."""
+MAX_LOGGED_RUNS = 20
+"""Runs named in one log line; bounds its length."""
 
 _log = ComponentLogger("cell")
 
@@ -453,8 +455,17 @@
             self.crashes.record_release(worker)
         lost = list(worker.attempts.values())
         if lost:
+            now = self.clock.now()
+            silent_since = worker.silent_since
             _log.warning(
-                "Runs lost", worker=worker.info.worker, count=len(lost), why=reason
+                "Runs lost",
+                worker=worker.info.worker,
+                count=len(lost),
+                runs={str(a.task): a.run for a in lost[:MAX_LOGGED_RUNS]},
+                why=reason,
+                token=self.epoch,
+                lease_left_ms=worker.lease_until - now,
+                silent_ms=None if silent_since is None else now - silent_since,
             )
         for attempt in lost:
             self.release(attempt)
@@ -573,6 +584,9 @@
                     run=attempt.run,
                     worker=worker.info.worker,
                     phase=attempt.phase.value,
+                    is_start_unconfirmed=attempt.is_start_unconfirmed,
+                    age_ms=self.clock.now() - attempt.started_at,
+                    token=self.epoch,
                 )
                 self.release(attempt)
 
--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -100,13 +100,22 @@
         try:
             report = await self.context.port.hold(worker.info, order)
         except FencedError as exc:
-            self.context.on_fenced(str(exc))
+            self.context.on_fenced(f"{exc} ({worker.info.worker})")
             return False
         except (TransportError, ConflictError) as exc:
             self._on_hold_failure(worker, exc, order, now)
             return False
         if not worker.is_reachable:
-            _log.info("Worker is reachable again", worker=worker.info.worker)
+            _log.info(
+                "Worker is reachable again",
+                worker=worker.info.worker,
+                is_first_answer=not worker.has_answered,
+                incarnation_ms=report.incarnation_ms,
+                running=len(report.running),
+                ended=len(report.ended),
+                token=order.token,
+                lease_left_ms=worker.lease_until - self.context.clock.now(),
+            )
         self.context.state.apply_report(worker, report, now)
         self.context.on_change()
         return True
@@ -117,7 +126,11 @@
         self._record_silence(worker, order, sent_at)
         if worker.is_reachable:
             _log.warning(
-                "Worker is unreachable", worker=worker.info.worker, why=str(exc)
+                "Worker is unreachable",
+                worker=worker.info.worker,
+                why=str(exc),
+                token=order.token,
+                lease_left_ms=worker.lease_until - self.context.clock.now(),
             )
         worker.is_reachable = False
         now = self.context.clock.now()
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -162,7 +162,10 @@
         elif outcome is StartOutcome.UNKNOWN:
             self._stop_unanswered_start(attempt)
         elif outcome is StartOutcome.FENCED:
-            self.context.on_fenced("a worker has seen a higher token")
+            name = attempt.worker.info.worker
+            self.context.on_fenced(
+                f"start: the worker has seen a higher token ({name})"
+            )
         else:
             self._apply_rejection(attempt, placement, outcome, now)
 
@@ -208,13 +211,17 @@
                 )
                 break
             except FencedError as exc:
-                self.context.on_fenced(str(exc))
+                self.context.on_fenced(f"{exc} ({stop.worker.info.worker})")
                 return
             except ConflictError:
                 return
             except TransportError as exc:
                 _log.warning(
-                    "Stop order got no answer; retrying", task=stop.task, why=str(exc)
+                    "Stop order got no answer; retrying",
+                    task=stop.task,
+                    run=stop.run,
+                    worker=stop.worker.info.worker,
+                    why=str(exc),
                 )
                 await asyncio.sleep(self.context.cfg.retry_ms / 1000)
         _log.info(
@@ -223,6 +230,8 @@
             run=stop.run,
             worker=stop.worker.info.worker,
             why=stop.reason,
+            attempts=attempts,
+            token=self.context.state.epoch,
         )
         attempt = self._held_attempt(stop)
         if attempt is not None:
--- a/pimentomill/replica/_leadership.py
+++ b/pimentomill/replica/_leadership.py
@@ -192,6 +192,7 @@
                 epoch=record.epoch,
                 leader=record.node,
                 before=known.node if known else "",
+                silent_ms=self.clock.now() - self.seen_at_ if known else None,
             )
         if known is None or record.epoch > known.epoch or record.resigned:
             self.changed.set()
--- a/pimentomill/replica/tests/test_leadership.py
+++ b/pimentomill/replica/tests/test_leadership.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -8,6 +9,7 @@
     LeaderWatch,
     LinkView,
     Rival,
+    _leadership,
 )
 from pimentomill.utils import ManualClock
 
@@ -31,6 +33,16 @@
     def should_claim(self):
         return self.watch.should_claim(self.clock.now())
 
+    # Guards against a change of the leader whose line does not tell for how long the
+    # one before was not heard.
+    def test_a_change_of_the_leader_is_logged_with_the_silence_before(self):
+        with mock.patch.object(_leadership._log, "info") as logged:
+            self.apply_heartbeat(1, "a")
+            self.clock.advance(873)
+            self.apply_heartbeat(2, "b")
+        silences = [call.kwargs["silent_ms"] for call in logged.call_args_list]
+        self.assertEqual(silences, [None, 873])
+
     # Guards against candidates that notice a silent leader late because all of them
     # read rarely, and against an entry that counts the leader as ahead of it.
     def test_a_few_of_the_largest_entries_are_likely_successors(self):
