control: failing tests of starts that are carried out late (LIMIT, TWICE)

A run whose start is still under way is stopped (its job is cancelled, a member of its gang is rejected), or its worker restarts. The next report lacks it, and capacity and task are given away. Both rules break with one leader on in-memory workers.

--- /dev/null
+++ b/pimentomill/control/tests/test_late_starts.py
@@ -0,0 +1,189 @@
+"""Start orders that a worker carries out long after they were sent."""
+
+import asyncio
+from unittest import mock
+
+from pimentomill.control import ControlSettings
+from pimentomill.control._context import ControlContext
+from pimentomill.control._orders import OrderSender
+from pimentomill.dispatch.tests.samples import step
+from pimentomill.exceptions import TransportError
+from pimentomill.fleet import AttemptPhase, StartAnswer, StartOutcome
+from pimentomill.jobs import Cancelled, TaskKey, cancelled_key, encode_record
+
+from .test_leader import JOB, LeaderCase
+from .test_leader_state import LeaderStateCase
+
+HOLDS = 3
+"""Answers after which a report has been applied that was requested after a change."""
+
+
+class TestReservationsOfLateStarts(LeaderStateCase):
+    def order(self, **spec):
+        """Order a start that stays under way, and let some time pass."""
+        job = self.submit([step(cpu=12000, **spec)])
+        attempt = self.start(job)
+        attempt.phase = AttemptPhase.STARTING
+        self.clock.advance(50)
+        return attempt
+
+    def report_without_runs(self, attempt, incarnation_ms=1):
+        self.clock.advance(5)
+        report = self.report(incarnation_ms=incarnation_ms)
+        self.state.apply_report(attempt.worker, report, self.clock.now())
+
+    def answer_stop(self, attempt):
+        port = mock.AsyncMock()
+        context = ControlContext(
+            self.state, port, self.clock, ControlSettings(), mock.Mock(), mock.Mock()
+        )
+        for stop in self.state.pop_stop_orders():
+            asyncio.run(OrderSender(context)._stop(stop))
+
+    def assert_reserved(self, attempt):
+        self.assertEqual(attempt.worker.used.cpu_milli, 12000)
+        self.assertEqual(self.ready(), [])
+
+    # Guards against LIMIT and TWICE: the run of a start that is still under way is
+    # stopped, and a report without it gives its capacity and its task away.
+    def test_a_start_under_way_stays_reserved_until_its_stop_is_answered(self):
+        attempt = self.order()
+        self.state.order_stop(attempt, "test")
+        self.report_without_runs(attempt)
+        self.assert_reserved(attempt)
+        self.answer_stop(attempt)
+        self.report_without_runs(attempt)
+        self.assertEqual(attempt.worker.used.cpu_milli, 0)
+        self.assertEqual(len(self.ready()), 1)
+
+    # Guards against LIMIT and TWICE: a worker restarts while a start is under way, and
+    # its first report gives the capacity and the task away.
+    def test_a_start_under_way_stays_reserved_across_a_restart_of_the_worker(self):
+        attempt = self.order()
+        self.report_without_runs(attempt, incarnation_ms=2)
+        self.assert_reserved(attempt)
+        self.report_without_runs(attempt, incarnation_ms=2)
+        self.assert_reserved(attempt)
+        self.answer_stop(attempt)
+        self.report_without_runs(attempt, incarnation_ms=2)
+        self.assertEqual(len(self.ready()), 1)
+
+    # Guards against the same after a stop that the life before has answered: the new
+    # one knows nothing of it.
+    def test_a_restart_makes_an_answered_stop_of_an_unanswered_start_void(self):
+        attempt = self.order()
+        attempt.is_start_unconfirmed = True
+        self.state.order_stop(attempt, "start order got no answer")
+        self.answer_stop(attempt)
+        self.report_without_runs(attempt, incarnation_ms=2)
+        self.assert_reserved(attempt)
+        self.assertEqual(len(self.state.stop_orders), 1)
+
+
+class TestLateStarts(LeaderCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.late = asyncio.Event()
+        self.ordered = []
+        self.peak_cpu_milli = {}
+        self.holds = {}
+        self.cpu_milli = {}
+        self.is_stop_lost = True
+        self.task = TaskKey(JOB, 0, 0, 0)
+        self._start, self._stop = self.workers.start, self.workers.stop
+        self._hold = self.workers.hold
+        self.workers.start = self.start_late
+        self.workers.stop = self.stop_later
+        self.workers.hold = self.count_hold
+
+    def is_late(self, order):
+        return order.task.job == JOB and order.task.index == 0 and order.run == 1
+
+    async def start_late(self, worker_info, order):
+        """Carry out the first run of the first task only once the event is set."""
+        self.ordered.append((worker_info.worker, order.task, order.run))
+        if self.is_late(order):
+            await self.late.wait()
+        answer = await self._start(worker_info, order)
+        name = worker_info.worker
+        running = self.workers.workers[name].running
+        used = sum(self.cpu_milli[task.job] for task in running)
+        self.peak_cpu_milli[name] = max(used, self.peak_cpu_milli.get(name, 0))
+        return answer
+
+    async def stop_later(self, *args):
+        if self.is_stop_lost:
+            raise TransportError("no answer", sent=True)
+        await self._stop(*args)
+
+    async def count_hold(self, worker_info, order):
+        report = await self._hold(worker_info, order)
+        name = worker_info.worker
+        self.holds[name] = self.holds.get(name, 0) + 1
+        return report
+
+    async def wait_for_reports(self, leader, worker):
+        """Wait until the leader has planned by reports that it requests from now on."""
+        before = self.holds[worker]
+        await self.wait_until(lambda: self.holds[worker] >= before + HOLDS)
+        leader._plan()
+        await asyncio.sleep(0)
+
+    def cancel(self, leader):
+        record = Cancelled(JOB, self.clock.wall_ms())
+        self.table.apply(cancelled_key(JOB), encode_record(record))
+        leader.on_job_change(JOB)
+
+    # Guards against LIMIT: a job is cancelled while its start is held up on the way, as
+    # is the stop, and the worker gets another task before the start is carried out.
+    async def test_a_worker_is_not_filled_beside_a_start_under_way(self):
+        await self.list_worker("w2", is_draining=True)
+        self.cpu_milli = {JOB: 12000, "b" * 16: 12000}
+        leader = self.start_leader(1)
+        await self.wait_until(lambda: leader.state.workers and leader._surveyed)
+        self.submit(leader, [step(cpu=12000)])
+        await self.wait_until(lambda: self.ordered)
+        self.cancel(leader)
+        self.submit(leader, [step(cpu=12000)], job="b" * 16)
+        await self.wait_for_reports(leader, "w1")
+        self.late.set()
+        await self.wait_until(lambda: ("w1", self.task, 1) in self.workers.started)
+        self.is_stop_lost = False
+        await self.wait_until(
+            lambda: any(task.job == "b" * 16 for _, task, _ in self.workers.started)
+        )
+        self.assertLessEqual(self.peak_cpu_milli["w1"], 16000)
+
+    # Guards against TWICE: a worker rejects a member of a gang while the start of
+    # another one is held up on the way, and the gang starts again elsewhere.
+    async def test_a_gang_does_not_restart_beside_a_start_under_way(self):
+        for name in ("w3", "w4"):
+            await self.list_worker(name)
+        self.cpu_milli = {JOB: 12000}
+        start = self.workers.start
+
+        async def reject_second(worker_info, order):
+            if order.task.index == 1 and order.run == 1:
+                return StartAnswer(StartOutcome.UNHEALTHY, None)
+            return await start(worker_info, order)
+
+        self.workers.start = reject_second
+        leader = self.start_leader(1)
+        await self.wait_until(
+            lambda: len(leader.state.workers) == 4 and leader._surveyed
+        )
+        self.submit(leader, [step(count=2, cpu=12000, gang=True)])
+        await self.wait_until(lambda: self.ordered)
+        first = self.ordered[0][0]
+        await self.list_worker(first, is_draining=True)
+        worker = leader.state.workers[first]
+        await self.wait_until(lambda: worker.info.is_draining)
+        await self.wait_for_reports(leader, first)
+        self.late.set()
+        await self.wait_until(lambda: (first, self.task, 1) in self.workers.started)
+        running = [w for w in self.workers.workers.values() if self.task in w.running]
+        self.assertEqual(len(running), 1)
+        self.is_stop_lost = False
+        await self.wait_until(
+            lambda: any(run > 1 for _, _, run in self.workers.started)
+        )
