control: a start that is still under way keeps its capacity and its task

Cause: when a run was stopped before its start had been answered (its job was cancelled or failed, a member of its gang was rejected or ended, its worker was drained), any report requested after the order that lacked the run released it. The start could still be carried out until the stop was. The same after a restart of the worker: the first report of the new incarnation released the run, although its start, if still under way, is carried out there, and a stop that the one before had answered is void.

Change: a stop of a run without an answered start leaves the start open. It closes with the answer to the start, with the answer to a stop by the same incarnation, or with a report that lists the run; only then does a report without the run release it. This replaces the time far ahead that did the same for starts without an answer. A worker bars a run that it was told to stop (PROTOCOL.md, "A run that is not there yet will be rejected"), so the answer to the stop suffices.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -430,6 +430,9 @@
 
     def _append_stop(self, attempt: Attempt, reason: str) -> None:
         """Order the stop of a run even if one was ordered before."""
+        if attempt.phase is AttemptPhase.STARTING:
+            attempt.is_start_unconfirmed = True
+        attempt.is_start_open = attempt.is_start_unconfirmed
         attempt.phase = AttemptPhase.STOPPING
         self.stop_orders.append(
             StopOrder(attempt.worker, attempt.task, attempt.run, reason)
@@ -577,7 +580,8 @@
                 AttemptPhase.RUNNING,
                 AttemptPhase.STOPPING,
             )
-            if is_past_start and attempt.last_answer_at < sent_at:
+            may_start = not is_past_start or attempt.is_start_open
+            if not may_start and attempt.last_answer_at < sent_at:
                 _log.info(
                     "Run is missing from the worker's report",
                     task=attempt.task,
@@ -596,6 +600,7 @@
             attempt = self._adopt(worker, status)
             if attempt is None:
                 return
+        attempt.is_start_open = False
         if attempt.phase is AttemptPhase.STARTING:
             attempt.phase = AttemptPhase.RUNNING
             attempt.last_answer_at = now
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -85,6 +85,7 @@
         step, worker = placement.step, placement.worker
         if attempt.phase is AttemptPhase.STOPPING:
             # Another member of the gang has been withdrawn; the stop is on its way.
+            attempt.is_start_open = attempt.is_start_unconfirmed = False
             return
         refusal = self.context.refuse_start(worker)
         if refusal is not None:
@@ -152,7 +153,9 @@
         now = self.context.clock.now()
         outcome = answer.outcome
         if attempt.phase is AttemptPhase.STOPPING:
-            attempt.last_answer_at = now
+            if outcome is not StartOutcome.UNKNOWN:
+                attempt.is_start_open = attempt.is_start_unconfirmed = False
+                attempt.last_answer_at = now
             return
         if outcome is StartOutcome.STARTED:
             attempt.phase = AttemptPhase.RUNNING
@@ -191,9 +194,6 @@
         attempt.worker.is_reachable = False
         self.context.state.crashes.record_silence(attempt.worker, attempt.started_at)
         self.context.state.order_stop(attempt, "start order got no answer")
-        attempt.last_answer_at = Instant(
-            self.context.clock.now() + 10 * self.context.cfg.lease_ms
-        )
         self.stop_all(self.context.state.pop_stop_orders())
 
     async def _stop(self, stop: StopOrder) -> None:
@@ -205,6 +205,7 @@
         attempts = 0
         while attempts < MAX_STOP_ATTEMPTS or self._held_attempt(stop) is not None:
             attempts += 1
+            incarnation_ms = stop.worker.incarnation_ms
             try:
                 await self.context.port.stop(
                     stop.worker.info, stop.task, stop.run, self.context.state.epoch
@@ -234,7 +235,9 @@
             token=self.context.state.epoch,
         )
         attempt = self._held_attempt(stop)
-        if attempt is not None:
+        # A new incarnation knows nothing of a stop that the one before has answered.
+        if attempt is not None and stop.worker.incarnation_ms == incarnation_ms:
+            attempt.is_start_open = False
             attempt.last_answer_at = self.context.clock.now()
 
     @staticmethod
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -99,7 +99,11 @@
     pace : int
         Speed limit set for the run, in percent of full speed.
     is_start_unconfirmed : bool
-        Whether the request to start the run got no reply.
+        Whether the request to start the run got no reply, or none before its stop was
+        ordered.
+    is_start_open : bool
+        Whether the worker may still start the run although it reports none: a stop was
+        ordered, and neither the start nor the stop has been answered.
     is_backfill : bool
         Whether the run uses capacity that was reserved for another step at its start.
     is_known_long : bool
@@ -124,6 +128,7 @@
         "is_resumed",
         "is_size_unknown",
         "is_settled",
+        "is_start_open",
         "is_start_unconfirmed",
         "last_answer_at",
         "last_progress_at",
@@ -160,6 +165,7 @@
         self.load = 0
         self.pace = 100
         self.is_start_unconfirmed = False
+        self.is_start_open = False
         self.is_backfill = False
         self.is_known_long = False
         self.is_long_running = False
