soak: cut of a data centre with its leader, failing

The fault soak could cut an entry from the store or a worker from all entries, never one data centre from the other, so no run showed a replaced leader beside its successor.

Entries belong to data centres as workers do, and make their connections through a switch, which knows the entry by its port. A cut applies to the entries' paths to the store (503, reset, silent or held back), to the workers and, optionally, to the entries of the other side. Inside, all still reach each other.

The test cuts the data centre of the leader off for 12 s (4 entries, 6 workers, 9 standing tasks; store rejects with 503, all else silent).

--- a/pimentomill/platform/tests/soak/_callers.py
+++ b/pimentomill/platform/tests/soak/_callers.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from ._cell import KEYS
+from ._worker import STANDING_PAYLOAD
 
 __all__ = ["Caller"]
 
@@ -13,6 +14,9 @@
 RETRY_INTERVAL_S = 0.4
 CANCEL_PROBABILITY = 0.1
 REQUEST_TIMEOUT_S = 3.0
+SUBMIT_TIMEOUT_S = 30.0
+MAX_STANDING_PER_WORKER = 3
+"""Standing tasks of one job per worker, so that they spread over the workers."""
 
 
 class Caller:
@@ -72,6 +76,25 @@
             ledger.cancelled.add(job)
             await self.call("DELETE", job)
 
+    async def submit_standing(self, job, count, cpu):
+        """Submit a job whose tasks run until it is cancelled.
+
+        Raises
+        ------
+        TimeoutError
+            If it is not accepted in time.
+        """
+        ledger = self.cell.ledger
+        self.cell.cpu_by_job[job] = cpu
+        step = {"Count": count, "Cpu": cpu, "EstimateMs": 300}
+        step |= {"LongRunning": True, "AntiAffinity": MAX_STANDING_PER_WORKER}
+        body = {"Spec": STANDING_PAYLOAD, "Steps": [step]}
+        ledger.uncertain.add(job)
+        async with asyncio.timeout(SUBMIT_TIMEOUT_S):
+            while (await self.call("POST", job, body))[0] != 200:
+                await asyncio.sleep(RETRY_INTERVAL_S)
+        ledger.standing_tasks.update(f"{job}.0.0.{index}" for index in range(count))
+
     async def is_completed(self, job):
         """Return whether an entry reports the job as completed."""
         status, body = await self.call("GET", job)
--- a/pimentomill/platform/tests/soak/_cell.py
+++ b/pimentomill/platform/tests/soak/_cell.py
@@ -7,10 +7,14 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
+
+from pimentomill.replica import LEADER_KEY, LeaderRecord
 
 from ._ledger import Ledger
+from ._network import SWITCH_PORT_VARIABLE, Network
 from ._proxy import Proxy
-from ._store import WireStore
+from ._store import WireStore, decode_record
 from ._worker import WireWorker
 
 __all__ = ["DATA_CENTRES", "WORKER_CPU_MILLI", "Cell", "Entry"]
@@ -25,11 +29,11 @@
 """Limit for all entries to become ready, also on a loaded machine."""
 
 
-def render_settings(number, ip, store_port, ports):
+def render_settings(name, ip, data_centre, store_port, ports):
     front, ready, control = ports
     return f"""
-NodeName = "n{number}"
-Zone = "z1"
+NodeName = "{name}"
+Zone = "{data_centre}"
 Ip = "{ip}"
 [ListenAddrs]
 Front = "{ip}:{front}"
@@ -47,10 +51,13 @@
 
     def __init__(self, number, folder, subnet):
         self.number = number
+        self.name = f"n{number}"
         # Each entry has its own loopback address, so that the fixed ports do not clash.
         self.ip = f"127.{subnet}.0.{number + 1}"
         self.ports = (18686, 18689, 18688)
+        self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         self.proxy = Proxy()
+        self.switch = None
         self.path = folder / f"n{number}.toml"
         self.log = folder / f"n{number}.log"
         self.process = None
@@ -64,12 +71,13 @@
             "PATH": os.environ["PATH"],
             "PIMENTOMILL_NODE_FILE": str(self.path),
             "PYTHONPATH": str(ROOT),
+            SWITCH_PORT_VARIABLE: str(self.switch.port),
         }
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "pimentomill.platform",
+                "pimentomill.platform.tests.soak._entry_process",
                 stdout=log,
                 stderr=log,
                 env=env,
@@ -102,6 +110,7 @@
         self.rng = rng
         self.ledger = Ledger()
         self.store = WireStore()
+        self.network = Network()
         self.cpu_by_job = {}
         self.incarnation_count = 0
         self.settings_version = 0
@@ -116,13 +125,21 @@
     async def start(self):
         self.session = aiohttp.ClientSession()
         await self.store.start()
+        await self.network.start()
         self.publish_settings()
         for _ in range(self.worker_count):
             await self.add_worker()
         for entry in self.entries:
             await entry.proxy.start(("127.0.0.1", self.store.port))
+            entry.switch = await self.network.add_switch(entry.data_centre)
+            self.network.store_addresses.add(("127.0.0.1", entry.proxy.port))
+            self.network.entries[entry.ip, entry.ports[2]] = entry.data_centre
             text = render_settings(
-                entry.number, entry.ip, entry.proxy.port, entry.ports
+                entry.name,
+                entry.ip,
+                entry.data_centre,
+                entry.proxy.port,
+                entry.ports,
             )
             entry.path.write_text(text)
             await entry.start()
@@ -140,8 +157,18 @@
         for name in list(self.workers):
             await self.remove_worker(name)
         await self.session.close()
+        await self.network.stop()
         await self.store.stop()
 
+    def leader(self):
+        """Return the entry that leads according to the store, or None."""
+        for content in reversed(self.store.topic("keyed.work").records):
+            key, value = decode_record(content)
+            if key == LEADER_KEY and value:
+                record = msgspec.msgpack.decode(value, type=LeaderRecord)
+                return next(item for item in self.entries if item.name == record.node)
+        return None
+
     async def is_ready(self, entry):
         url = f"http://{entry.ip}:{entry.ports[1]}/ready"
         try:
@@ -178,6 +205,7 @@
         await worker.start()
         proxy = Proxy()
         await proxy.start(("127.0.0.1", worker.port))
+        self.network.workers["127.0.0.1", proxy.port] = worker.data_centre
         self.workers[name] = worker
         self.proxies[name] = proxy
         self.register_worker(name, WORKER_CPU_MILLI)
--- a/pimentomill/platform/tests/soak/_faults.py
+++ b/pimentomill/platform/tests/soak/_faults.py
@@ -4,6 +4,7 @@
 import signal
 
 from ._cell import DATA_CENTRES, KEYS, WORKER_CPU_MILLI
+from ._network import Cut
 from ._proxy import NetworkFault
 
 __all__ = ["FaultInjector"]
@@ -15,6 +16,14 @@
     NetworkFault.ANSWERS_LOST,
     NetworkFault.LOW_BANDWIDTH,
 )
+CUT_STORE_FAULTS = (
+    NetworkFault.REJECT,
+    NetworkFault.RESET,
+    NetworkFault.BLACKHOLE,
+    NetworkFault.HELD,
+)
+CUT_PATH_FAULTS = (NetworkFault.BLACKHOLE, NetworkFault.HELD)
+CUT_LINKS_PROBABILITY = 0.75
 
 SHRUNK_CAPACITY_COUNTS_S = 4.5
 """Time from a record with a smaller capacity until starts have to respect it: the
@@ -32,10 +41,10 @@
     cell : Cell
         Cell to inject faults into.
     rng : random.Random
-        Generator of all random choices but those of the evacuation.
-    evacuation_rng : random.Random
-        Generator of these. It is separate so that the faults of a seed, among them
-        those listed for CI, are the same as without evacuations.
+        Generator of all random choices but those of the evacuation and the cuts.
+    evacuation_rng, cut_rng : random.Random
+        Generators of these. They are separate so that the other faults of a seed, among
+        them those listed for CI, are the same as without evacuations and cuts.
 
     Attributes
     ----------
@@ -43,15 +52,16 @@
         Method names of the faults started so far, in order.
     """
 
-    def __init__(self, cell, rng, evacuation_rng):
+    def __init__(self, cell, rng, evacuation_rng, cut_rng):
         self.cell = cell
         self.rng = rng
         self.evacuation_rng = evacuation_rng
+        self.cut_rng = cut_rng
         self.injected = []
         self._resizing = set()
 
     async def run(self, count, mean_interval_s):
-        """Start `count` faults and one evacuation without waiting for their ends."""
+        """Inject `count` faults and an evacuation, which may overlap."""
         kinds = (
             self.kill,
             self.terminate,
@@ -169,6 +179,27 @@
         for data_centre in data_centres:
             self.cell.return_data_centre(data_centre)
 
+    async def cut_data_centres(self):
+        """Cut off the data centre of the leader, once or twice."""
+        rng = self.cut_rng
+        for _ in range(rng.randint(1, 2)):
+            await asyncio.sleep(rng.uniform(0.0, 3.0))
+            leader = self.cell.leader()
+            cut = Cut(
+                rng.choice(DATA_CENTRES) if leader is None else leader.data_centre,
+                rng.choice(CUT_STORE_FAULTS),
+                rng.choice(CUT_PATH_FAULTS),
+                rng.random() < CUT_LINKS_PROBABILITY,
+            )
+            await self.cut(cut, rng.uniform(3.0, 12.0))
+
+    async def cut(self, cut, lasts_s):
+        """Cut off a data centre for a time."""
+        self.injected.append(f"cut {cut}, {lasts_s:.1f} s")
+        self.cell.network.start_cut(cut)
+        await asyncio.sleep(lasts_s)
+        self.cell.network.end_cut()
+
     async def _sleep_while_store_is_up(self, duration_s):
         """Sleep until the store has been up for so long at a stretch."""
         loop = asyncio.get_running_loop()
--- a/pimentomill/platform/tests/soak/_ledger.py
+++ b/pimentomill/platform/tests/soak/_ledger.py
@@ -26,6 +26,8 @@
     late_acknowledgements : list of str
         One line per end that was acknowledged after a later start that had waited for
         the lapse of the worker's lease.
+    standing_tasks : set of str
+        Accepted tasks that run until their job is cancelled.
     closed_data_centres : set of str
         Data centres evacuated for so long that no run may be started there any more.
     """
@@ -37,6 +39,7 @@
         self.rejected = set()
         self.uncertain = set()
         self.cancelled = set()
+        self.standing_tasks = set()
         self.runs = defaultdict(list)
         self.closed_data_centres = set()
 
@@ -84,6 +87,14 @@
                 f"TWICE {task}: end acknowledged after a later start"
             )
 
+    def stopped_standing_tasks(self):
+        """Return the standing tasks of which no run is in progress."""
+        return sorted(
+            task
+            for task in self.standing_tasks
+            if all(run.ended_at is not None for run in self.runs[task])
+        )
+
     def check_capacity(self, worker, used):
         """Check that the tasks of a worker do not exceed its capacity."""
         if used > worker.capacity:
--- a/pimentomill/platform/tests/soak/_proxy.py
+++ b/pimentomill/platform/tests/soak/_proxy.py
@@ -22,6 +22,10 @@
     BLACKHOLE = "silent"
     ANSWERS_LOST = "answers lost"
     LOW_BANDWIDTH = "small link"
+    HELD = "held"
+    """Bytes are delivered after the fault, as a retransmission would."""
+    REJECT = "503"
+    """Requests are answered with status 503; applied by the switch of an entry."""
 
 
 class Proxy:
@@ -39,6 +43,7 @@
         self.port = 0
         self._server = None
         self._writers = set()
+        self._restored = asyncio.Event()
 
     async def start(self, target):
         self.target = target
@@ -57,18 +62,25 @@
         self.fault = fault
         if fault is NetworkFault.RESET:
             self.abort_connections()
+        if fault is not NetworkFault.HELD:
+            self._restored.set()
+            self._restored = asyncio.Event()
 
     async def _serve(self, reader, writer):
         if self.fault is NetworkFault.RESET:
             writer.transport.abort()
             return
         try:
-            upstream_reader, upstream_writer = await asyncio.open_connection(
-                *self.target
-            )
+            upstream = await asyncio.open_connection(*self.target)
         except OSError:
             writer.transport.abort()
             return
+        await self.forward((reader, writer), upstream)
+
+    async def forward(self, client, upstream):
+        """Forward between two connections, each a reader and a writer."""
+        reader, writer = client
+        upstream_reader, upstream_writer = upstream
         self._writers |= {writer, upstream_writer}
         await asyncio.gather(
             self._forward(reader, upstream_writer, is_answer=False),
@@ -85,6 +97,8 @@
         """Forward bytes in one direction; dropped bytes are never sent again."""
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while data := await reader.read(self._chunk_bytes()):
+                if self.fault is NetworkFault.HELD:
+                    await self._restored.wait()
                 if self.fault is NetworkFault.BLACKHOLE:
                     continue
                 if self.fault is NetworkFault.ANSWERS_LOST and is_answer:
--- a/pimentomill/platform/tests/soak/_soak.py
+++ b/pimentomill/platform/tests/soak/_soak.py
@@ -14,6 +14,9 @@
 __all__ = ["main", "run_seed"]
 
 JOBS_PER_S = 4.0
+STANDING_JOB = "5" * 16
+STANDING_TASKS = 6
+STANDING_CPU_MILLI = 500
 COMPLETION_TIMEOUT_S = 90.0
 """Limit for accepted jobs to complete after the last fault."""
 
@@ -41,10 +44,14 @@
     cell = Cell(folder, rng)
     caller = Caller(cell, random.Random(rng.random()))
     injector = FaultInjector(
-        cell, random.Random(rng.random()), random.Random(f"evacuation {seed}")
+        cell,
+        random.Random(rng.random()),
+        random.Random(f"evacuation {seed}"),
+        random.Random(f"cut {seed}"),
     )
     try:
         await cell.start()
+        await caller.submit_standing(STANDING_JOB, STANDING_TASKS, STANDING_CPU_MILLI)
         injection = asyncio.ensure_future(injector.run(fault_count, mean_interval_s))
         submissions = []
         while not injection.done():
@@ -66,18 +73,24 @@
 
 
 async def _wait_until_completed(cell, caller):
-    """Wait until all accepted jobs that were not cancelled are completed."""
+    """Wait until accepted jobs are completed and standing tasks run again.
+
+    Cancelled jobs are left out.
+    """
     ledger = cell.ledger
     pending_jobs = ledger.accepted - ledger.cancelled
     try:
         async with asyncio.timeout(COMPLETION_TIMEOUT_S):
-            while pending_jobs:
+            while pending_jobs or ledger.stopped_standing_tasks():
                 for job in sorted(pending_jobs):
                     if await caller.is_completed(job):
                         pending_jobs.discard(job)
                 await asyncio.sleep(0.1)
     except TimeoutError:
         ledger.violations += [f"NOT COMPLETED {job}" for job in sorted(pending_jobs)]
+        ledger.violations += [
+            f"NOT RUNNING {task}" for task in ledger.stopped_standing_tasks()
+        ]
 
 
 def main():
--- a/pimentomill/platform/tests/soak/_worker.py
+++ b/pimentomill/platform/tests/soak/_worker.py
@@ -6,9 +6,11 @@
 
 from pimentomill.platform.tests.fake_wire import LoopbackServer
 
-__all__ = ["WireWorker"]
+__all__ = ["STANDING_PAYLOAD", "WireWorker"]
 
 MAX_LEASE_S = 6.0
+STANDING_PAYLOAD = "standing"
+"""Payload of tasks that run until they are stopped."""
 
 
 class WireWorker(LoopbackServer):
@@ -70,7 +72,8 @@
 
     def _end(self, task, outcome, is_reported=True):
         run_id, run, timer = self.running.pop(task)
-        timer.cancel()
+        if timer is not None:
+            timer.cancel()
         self.ledger.record_end(run, outcome == "done", self.now())
         if is_reported:
             self.end_count += 1
@@ -120,8 +123,10 @@
         self.highest_run_ids[task] = run_id
         self.ledger.check_evacuation(task, self)
         run = self.ledger.record_start(task, self, self.now())
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(self.draw_duration_s(), self._finish, task)
+        timer = None
+        if order["Spec"] != STANDING_PAYLOAD:
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(self.draw_duration_s(), self._finish, task)
         self.running[task] = (run_id, run, timer)
         used = sum(self.cpu_by_job[name.split(".")[0]] for name in self.running)
         self.ledger.check_capacity(self, used)
@@ -154,6 +159,9 @@
                     await end_recorded.wait()
             except TimeoutError:
                 self._check_lease()
-        running = [[task, item[0], "", 50, 0] for task, item in self.running.items()]
+        running = [
+            [task, run_id, "", 100 if timer is None else 50, 0]
+            for task, (run_id, _, timer) in self.running.items()
+        ]
         ends = [[*end[:4], ""] for end in self.pending_ends]
         return self._answer(Running=running, Finished=ends)
--- a/pimentomill/platform/tests/soak/test_soak.py
+++ b/pimentomill/platform/tests/soak/test_soak.py
@@ -5,11 +5,14 @@
 from pathlib import Path
 
 from pimentomill.platform.tests.soak._callers import Caller
-from pimentomill.platform.tests.soak._cell import WORKER_CPU_MILLI, Cell
+from pimentomill.platform.tests.soak._cell import DATA_CENTRES, WORKER_CPU_MILLI, Cell
+from pimentomill.platform.tests.soak._network import Cut
 from pimentomill.platform.tests.soak._proxy import NetworkFault
 from pimentomill.platform.tests.soak._soak import run_seed
 
 WAIT_S = 60.0
+SETTLED_S = 3.0
+CUT_S = 12.0
 SEEDS = (1,)
 """Seeds run in CI; a seed that fails is added here with a line on the cause."""
 
@@ -69,6 +72,40 @@
             while not condition():
                 await asyncio.sleep(0.05)
 
+    # Guards against a replaced leader that goes on renewing leases while it is cut off
+    # together with its data centre, so that tasks run twice (issue 36).
+    def test_cut_of_data_centre_with_its_leader_runs_no_task_twice(self):
+        with tempfile.TemporaryDirectory() as name:
+            violations = asyncio.run(self.cut_leader_off(Path(name)))
+        self.assertEqual(violations, [])
+
+    async def cut_leader_off(self, folder):
+        cell = Cell(folder, random.Random(1), entries=4, workers=6)
+        ledger = cell.ledger
+        caller = Caller(cell, random.Random(2))
+        try:
+            await cell.start()
+            await caller.submit_standing("a" * 16, count=9, cpu=500)
+            await self.wait_until(lambda: not ledger.stopped_standing_tasks())
+            # All entries have told one another that they exist.
+            await asyncio.sleep(SETTLED_S)
+            occupied = {
+                worker.data_centre for worker in cell.workers.values() if worker.running
+            }
+            self.assertEqual(occupied, set(DATA_CENTRES))
+            leader = cell.leader()
+            cut = Cut(
+                leader.data_centre, NetworkFault.REJECT, NetworkFault.BLACKHOLE, True
+            )
+            cell.network.start_cut(cut)
+            await asyncio.sleep(CUT_S)
+            self.assertNotEqual(cell.leader(), leader)
+            cell.network.end_cut()
+            await self.wait_until(lambda: not ledger.stopped_standing_tasks())
+        finally:
+            await cell.stop()
+        return ledger.violations
+
     # Guards against an entry that never loads its state over a slow link (inc1).
     def test_entry_on_low_bandwidth_link_becomes_ready(self):
         with tempfile.TemporaryDirectory() as name:
