soak: the store is down for all entries, runs go on

No test at this level kept what PLATFORM.md says of an outage of the store: accepted work goes on. The store is unreachable for all entries for 8 s, half of it with 503 and half silent, while entries and workers are up. Each standing task keeps its run.

At the end of a cut the switch now aborts connections to the server that rejects in place of the store; one that was kept alive went on rejecting.

--- a/pimentomill/platform/tests/soak/_network.py
+++ b/pimentomill/platform/tests/soak/_network.py
@@ -23,6 +23,8 @@
 REFUSED = b"-"
 SILENT_FAULTS = frozenset((NetworkFault.BLACKHOLE, NetworkFault.HELD))
 """Faults under which no new connection is established."""
+ABORTING_FAULTS = frozenset((NetworkFault.BLACKHOLE, NetworkFault.REJECT))
+"""Faults at whose end the connections that met them are aborted."""
 
 
 class Cut:
@@ -147,6 +149,8 @@
         Address that answers 503 in place of the store.
     cut : Cut or None
         Cut in force.
+    store_fault : NetworkFault
+        Fault on the paths from all entries to the store.
     """
 
     def __init__(self):
@@ -156,6 +160,7 @@
         self.rejecting_address = ("", 0)
         self.switches = []
         self.cut = None
+        self.store_fault = NetworkFault.NONE
         self._rejecting_server = RejectingServer()
 
     async def start(self):
@@ -177,11 +182,11 @@
     def fault_on(self, switch, address):
         """Return the fault on the path from an entry to an address."""
         cut = self.cut
+        is_inside = cut is not None and switch.data_centre == cut.data_centre
+        if address in self.store_addresses:
+            return cut.store_fault if is_inside else self.store_fault
         if cut is None:
             return NetworkFault.NONE
-        is_inside = switch.data_centre == cut.data_centre
-        if address in self.store_addresses:
-            return cut.store_fault if is_inside else NetworkFault.NONE
         places = self.workers if address in self.workers else self.entries
         if places is self.entries and not cut.cuts_links:
             return NetworkFault.NONE
@@ -198,13 +203,19 @@
         self.cut = None
         self._update_faults()
 
+    def set_store_fault(self, fault):
+        """Set the fault on the paths from all entries to the store."""
+        self.store_fault = fault
+        self._update_faults()
+
     def _update_faults(self):
         for switch in self.switches:
             for address, path in switch.paths.items():
                 fault = self.fault_on(switch, address)
                 if fault is path.fault:
                     continue
-                # A connection that has lost bytes cannot recover.
-                if path.fault is NetworkFault.BLACKHOLE or fault is NetworkFault.REJECT:
+                # A connection that has lost bytes cannot recover, and one to the store
+                # is not one to the server that rejects in its place.
+                if path.fault in ABORTING_FAULTS or fault is NetworkFault.REJECT:
                     path.abort_connections()
                 path.set_fault(fault)
--- a/pimentomill/platform/tests/soak/test_soak.py
+++ b/pimentomill/platform/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
 WAIT_S = 60.0
 SETTLED_S = 3.0
 CUT_S = 12.0
+OUTAGE_S = 8.0
 SEEDS = (1,)
 """Seeds run in CI; a seed that fails is added here with a line on the cause."""
 
@@ -106,6 +107,33 @@
             await cell.stop()
         return ledger.violations
 
+    # Guards against leases that lapse while the store is down for all entries, which
+    # still reach one another and the workers.
+    def test_runs_go_on_while_the_store_is_down_for_all_entries(self):
+        with tempfile.TemporaryDirectory() as name:
+            asyncio.run(self.take_store_down(Path(name)))
+
+    async def take_store_down(self, folder):
+        cell = Cell(folder, random.Random(1))
+        ledger = cell.ledger
+        caller = Caller(cell, random.Random(2))
+        try:
+            await cell.start()
+            await caller.submit_standing("a" * 16, count=6, cpu=500)
+            await self.wait_until(lambda: not ledger.stopped_standing_tasks())
+            await asyncio.sleep(SETTLED_S)
+            for fault in (NetworkFault.REJECT, NetworkFault.BLACKHOLE):
+                cell.network.set_store_fault(fault)
+                await asyncio.sleep(OUTAGE_S / 2)
+            cell.network.set_store_fault(NetworkFault.NONE)
+            await asyncio.sleep(SETTLED_S)
+            runs = [run for task_runs in ledger.runs.values() for run in task_runs]
+            self.assertEqual(len(runs), len(ledger.standing_tasks))
+            self.assertEqual([run for run in runs if run.ended_at is not None], [])
+            self.assertEqual(ledger.violations, [])
+        finally:
+            await cell.stop()
+
     # Guards against an entry that never loads its state over a slow link (inc1).
     def test_entry_on_low_bandwidth_link_becomes_ready(self):
         with tempfile.TemporaryDirectory() as name:
