workers: calls to an address that can't be used

Cause: an entry of another writer with a host such as a..b made each hold fail with a UnicodeError instead of a TransportError. The hold loop ended and was started again each 0.5 s, and a worker whose entry was overwritten stayed in use. With a port out of range the call counted as sent, although no connection can be tried.

Change: both are transport errors, not sent. An entry whose address is no host and port, or whose name can't be printed, names no worker; a log line says which and why.

Result: the test fails before (sent is True, UnicodeError) and passes after.

--- a/pimentomill/httpclient/_client.py
+++ b/pimentomill/httpclient/_client.py
@@ -13,6 +13,8 @@
 """Shorter than the about 1 s after which TCP retransmits a lost SYN packet."""
 KEEPALIVE_TIMEOUT_S = 60.0
 """Idle connections stay open for reuse: each new one costs a round trip."""
+MAX_REASON_CHARS = 200
+"""Most characters of an address or an error in a message; bounds the log."""
 
 
 class HttpReply(NamedTuple):
@@ -88,7 +90,7 @@
         TransportError
             If no complete response arrived; `sent` states whether the request may
             have been executed. It is a `ProcessEndedError` if the connection was
-            refused or closed.
+            refused or closed. An address that can't be used is such an error, too.
         """
         timeout = aiohttp.ClientTimeout(
             total=timeout_ms / 1000,
@@ -117,12 +119,20 @@
             received = f"{len(content)} bytes, but no complete" if content else "no"
             reason = f"{received} answer within {timeout_ms:.0f} ms"
             raise TransportError(reason, sent=True) from exc
-        except (aiohttp.ClientError, OSError) as exc:
-            reason = str(exc) or type(exc).__name__
+        except (aiohttp.InvalidURL, UnicodeError) as exc:
+            # Neither yields a host to connect to.
+            reason = f"address can't be used: {_shortened(url)}"
+            raise TransportError(reason, sent=False) from exc
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            reason = _shortened(str(exc)) or type(exc).__name__
             error_type = ProcessEndedError if _is_closed(exc) else TransportError
             raise error_type(reason, sent=True) from exc
 
 
+def _shortened(text: str) -> str:
+    return text if len(text) <= MAX_REASON_CHARS else f"{text[:MAX_REASON_CHARS]}..."
+
+
 def _is_closed(exc: BaseException | None) -> bool:
     """Return whether the other side has closed the connection before its answer.
 
--- a/pimentomill/platform/_workers.py
+++ b/pimentomill/platform/_workers.py
@@ -19,6 +19,7 @@
 from ..jobs import TaskKey
 from ..telemetry import ComponentLogger
 from ..utils import Epoch, Resources
+from ._addresses import is_usable_address
 from ._tasks import format_task, parse_task
 
 __all__ = ["PlatformWorkers", "decode_worker"]
@@ -28,6 +29,8 @@
 WRONG_INCARNATION_STATUS = 421
 MAX_ENDS_PER_REPORT = 500
 """Maximum ended runs in one report."""
+MAX_LOGGED_CHARS = 80
+"""Most characters of a wrong field in a message; bounds the log."""
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
 START_REJECTIONS = {
@@ -185,10 +188,9 @@
     except msgspec.DecodeError as exc:
         _log.warning("Worker registration ignored", worker=key, why=str(exc))
         return None
-    if wire.state not in (STATE_READY, STATE_DRAINING) or not key or not wire.address:
-        _log.warning(
-            "Worker registration ignored", worker=key, why=f"state {wire.state!r}"
-        )
+    reason = _reason_to_ignore(key, wire)
+    if reason is not None:
+        _log.warning("Worker registration ignored", worker=key, why=reason)
         return None
     info = WorkerInfo(
         key,
@@ -205,6 +207,17 @@
     return Registration(info, max(0, round(wire.cold_left_ms or 0)))
 
 
+def _reason_to_ignore(key: str, wire: WireWorker) -> str | None:
+    """Return why a registration names no worker to use, None if it does."""
+    if not key or not key.isprintable():
+        return f"name {key!r}"
+    if wire.state not in (STATE_READY, STATE_DRAINING):
+        return f"state {wire.state[:MAX_LOGGED_CHARS]!r}"
+    if not is_usable_address(wire.address):
+        return f"address {wire.address[:MAX_LOGGED_CHARS]!r}"
+    return None
+
+
 class PlatformWorkers:
     """Client of the workers; see `WorkerPort`.
 
--- a/pimentomill/platform/tests/test_workers.py
+++ b/pimentomill/platform/tests/test_workers.py
@@ -9,6 +9,7 @@
 from pimentomill.platform._workers import PlatformWorkers, decode_worker
 
 from .fake_wire import FakeWire
+from .odd_shapes import LOCALLY_ODD_ADDRESSES
 
 TIMEOUT_MS = 20_000
 TASK = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
@@ -109,6 +110,20 @@
     async def hold(self):
         return await self.workers.hold(self.info, HoldOrder(7, 57, 486000, 10))
 
+    # Guards against a worker that stays in use, as a call to an address that another
+    # writer has left fails in a way that does not count as silence.
+    async def test_a_call_to_an_unusable_address_gets_no_answer(self):
+        for address in LOCALLY_ODD_ADDRESSES:
+            self.info = info(address=address)
+            with self.assertRaises(TransportError) as raised:
+                await self.hold()
+            self.assertFalse(raised.exception.sent, address)
+            self.assertLess(len(str(raised.exception)), 300)
+            self.assertIs((await self.start()).outcome, StartOutcome.UNHEALTHY)
+        self.info = info("line\nbreak", address=self.wire.address)
+        with self.assertRaises(TransportError):
+            await self.hold()
+
     async def test_running_and_finished_runs(self):
         name = "5c0e7a21d94b36f8.0.1.17"
         self.set_answer(
