platform: values that are nested too deeply to be decoded

Cause: the decoder raises RecursionError for them, which was taken for a fault of the program. A caller got 500. A worker whose entry was overwritten stayed listed, and one that answered a hold so stayed in use, as its hold loop ended without a failed call.

Change: such values are undecodable like all others: 400 for a job, an entry that names no worker, ignored settings, a hold without a usable answer. The log names the key.

Result: the three tests fail with RecursionError before and pass after.

--- a/pimentomill/platform/_jobs.py
+++ b/pimentomill/platform/_jobs.py
@@ -100,7 +100,7 @@
     """
     try:
         wire = _job_decoder.decode(body)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise ValidationError(f"body: {exc}") from exc
     if len(wire.payload.encode()) > MAX_PAYLOAD_BYTES:
         raise ValidationError(f"Spec: more than {MAX_PAYLOAD_BYTES} bytes")
--- a/pimentomill/platform/_rules.py
+++ b/pimentomill/platform/_rules.py
@@ -135,8 +135,8 @@
     """Decode a published configuration; return None if it is invalid."""
     try:
         wire = msgspec.json.decode(value, type=WireConfig)
-    except msgspec.DecodeError as exc:
-        _log.warning("Configuration ignored", why=str(exc))
+    except (msgspec.DecodeError, RecursionError) as exc:
+        _log.warning("Configuration ignored", key=CONFIG_KEY, why=str(exc))
         return None
     teams = [
         Team(tenant.name, tenant.weight, tenant.limit.to_resources())
--- a/pimentomill/platform/_workers.py
+++ b/pimentomill/platform/_workers.py
@@ -185,7 +185,7 @@
     """
     try:
         wire = _worker_decoder.decode(value)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         _log.warning("Worker registration ignored", worker=key, why=str(exc))
         return None
     reason = _reason_to_ignore(key, wire)
@@ -292,7 +292,12 @@
             wire = _report_decoder.decode(reply.body)
             running = [row.to_status() for row in wire.running]
             ended = [row.to_end() for row in wire.ended]
-        except (msgspec.DecodeError, ValueError, OverflowError) as exc:
+        except (
+            msgspec.DecodeError,
+            ValueError,
+            OverflowError,
+            RecursionError,
+        ) as exc:
             raise TransportError(f"hold reply invalid: {exc}", True) from exc
         complete = len(ended) < MAX_ENDS_PER_REPORT
         return WorkerReport(
@@ -324,5 +329,5 @@
     def _decode_order_reply(reply: HttpReply) -> WireOrderReply:
         try:
             return _order_reply_decoder.decode(reply.body)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return WireOrderReply(reason="unreadable answer")
--- a/pimentomill/platform/tests/test_jobs_and_rules.py
+++ b/pimentomill/platform/tests/test_jobs_and_rules.py
@@ -34,6 +34,14 @@
         job = {"Spec": "x", "Steps": list(steps), **fields}
         return decode_job(json.dumps(job).encode())
 
+    # Guards against a body that ends the request without an answer, and against
+    # settings that are skipped without a reason.
+    def test_deeply_nested_values_are_rejected(self):
+        nested = b"[" * 200_000 + b"]" * 200_000
+        with self.assertRaises(ValidationError):
+            decode_job(b'{"Steps":[{}],"Odd":' + nested + b"}")
+        self.assertIsNone(decode_rules(b'{"Version":1,"Odd":' + nested + b"}"))
+
     def test_each_field_of_a_step(self):
         wire = {
             "Count": 4,
--- a/pimentomill/platform/tests/test_workers.py
+++ b/pimentomill/platform/tests/test_workers.py
@@ -9,7 +9,7 @@
 from pimentomill.platform._workers import PlatformWorkers, decode_worker
 
 from .fake_wire import FakeWire
-from .odd_shapes import LOCALLY_ODD_ADDRESSES
+from .odd_shapes import DEPTHS, LOCALLY_ODD_ADDRESSES
 
 TIMEOUT_MS = 20_000
 TASK = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
@@ -124,6 +124,13 @@
         with self.assertRaises(TransportError):
             await self.hold()
 
+    # Guards against a worker that stays in use, as its answer can't be decoded.
+    async def test_a_deeply_nested_answer_can_not_be_decoded(self):
+        nested = b"[" * 200_000 + b"]" * 200_000
+        self.set_answer("/hold", 200, b'{"ClockMs":1,"Odd":' + nested + b"}")
+        with self.assertRaises(TransportError):
+            await self.hold()
+
     async def test_running_and_finished_runs(self):
         name = "5c0e7a21d94b36f8.0.1.17"
         self.set_answer(
@@ -218,3 +225,14 @@
         ):
             self.assertIsNone(self.decode(**changes), changes)
         self.assertIsNone(decode_worker("i-1", b"\x00\xff"))
+
+
+class TestNestedRegistration(unittest.TestCase):
+    # Guards against a worker that stays in use although its entry can't be read.
+    def test_a_deeply_nested_entry_names_no_worker(self):
+        for depth in DEPTHS:
+            nested = "[" * depth + "]" * depth
+            for field in ("Odd", "Capacity", "born"):
+                value = json.dumps({**REGISTRATION, field: "@"})
+                odd = value.replace('"@"', nested).encode()
+                self.assertIsNone(decode_worker("w", odd), (depth, field))
