workers: numbers beyond 64 bits in a registration stop all new workers

Seen: one entry with RemainingMs, born or an amount of its Capacity of 2**64 to 4,300 digits, and the leader used no worker listed after it: accepted jobs did not start, under no later leader either.

Cause: such numbers were decoded, but the list of workers in use, which is written for a successor when a worker is listed, can't be encoded with them. The error came before the hold loop of the new worker was started, for each worker after it.

Change: a number beyond 2**53 - 1, a negative amount or a negative start time makes an entry one that names no worker.

--- a/pimentomill/platform/_workers.py
+++ b/pimentomill/platform/_workers.py
@@ -20,6 +20,7 @@
 from ..telemetry import ComponentLogger
 from ..utils import Epoch, Resources
 from ._addresses import is_usable_address
+from ._numbers import Amount, Milliseconds, WholeNumber
 from ._tasks import format_task, parse_task
 
 __all__ = ["PlatformWorkers", "decode_worker"]
@@ -48,9 +49,9 @@
 class WireCapacity(msgspec.Struct):
     """Resources: thousandths of a core, MB and accelerators."""
 
-    cpu_milli: int = msgspec.field(name="Cpu", default=0)
-    memory_mb: int = msgspec.field(name="MemMb", default=0)
-    accelerators: int = msgspec.field(name="Gpu", default=0)
+    cpu_milli: Amount = msgspec.field(name="Cpu", default=0)
+    memory_mb: Amount = msgspec.field(name="MemMb", default=0)
+    accelerators: Amount = msgspec.field(name="Gpu", default=0)
 
     def to_resources(self) -> Resources:
         """Convert to the internal form."""
@@ -69,11 +70,11 @@
     capacity: WireCapacity = msgspec.field(name="Capacity")
     zone: str = msgspec.field(name="Zone", default="")
     labels: list[str] = msgspec.field(name="Labels", default_factory=list)
-    incarnation_ms: int = msgspec.field(name="born", default=0)
+    incarnation_ms: Amount = msgspec.field(name="born", default=0)
     # Minimum time left to a draining worker, not to a task.
-    min_remaining_ms: int = msgspec.field(name="RemainingMs", default=0)
+    min_remaining_ms: WholeNumber = msgspec.field(name="RemainingMs", default=0)
     # Time for which the worker still runs slowly after its start.
-    cold_left_ms: float | msgspec.UnsetType = msgspec.field(
+    cold_left_ms: Milliseconds | msgspec.UnsetType = msgspec.field(
         name="ColdLeftMs", default=msgspec.UNSET
     )
 
