platform: a job with a number beyond 64 bits is a client error

Seen: a Cpu of 2**70 was answered with 500. The number was decoded, but the record of the job can't be encoded with it. The same holds for every number of a job, and for those of a queue in the settings, with which each job of the queue is stored.

Change: numbers beyond 2**53 - 1 violate the types of these fields: 400 for a job that names the field, ignored settings.

--- a/pimentomill/platform/_jobs.py
+++ b/pimentomill/platform/_jobs.py
@@ -5,6 +5,7 @@
 from ..exceptions import ValidationError
 from ..jobs import JobSpec, JobState, StepSpec
 from ..utils import Resources
+from ._numbers import WholeNumber
 
 __all__ = ["decode_job", "encode_state", "encode_waiting"]
 
@@ -19,12 +20,14 @@
 class WireStep(msgspec.Struct):
     """A step of a submitted job."""
 
-    count: int = msgspec.field(name="Count", default=1)
-    cpu_milli: int = msgspec.field(name="Cpu", default=0)
-    memory_mb: int = msgspec.field(name="MemMb", default=0)
-    accelerators: int = msgspec.field(name="Gpu", default=0)
-    estimate_ms: int = msgspec.field(name="EstimateMs", default=0)
-    depends_on: list[int] = msgspec.field(name="DependsOn", default_factory=list)
+    count: WholeNumber = msgspec.field(name="Count", default=1)
+    cpu_milli: WholeNumber = msgspec.field(name="Cpu", default=0)
+    memory_mb: WholeNumber = msgspec.field(name="MemMb", default=0)
+    accelerators: WholeNumber = msgspec.field(name="Gpu", default=0)
+    estimate_ms: WholeNumber = msgspec.field(name="EstimateMs", default=0)
+    depends_on: list[WholeNumber] = msgspec.field(
+        name="DependsOn", default_factory=list
+    )
     checkpointed: bool = msgspec.field(name="Checkpointed", default=False)
     gang: bool = msgspec.field(name="Gang", default=False)
     rack_sensitive: bool = msgspec.field(name="RackSensitive", default=False)
@@ -33,14 +36,14 @@
     # Rack that holds the data. Other racks may run the step, but more slowly.
     data_rack: str = msgspec.field(name="Affinity", default="")
     # Maximum tasks of this step on one worker; it does not concern other steps.
-    max_per_worker: int = msgspec.field(name="AntiAffinity", default=0)
+    max_per_worker: WholeNumber = msgspec.field(name="AntiAffinity", default=0)
     speculative: bool = msgspec.field(name="Speculative", default=False)
     long_running: bool = msgspec.field(name="LongRunning", default=False)
     image: str = msgspec.field(name="Image", default="")
     # Bound on the tail latency that the task's own users see.
-    tail_target_ms: int = msgspec.field(name="TargetMs", default=0)
+    tail_target_ms: WholeNumber = msgspec.field(name="TargetMs", default=0)
     uses_idle_cpu: bool = msgspec.field(name="Fills", default=False)
-    max_unavailable: int = msgspec.field(name="MayMiss", default=0)
+    max_unavailable: WholeNumber = msgspec.field(name="MayMiss", default=0)
 
     def to_spec(self) -> StepSpec:
         """Convert to the internal form."""
@@ -69,10 +72,10 @@
 
     payload: str = msgspec.field(name="Spec", default="")
     steps: list[WireStep] = msgspec.field(name="Steps", default_factory=list)
-    occurrences: int = msgspec.field(name="Times", default=0)
+    occurrences: WholeNumber = msgspec.field(name="Times", default=0)
     # Milliseconds since 1970 (Unix time).
-    first_due_ms: int = msgspec.field(name="StartAtMs", default=0)
-    interval_ms: int = msgspec.field(name="IntervalMs", default=0)
+    first_due_ms: WholeNumber = msgspec.field(name="StartAtMs", default=0)
+    interval_ms: WholeNumber = msgspec.field(name="IntervalMs", default=0)
 
 
 class WireState(msgspec.Struct):
--- a/pimentomill/platform/_rules.py
+++ b/pimentomill/platform/_rules.py
@@ -11,6 +11,7 @@
     Team,
 )
 from ..telemetry import ComponentLogger
+from ._numbers import Milliseconds, WholeNumber
 from ._workers import WireCapacity
 
 __all__ = ["decode_rule", "decode_rules"]
@@ -24,9 +25,9 @@
 class WirePlacementPolicy(msgspec.Struct):
     """Duration of a query to the placement policy of a queue."""
 
-    decide_ms: float = msgspec.field(name="DecideMs", default=0.0)
-    per_worker_ms: float = msgspec.field(name="EachMs", default=0.0)
-    valid_ms: int = msgspec.field(name="ValidMs", default=1000)
+    decide_ms: Milliseconds = msgspec.field(name="DecideMs", default=0.0)
+    per_worker_ms: Milliseconds = msgspec.field(name="EachMs", default=0.0)
+    valid_ms: WholeNumber = msgspec.field(name="ValidMs", default=1000)
 
 
 class WireRoute(msgspec.Struct):
@@ -36,12 +37,12 @@
     host: str = msgspec.field(name="Host")
     path_prefix: str = msgspec.field(name="PathPrefix")
     service: str = msgspec.field(name="Service")
-    priority: int = msgspec.field(name="Priority", default=0)
-    max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
+    priority: WholeNumber = msgspec.field(name="Priority", default=0)
+    max_attempts: WholeNumber = msgspec.field(name="MaxAttempts", default=1)
     stretch: float = msgspec.field(name="Stretch", default=1.0)
     # Added to the stretched critical path; not a bound on the latency of one answer.
-    target_ms: int = msgspec.field(name="TargetLatencyMs", default=1000)
-    timeout_ms: int = msgspec.field(name="TimeoutMs", default=3000)
+    target_ms: WholeNumber = msgspec.field(name="TargetLatencyMs", default=1000)
+    timeout_ms: WholeNumber = msgspec.field(name="TimeoutMs", default=3000)
     public: bool = msgspec.field(name="Public", default=False)
     placement_policy: WirePlacementPolicy | None = msgspec.field(
         name="Advice", default=None
@@ -94,16 +95,16 @@
 class WireLimits(msgspec.Struct):
     """Limits of callers' requests."""
 
-    header_bytes: int = msgspec.field(name="HeaderBytes", default=16384)
-    body_bytes: int = msgspec.field(name="MaxBodyBytes", default=262144)
-    header_timeout_ms: int = msgspec.field(name="HeaderTimeoutMs", default=3000)
-    idle_timeout_ms: int = msgspec.field(name="IdleTimeoutMs", default=15000)
+    header_bytes: WholeNumber = msgspec.field(name="HeaderBytes", default=16384)
+    body_bytes: WholeNumber = msgspec.field(name="MaxBodyBytes", default=262144)
+    header_timeout_ms: WholeNumber = msgspec.field(name="HeaderTimeoutMs", default=3000)
+    idle_timeout_ms: WholeNumber = msgspec.field(name="IdleTimeoutMs", default=15000)
 
 
 class WireConfig(msgspec.Struct):
     """The whole configuration."""
 
-    version: int = msgspec.field(name="Version")
+    version: WholeNumber = msgspec.field(name="Version")
     routes: list[WireRoute] = msgspec.field(name="Routes", default_factory=list)
     services: list[WireService] = msgspec.field(name="Services", default_factory=list)
     tenants: list[WireTenant] = msgspec.field(name="Tenants", default_factory=list)
--- a/pimentomill/platform/tests/test_jobs_and_rules.py
+++ b/pimentomill/platform/tests/test_jobs_and_rules.py
@@ -4,13 +4,16 @@
 from pathlib import Path
 
 from pimentomill.catalog import EvacuationRequest
+from pimentomill.dispatch.tests.samples import queue
 from pimentomill.exceptions import SettingsError, ValidationError
-from pimentomill.jobs import JobState
+from pimentomill.jobs import Accepted, JobState, encode_record
 from pimentomill.platform._jobs import decode_job, encode_state, encode_waiting
 from pimentomill.platform._rules import decode_rule, decode_rules
 from pimentomill.platform._settings import load_node_file
 from pimentomill.utils import Resources
 
+from .odd_shapes import odd_json_records
+
 NODE_FILE = """
 NodeName = "edge-golfo-a-1"
 Zone = "golfo-a"
@@ -34,6 +37,24 @@
         job = {"Spec": "x", "Steps": list(steps), **fields}
         return decode_job(json.dumps(job).encode())
 
+    # Guards against a job that is answered with 500, as it can be decoded but not
+    # stored, and against a body that ends the request without an answer.
+    def test_an_odd_job_is_rejected_or_can_be_stored(self):
+        step = {"Count": 1, "Cpu": 1, "EstimateMs": 1, "DependsOn": [], "MayMiss": 1}
+        job = {"Spec": "x", "Steps": [step], "Times": 1, "StartAtMs": 1}
+        rejected = 0
+        for name, body in odd_json_records(job).items():
+            with self.subTest(name):
+                try:
+                    spec = decode_job(body)
+                except ValidationError:
+                    rejected += 1
+                    continue
+                encode_record(Accepted("a" * 16, queue(), "t", spec, 0))
+        self.assertGreater(rejected, 100)
+        with self.assertRaises(ValidationError):
+            self.decode({"Cpu": 2**70})
+
     # Guards against a body that ends the request without an answer, and against
     # settings that are skipped without a reason.
     def test_deeply_nested_values_are_rejected(self):
