--- a/pimentomill/platform/_workers.py
+++ b/pimentomill/platform/_workers.py
@@ -19,6 +19,8 @@
 from ..jobs import TaskKey
 from ..telemetry import ComponentLogger
 from ..utils import Epoch, Resources
+from ._addresses import is_usable_address
+from ._numbers import Amount, Milliseconds, WholeNumber
 from ._tasks import format_task, parse_task
 
 __all__ = ["PlatformWorkers", "decode_worker"]
@@ -28,6 +30,8 @@
 WRONG_INCARNATION_STATUS = 421
 MAX_ENDS_PER_REPORT = 500
 """Maximum ended runs in one report."""
+MAX_LOGGED_CHARS = 80
+"""Most characters of a wrong field in a message; bounds the log."""
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
 START_REJECTIONS = {
@@ -45,9 +49,9 @@
 class WireCapacity(msgspec.Struct):
     """Resources: thousandths of a core, MB and accelerators."""
 
-    cpu_milli: int = msgspec.field(name="Cpu", default=0)
-    memory_mb: int = msgspec.field(name="MemMb", default=0)
-    accelerators: int = msgspec.field(name="Gpu", default=0)
+    cpu_milli: Amount = msgspec.field(name="Cpu", default=0)
+    memory_mb: Amount = msgspec.field(name="MemMb", default=0)
+    accelerators: Amount = msgspec.field(name="Gpu", default=0)
 
     def to_resources(self) -> Resources:
         """Convert to the internal form."""
@@ -66,11 +70,11 @@
     capacity: WireCapacity = msgspec.field(name="Capacity")
     zone: str = msgspec.field(name="Zone", default="")
     labels: list[str] = msgspec.field(name="Labels", default_factory=list)
-    incarnation_ms: int = msgspec.field(name="born", default=0)
+    incarnation_ms: Amount = msgspec.field(name="born", default=0)
     # Minimum time left to a draining worker, not to a task.
-    min_remaining_ms: int = msgspec.field(name="RemainingMs", default=0)
+    min_remaining_ms: WholeNumber = msgspec.field(name="RemainingMs", default=0)
     # Time for which the worker still runs slowly after its start.
-    cold_left_ms: float | msgspec.UnsetType = msgspec.field(
+    cold_left_ms: Milliseconds | msgspec.UnsetType = msgspec.field(
         name="ColdLeftMs", default=msgspec.UNSET
     )
 
@@ -182,13 +186,12 @@
     """
     try:
         wire = _worker_decoder.decode(value)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         _log.warning("Worker registration ignored", worker=key, why=str(exc))
         return None
-    if wire.state not in (STATE_READY, STATE_DRAINING) or not key or not wire.address:
-        _log.warning(
-            "Worker registration ignored", worker=key, why=f"state {wire.state!r}"
-        )
+    reason = _reason_to_ignore(key, wire)
+    if reason is not None:
+        _log.warning("Worker registration ignored", worker=key, why=reason)
         return None
     info = WorkerInfo(
         key,
@@ -205,6 +208,17 @@
     return Registration(info, max(0, round(wire.cold_left_ms or 0)))
 
 
+def _reason_to_ignore(key: str, wire: WireWorker) -> str | None:
+    """Return why a registration names no worker to use, None if it does."""
+    if not key or not key.isprintable():
+        return f"name {key!r}"
+    if wire.state not in (STATE_READY, STATE_DRAINING):
+        return f"state {wire.state[:MAX_LOGGED_CHARS]!r}"
+    if not is_usable_address(wire.address):
+        return f"address {wire.address[:MAX_LOGGED_CHARS]!r}"
+    return None
+
+
 class PlatformWorkers:
     """Client of the workers; see `WorkerPort`.
 
@@ -279,7 +293,12 @@
             wire = _report_decoder.decode(reply.body)
             running = [row.to_status() for row in wire.running]
             ended = [row.to_end() for row in wire.ended]
-        except (msgspec.DecodeError, ValueError, OverflowError) as exc:
+        except (
+            msgspec.DecodeError,
+            ValueError,
+            OverflowError,
+            RecursionError,
+        ) as exc:
             raise TransportError(f"hold reply invalid: {exc}", True) from exc
         complete = len(ended) < MAX_ENDS_PER_REPORT
         return WorkerReport(
@@ -311,5 +330,5 @@
     def _decode_order_reply(reply: HttpReply) -> WireOrderReply:
         try:
             return _order_reply_decoder.decode(reply.body)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return WireOrderReply(reason="unreadable answer")
