replica: bound on a leader's authority, and leases that entries grant

Change: the classes of the decision, without network. `Grantor`: an entry replaces a leader that may be alive only if that leader would have asked it for a lease. `Enrolments`: whom a leader has to ask.

Not used yet.

--- a/pimentomill/replica/__init__.py
+++ b/pimentomill/replica/__init__.py
@@ -7,7 +7,21 @@
     Relay,
     split_batches,
 )
+from ._authority import (
+    AUTHORITY_MS,
+    MAX_APPEND_SILENCE_MS,
+    Authority,
+    authority_end_bound,
+)
 from ._follower import Follower, FollowerTiming
+from ._grants import (
+    ENROLMENT_MS,
+    GRANT_MS,
+    Enrolments,
+    Grantor,
+    GrantRefusal,
+    LeaseRequest,
+)
 from ._hedge import Hedge
 from ._leadership import (
     LEADER_KEY,
@@ -20,17 +34,26 @@
 from ._ports import AppendPosition, NewestPage, RecordStore, Slice, Writer
 
 __all__ = [
+    "AUTHORITY_MS",
+    "ENROLMENT_MS",
+    "GRANT_MS",
     "LEADER_KEY",
+    "MAX_APPEND_SILENCE_MS",
     "MAX_BATCH_BYTES",
     "AppendPosition",
     "AppendedHook",
+    "Authority",
     "ElectionTiming",
+    "Enrolments",
     "Follower",
     "FollowerTiming",
+    "GrantRefusal",
+    "Grantor",
     "GroupAppender",
     "Hedge",
     "LeaderRecord",
     "LeaderWatch",
+    "LeaseRequest",
     "LinkView",
     "NewestPage",
     "RecordStore",
@@ -38,5 +61,6 @@
     "Rival",
     "Slice",
     "Writer",
+    "authority_end_bound",
     "split_batches",
 ]
--- a/pimentomill/replica/_leadership.py
+++ b/pimentomill/replica/_leadership.py
@@ -146,6 +146,8 @@
     seen_at_ : Instant
         Time at which it was read, or at which the store was available again after an
         outage, if that is later.
+    heartbeat_at_ : Instant
+        Time at which it was read.
     changed : asyncio.Event
         Set when the leader, its end or its state on the direct link has changed.
     """
@@ -163,6 +165,7 @@
         self.timing = timing
         self.record_: LeaderRecord | None = None
         self.seen_at_ = clock.now()
+        self.heartbeat_at_ = clock.now()
         self._ended = ("", clock.now())
         self._link = ("", LinkView.UNKNOWN)
         self._current_as_of = clock.now()
@@ -198,6 +201,7 @@
             self.changed.set()
         self.record_ = record
         self.seen_at_ = self.clock.now()
+        self.heartbeat_at_ = self.seen_at_
 
     def is_leader(self) -> bool:
         """Return whether this process leads according to the records."""
@@ -208,6 +212,13 @@
             and not record.resigned
         )
 
+    def may_still_act(self) -> bool:
+        """Return whether the leader on record may still act."""
+        record = self.record_
+        if record is None or record.resigned:
+            return False
+        return record.incarnation != self._ended[0]
+
     def observe_end(self, incarnation: str) -> None:
         """Record that an incarnation of an entry has ended."""
         if incarnation != self._ended[0]:
