--- a/pimentomill/control/_context.py
+++ b/pimentomill/control/_context.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ..fleet import Worker, WorkerPort
+from ..replica import Authority
 from ..utils import Clock
 from ._leader_state import LeaderState
 from ._settings import ControlSettings
@@ -24,6 +25,8 @@
         Source of time.
     cfg : ControlSettings
         Settings of the leader.
+    authority : Authority
+        Proofs that the leader has not been replaced.
     on_change : callable
         Called when capacity or tasks have become available.
     on_fenced : callable
@@ -38,6 +41,7 @@
     port: WorkerPort
     clock: Clock
     cfg: ControlSettings
+    authority: Authority
     on_change: Callable[[], None]
     on_fenced: Callable[[str], None]
     refuse_start: Callable[[Worker], str | None] = lambda worker: None
--- a/pimentomill/control/_inheritance.py
+++ b/pimentomill/control/_inheritance.py
@@ -1,6 +1,6 @@
 """Inherited tasks that may still run on a worker that has not reported."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..dispatch import JobRun, StepRun
 from ..fleet import Worker
@@ -20,10 +20,15 @@
     from the reports of workers. A task that no worker has reported may run on a worker
     that is silent, and has to wait until that worker reports or its lease has expired.
 
+    A previous leader that still acts may learn of an end as well, by a call that was
+    under way, and start what has become ready on a worker that is silent here.
+
     Parameters
     ----------
     clock : Clock
         Source of time.
+    is_covered : callable, optional
+        Returns whether no later leader acted up to a time.
 
     Attributes
     ----------
@@ -33,8 +38,11 @@
         Workers that are waited for once the survey has ended.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, is_covered: Callable[[Instant], bool] = lambda at: True
+    ) -> None:
         self.clock = clock
+        self.is_covered = is_covered
         self.is_surveying_ = True
         self.silent_: dict[WorkerId, Worker] = {}
         self._jobs: set[JobId] = set()
@@ -72,6 +80,13 @@
                 unstarted.add(number)
                 self._unseen.pop(StepKey(key.job, key.occurrence, number), None)
 
+    def observe_end(self, job: JobRun) -> None:
+        """Record an end of which a previous leader that still acts may know as well.
+
+        It may have started any task that waits now.
+        """
+        self.add_steps(job.steps.values())
+
     def is_withheld(self, step: StepRun) -> bool:
         """Return whether waiting tasks of a step may run on a silent worker."""
         unseen = self._unseen.get(step.key)
@@ -93,7 +108,10 @@
     def _awaited(self) -> list[Worker]:
         now: Instant = self.clock.now()
         for name, worker in list(self.silent_.items()):
-            if worker.has_answered or now >= worker.lease_until:
+            has_expired = now >= worker.lease_until and self.is_covered(
+                worker.lease_until
+            )
+            if worker.has_answered or has_expired:
                 del self.silent_[name]
         self._forget_if_complete()
         return list(self.silent_.values())
--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -25,10 +25,19 @@
 )
 from ..jobs import JobTable, KeyedRecord, StepKey, WorkerId
 from ..overload import Headroom, LoadReport, UrgentDemand
-from ..replica import AppendedHook, Follower, FollowerTiming, LeaderRecord, RecordStore
+from ..replica import (
+    AppendedHook,
+    Authority,
+    Follower,
+    FollowerTiming,
+    LeaderRecord,
+    RecordStore,
+    authority_end_bound,
+)
 from ..telemetry import ComponentLogger
 from ..usage import UsageLedger
 from ..utils import Clock, Instant, JobId, Resources, supervise, wait_for_event
+from ._authority_keeper import AuthorityKeeper, GrantRound
 from ._context import ControlContext
 from ._diagnosis import (
     NOT_ALLOWED,
@@ -59,8 +68,6 @@
 FLEET_KEY = "fleet"
 SURVEY_MS = 900
 """Time in which workers should answer the first hold of a new leader."""
-FENCING_DELAY_MS = 50
-"""Time from a leader's claim until the last worker to answer has seen its token."""
 MAX_PLAN_GAP_MS = 100
 """Upper bound of the pause between two passes of the planner."""
 PLAN_GAP_MS = 4
@@ -91,6 +98,8 @@
 DIAGNOSED_RESERVATIONS = 6
 """Reservations in one report; bounds the log when the cell is full."""
 
+NOT_PROVEN = "another entry may lead"
+"""Reason for which a leader without a recent proof of its authority starts nothing."""
 QUERIED_WORKERS = 30
 """Workers in the policy query that the objective of a job allows for."""
 
@@ -130,6 +139,12 @@
     rules : RulesCopy, default=None
         Copy of the operators' settings; its age limits starts. With None, starts are
         not limited.
+    authority : Authority, default=None
+        Proofs that this leader has not been replaced; None if it has just been proven
+        and only appends prove it.
+    grant_round : callable, default=None
+        Asks the other entries for leases and returns whether each that may claim has
+        granted one. With None, the leader does not act for long without the store.
     """
 
     def __init__(
@@ -146,6 +161,8 @@
         fleet: list[WorkerInfo],
         on_appended: AppendedHook | None = None,
         rules: RulesCopy | None = None,
+        authority: Authority | None = None,
+        grant_round: GrantRound | None = None,
     ) -> None:
         self.record = record
         self.store = store
@@ -156,6 +173,7 @@
         self.cfg = cfg
         self.fleet = fleet
         self.rules = rules
+        self.authority = authority or Authority(clock.now(), clock.now())
         self.start_gate = StartGate(cfg.evacuation_ms, clock.now())
         self._start_refusal: str | None = None
         self.state = LeaderState(
@@ -165,6 +183,7 @@
             policy_queries.metrics,
             cfg.features,
             UsageLedger(cfg.features.past_use_half_life_s),
+            self.authority.covers,
         )
         if cfg.features.worker_speeds:
             self.state.stragglers = StragglerPolicy(cfg, policy_queries.metrics)
@@ -182,7 +201,17 @@
             cfg.restore_ms, cfg.stop_ms, awaits_ends=features.headroom
         )
         self.progress_writer = ProgressWriter(
-            store, self.state, record, sequence, clock, cfg, on_appended
+            store,
+            self.state,
+            record,
+            sequence,
+            clock,
+            cfg,
+            self.authority,
+            on_appended,
+        )
+        self.authority_keeper = AuthorityKeeper(
+            self.authority, grant_round, clock, self.request_plan
         )
         self.usage = UsageTracker(self.state, self.progress_writer, clock)
         context = ControlContext(
@@ -190,6 +219,7 @@
             port,
             clock,
             cfg,
+            self.authority,
             self.request_plan,
             self.step_down,
             self._refuse_start,
@@ -213,6 +243,7 @@
         self._recorded_fleet: frozenset[tuple[WorkerId, Resources]] = frozenset()
         self._surveyed = False
         self._survey_until = clock.now()
+        self._predecessors_until = clock.now()
         self._last_plan = Plan()
         self._reservations = ReservationTracker()
         self._load = LoadMeter()
@@ -272,6 +303,7 @@
 
     def step_down(self, reason: str) -> None:
         """End the leadership; only the first reason is kept."""
+        self.authority.end()
         if not self._end_reason.done():
             self._end_reason.set_result(reason)
 
@@ -294,7 +326,7 @@
             "due": self._due_loop,
             "expiry": self._expire_loop,
             "diagnosis": self._diagnose_loop,
-            "authority": self._watch_authority,
+            "authority": self.authority_keeper.run,
             "pacing": self.pacing.run,
         }
         tasks = [
@@ -351,6 +383,7 @@
         only some members were started would wait for the others in vain.
         """
         self._is_resigning = True
+        self.authority_keeper.stop_rounds()
         await self.orders.wait_started(self.cfg.start_timeout_ms)
         self.usage.add_record()
         try:
@@ -361,6 +394,7 @@
 
     def _inherit(self) -> None:
         """Adopt all unfinished jobs and all known workers."""
+        self._predecessors_until = authority_end_bound(self.clock.now())
         entries = list(self.table.iter_accepted())
         self.state.replay_shares(entries)
         for entry in entries:
@@ -379,9 +413,9 @@
         )
 
     def _max_lease_end(self) -> Instant:
-        # The previous leader may have renewed a lease just before it was fenced.
-        bound = lease_expiry_bound(self.clock.now(), self.cfg.lease_ms)
-        return Instant(bound + FENCING_DELAY_MS)
+        # A previous leader renews leases for as long as it may act.
+        renewed_until = max(self.clock.now(), self._predecessors_until)
+        return lease_expiry_bound(renewed_until, self.cfg.lease_ms)
 
     # Workers
 
@@ -496,6 +530,8 @@
             await asyncio.sleep(min(gap_s, MAX_PLAN_GAP_MS / 1000))
 
     def _plan(self) -> None:
+        if not self.state.confirm_workers():
+            self.progress_writer.request_proof()
         self._check_survey()
         self.state.evacuate()
         ready = list(self.state.ready_steps())
@@ -550,21 +586,25 @@
     def _may_start(self, now: Instant) -> bool:
         """Return whether runs may be started at all; log when this changes."""
         refusal = self._gate_refusal(now)
-        if refusal != self._start_refusal and self.rules is not None:
+        if refusal != self._start_refusal:
             self._start_refusal = refusal
             if refusal is not None:
                 self.state.metrics.record_held_back(refusal)
+            rules = self.rules
             _log.info(
                 "Starts are held back" if refusal else "Starts are allowed",
                 why=refusal,
-                settings_age_ms=now - self.rules.current_as_of_,
+                proof_age_ms=self.authority.age_ms(now),
+                settings_age_ms=now - rules.current_as_of_ if rules else None,
                 max_age_ms=self.start_gate.max_age_ms,
-                is_store_reachable=self.rules.is_reachable_,
+                is_store_reachable=rules.is_reachable_ if rules else None,
                 is_append_failing=self.progress_writer.is_failing_,
             )
         return refusal is None
 
     def _gate_refusal(self, now: Instant) -> str | None:
+        if not self.authority.is_valid(now):
+            return NOT_PROVEN
         if self.rules is None:
             return None
         is_append_failing = self.progress_writer.is_failing_
@@ -719,14 +759,6 @@
                 self.progress_writer.extra_records.append(KeyedRecord(key, b""))
             self.progress_writer.wake()
 
-    async def _watch_authority(self) -> str:
-        """Return once no append has been answered for `authority_ms`."""
-        while True:
-            await asyncio.sleep(self.cfg.beat_ms / 1000)
-            silent_ms = self.clock.now() - self.progress_writer.written_at_
-            if silent_ms > self.cfg.authority_ms:
-                return f"no append for {silent_ms} ms"
-
 
 def _urgent_demands(steps: list[StepRun], now: Instant) -> Iterator[UrgentDemand]:
     """Yield the waiting work that capacity is kept for."""
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -51,6 +51,11 @@
 _log = ComponentLogger("cell")
 
 
+WAITING_HOLD_MS = 2100
+"""Milliseconds for which a worker may keep a hold of the previous leader waiting after
+it has seen the token of its successor."""
+
+
 class PendingAck(NamedTuple):
     """End of a run that may be acknowledged to the worker once it is durable."""
 
@@ -85,6 +90,8 @@
         Optional features of scheduling; all are off if None.
     usage : UsageLedger, default=None
         Usage of the teams; a disabled ledger is created if None.
+    is_covered : callable, optional
+        Returns whether no later leader acted up to a time.
 
     Attributes
     ----------
@@ -119,6 +126,7 @@
         metrics: CellMetrics | None = None,
         features: Features | None = None,
         usage: UsageLedger | None = None,
+        is_covered: Callable[[Instant], bool] = lambda at: True,
     ) -> None:
         self.epoch = epoch
         self.features = features or Features()
@@ -142,7 +150,8 @@
         self.newly_started: set[JobId] = set()
         self.pending_acks: list[PendingAck] = []
         self.finished: set[JobId] = set()
-        self.inheritance = Inheritance(clock)
+        self.is_covered = is_covered
+        self.inheritance = Inheritance(clock, is_covered)
         self.crashes = CrashTracker(clock, self.step_of, self.dirty)
         self.stragglers: StragglerPolicy | None = None
 
@@ -472,6 +481,7 @@
             )
         for attempt in lost:
             self.release(attempt)
+            self._observe_inherited_end(attempt.task)
 
     def _apply_crash(self, worker: Worker, reason: str) -> None:
         """Give up the tasks that have crashed enough workers, this one included."""
@@ -516,12 +526,26 @@
             worker.earliest_leave_at = Instant(self.clock.now() + info.min_remaining_ms)
         return worker
 
+    def confirm_workers(self) -> bool:
+        """Confirm the workers that answered before the latest proof of authority.
+
+        Returns
+        -------
+        bool
+            Whether all are confirmed.
+        """
+        unconfirmed = [w for w in self.workers.values() if not w.is_confirmed]
+        for worker in unconfirmed:
+            worker.confirm(self.is_covered)
+        return all(worker.is_confirmed for worker in unconfirmed)
+
     def observe_incarnation(self, worker: Worker, incarnation_ms: int) -> None:
         """Apply the incarnation of a worker that answered."""
         if not incarnation_ms or incarnation_ms == worker.incarnation_ms:
             return
         previous_incarnation_ms = worker.incarnation_ms
         worker.begin_incarnation(incarnation_ms)
+        worker.require_confirmation(self.clock.now())
         if not previous_incarnation_ms:
             return
         _log.warning(
@@ -534,6 +558,26 @@
                 self._append_stop(attempt, "worker restarted")
             else:
                 self.release(attempt)
+                self._observe_inherited_end(attempt.task)
+
+    def _observe_inherited_end(self, task: TaskKey) -> None:
+        """Record an end of which a previous leader may know as well."""
+        job = self.jobs.get(task.job)
+        if job is not None:
+            self.inheritance.observe_end(job)
+
+    @staticmethod
+    def _may_predecessor_know(worker: Worker) -> bool:
+        """Return whether a previous leader may have read what a worker reports now.
+
+        The worker obeys no lower token any more, but it may have answered a hold of the
+        previous leader that was waiting. So what happened since its report before this
+        one may be known there, unless that was late enough.
+        """
+        answered_at, reported_at = worker.answered_at, worker.reported_at
+        if answered_at is None or reported_at is None:
+            return True
+        return reported_at < answered_at + WAITING_HOLD_MS
 
     def apply_report(
         self, worker: Worker, report: WorkerReport, sent_at: Instant
@@ -556,7 +600,6 @@
         if self.stragglers is not None:
             self.stragglers.begin_report(worker, report.clock_ms, now)
         worker.is_reachable = True
-        worker.has_answered = True
         for end in report.ended:
             if worker.record_end(end.number):
                 self._apply_end(worker, end)
@@ -571,6 +614,8 @@
             self._stop_stragglers(worker, now)
         if report.is_complete:
             self._release_missing(worker, reported, sent_at)
+        worker.record_answer(now)
+        worker.confirm(self.is_covered)
 
     def _release_missing(self, worker: Worker, reported: set, sent_at: Instant) -> None:
         for attempt in list(worker.attempts.values()):
@@ -593,6 +638,8 @@
                     token=self.epoch,
                 )
                 self.release(attempt)
+                if self._may_predecessor_know(worker):
+                    self._observe_inherited_end(attempt.task)
 
     def _apply_status(self, worker: Worker, status: RunStatus, now: Instant) -> None:
         attempt = worker.attempts.get(status.task)
@@ -733,6 +780,8 @@
         elif attempt is not None:
             attempt.checkpoint = end.checkpoint or attempt.checkpoint
             self.release(attempt)
+        if self._may_predecessor_know(worker):
+            self._observe_inherited_end(end.task)
 
     def _apply_success(
         self, worker, step: StepRun | None, attempt, end: RunEnd
--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -79,19 +79,21 @@
             not worker.is_listed
             and not worker.is_reachable
             and not worker.attempts
-            and self.context.clock.now() >= worker.lease_until
+            and self._has_lease_expired(worker)
         )
 
     async def _hold(self, worker: Worker) -> bool:
         now = self.context.clock.now()
+        is_authorized = self.context.authority.is_valid(now)
         # An unreachable worker gets no renewal: each one would postpone the time
         # at which its lease is certain to have expired.
         lease_end = None
-        if worker.is_reachable:
+        if worker.is_reachable and is_authorized:
             lease_end = worker.extend_lease(now, self.context.cfg.lease_ms)
+        is_first_report = is_authorized and lease_end is None
         wait_ms = (
             0
-            if worker.has_pending_ends or lease_end is None
+            if worker.has_pending_ends or is_first_report or not worker.is_reachable
             else self.context.cfg.hold_wait_ms
         )
         order = HoldOrder(
@@ -140,12 +142,22 @@
             # The worker that held the lease has ended, and nothing that it ran is left.
             reason = "another worker has its address"
             worker.lease_until = min(worker.lease_until, now)
-        has_lost_runs = bool(worker.attempts) and now >= worker.lease_until
+        has_lost_runs = bool(worker.attempts) and (
+            has_ended or self._has_lease_expired(worker)
+        )
         if has_lost_runs or has_ended:
             self.context.state.release_lost(worker, reason, has_ended)
         if has_lost_runs:
             self.context.on_change()
 
+    def _has_lease_expired(self, worker: Worker) -> bool:
+        """Return whether the lease of a worker has certainly expired.
+
+        A successor may reach a worker that this leader can't, and renew its lease.
+        """
+        has_passed = self.context.clock.now() >= worker.lease_until
+        return has_passed and self.context.authority.covers(worker.lease_until)
+
     def _record_silence(
         self, worker: Worker, order: HoldOrder, sent_at: Instant
     ) -> None:
--- a/pimentomill/control/_progress_writer.py
+++ b/pimentomill/control/_progress_writer.py
@@ -16,6 +16,7 @@
     LEADER_KEY,
     AppendedHook,
     AppendPosition,
+    Authority,
     Hedge,
     LeaderRecord,
     RecordStore,
@@ -54,6 +55,8 @@
         Source of time.
     cfg : ControlSettings
         Settings of the leader.
+    authority : Authority
+        Receives each acknowledged append as a proof.
     on_appended : callable, default=None
         Called with the offset of the first record and the records of each append
         that the store has acknowledged.
@@ -78,6 +81,7 @@
         sequence: int,
         clock: Clock,
         cfg: ControlSettings,
+        authority: Authority,
         on_appended: AppendedHook | None = None,
     ) -> None:
         self.store = store
@@ -87,11 +91,13 @@
         self.sequence = sequence
         self.clock = clock
         self.cfg = cfg
+        self.authority = authority
         self.written_at_ = clock.now()
         self.is_failing_ = False
         self.ends_durable = asyncio.Event()
         self.extra_records: list[KeyedRecord] = []
         self._wake = asyncio.Event()
+        self._is_proof_wanted = False
         self._flush_lock = asyncio.Lock()
         self._hedge = Hedge(clock)
 
@@ -100,6 +106,11 @@
         if self.state.dirty or self.state.pending_acks or self.extra_records:
             self._wake.set()
 
+    def request_proof(self) -> None:
+        """Request an append, as a proof of the leader's authority."""
+        self._is_proof_wanted = True
+        self._wake.set()
+
     async def run(self) -> None:
         """Write changes and heartbeats until cancelled.
 
@@ -139,7 +150,9 @@
             for item in progress
         ]
         records += extra_records
-        heartbeat_due = self.clock.now() - self.written_at_ >= self.cfg.beat_ms
+        has_waited = self.clock.now() - self.written_at_ >= self.cfg.beat_ms
+        heartbeat_due = has_waited or self._is_proof_wanted
+        self._is_proof_wanted = False
         if records or heartbeat_due or resign:
             *earlier, last = split_batches(records)
             for batch in earlier:
@@ -158,6 +171,8 @@
         heartbeat = KeyedRecord(LEADER_KEY, msgspec.msgpack.encode(self.record))
         records = [*records, heartbeat]
         writer = Writer(LEADER_WRITER, self.record.epoch, self.sequence)
+        # An answer to a retry may be that of the first call.
+        sent_at = self.clock.now()
 
         def append() -> Awaitable[AppendPosition]:
             # The store recognizes a retry by its sequence number.
@@ -183,6 +198,7 @@
         self.is_failing_ = False
         self.sequence += 1
         self.written_at_ = self.clock.now()
+        self.authority.prove_by_append(sent_at, self.written_at_)
 
     def _notify_appended(self, first: int, records: list[KeyedRecord]) -> None:
         if self.on_appended is not None:
--- a/pimentomill/control/_settings.py
+++ b/pimentomill/control/_settings.py
@@ -32,8 +32,6 @@
     beat_ms : int
         Milliseconds between two heartbeats of the leader; several fit into the
         time without heartbeat after which it is replaced.
-    authority_ms : int
-        Milliseconds without an acknowledged append after which a leader steps down.
     advice_margin_ms : int
         Milliseconds before its expiry at which a ticket is no longer used.
     keep_finished_ms : int
@@ -63,7 +61,6 @@
     start_timeout_ms: int = 600
     retry_ms: int = 150
     beat_ms: int = 400
-    authority_ms: int = 20000
     advice_margin_ms: int = 120
     keep_finished_ms: int = 150000
     pace_interval_ms: int = 500
--- /dev/null
+++ b/pimentomill/control/tests/test_authority_keeper.py
@@ -0,0 +1,87 @@
+"""A leader without the store asks the other entries for leases."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from pimentomill.control import _authority_keeper
+from pimentomill.control._authority_keeper import GRANT_ROUND_AGE_MS, AuthorityKeeper
+from pimentomill.replica import AUTHORITY_MS, MAX_APPEND_SILENCE_MS, Authority
+from pimentomill.utils import ManualClock
+
+
+class TestAuthorityKeeper(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        quick = mock.patch.object(_authority_keeper, "CHECK_INTERVAL_MS", 1)
+        quick.start()
+        self.addCleanup(quick.stop)
+        self.clock = ManualClock(1000)
+        self.authority = Authority(1000, 1000)
+        self.rounds = []
+        self.has_grants = True
+        self.round_ms = 0
+        self.regained = 0
+        self.keeper = AuthorityKeeper(
+            self.authority, self.ask, self.clock, self.count_regained
+        )
+
+    async def ask(self, stored_at):
+        self.rounds.append(stored_at)
+        self.clock.advance(self.round_ms)
+        return self.has_grants
+
+    def count_regained(self):
+        self.regained += 1
+
+    async def run_for(self, ms):
+        """Let the keeper check after a time."""
+        self.clock.advance(ms)
+        task = asyncio.ensure_future(self.keeper.run())
+        await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def test_no_lease_is_asked_for_while_the_store_proves_the_authority(self):
+        await self.run_for(GRANT_ROUND_AGE_MS - 1)
+        self.assertEqual(self.rounds, [])
+
+    # Guards against leases of all workers that end while the whole store is down.
+    async def test_leases_of_the_other_entries_prove_the_authority(self):
+        await self.run_for(GRANT_ROUND_AGE_MS)
+        self.assertEqual(self.rounds, [1000])
+        self.assertTrue(self.authority.covers(1000 + GRANT_ROUND_AGE_MS))
+
+    async def test_a_proof_counts_from_the_beginning_of_its_round(self):
+        self.round_ms = 300
+        await self.run_for(GRANT_ROUND_AGE_MS)
+        self.assertEqual(self.authority.proven_at_, 1000 + GRANT_ROUND_AGE_MS)
+
+    async def test_refused_leases_prove_nothing(self):
+        self.has_grants = False
+        await self.run_for(AUTHORITY_MS)
+        self.assertFalse(self.authority.is_valid(self.clock.now()))
+        self.assertEqual(self.regained, 0)
+        self.has_grants = True
+        await self.run_for(0)
+        self.assertTrue(self.authority.is_valid(self.clock.now()))
+        self.assertEqual(self.regained, 1)
+
+    # Guards against a leader that acts beside the entry to which it hands over.
+    async def test_no_lease_is_asked_for_after_a_resignation(self):
+        self.keeper.stop_rounds()
+        await self.run_for(GRANT_ROUND_AGE_MS)
+        self.assertEqual(self.rounds, [])
+
+    async def test_a_round_overtaken_by_a_resignation_proves_nothing(self):
+        async def ask(stored_at):
+            self.keeper.stop_rounds()
+            return True
+
+        self.keeper.grant_round = ask
+        await self.run_for(GRANT_ROUND_AGE_MS)
+        self.assertEqual(self.authority.proven_at_, 1000)
+
+    async def test_the_leader_steps_down_when_its_authority_has_lapsed(self):
+        self.clock.advance(MAX_APPEND_SILENCE_MS)
+        reason = await asyncio.wait_for(self.keeper.run(), 10)
+        self.assertEqual(reason, f"no append for {MAX_APPEND_SILENCE_MS} ms")
--- a/pimentomill/control/tests/test_evacuation.py
+++ b/pimentomill/control/tests/test_evacuation.py
@@ -163,6 +163,7 @@
         leader = self.start_leader(1)
         leader.rules = rules = FakeRules(self.clock)
         await self.wait_until(lambda: rules.reads and leader._surveyed)
+        await self.wait_until(lambda: self.accept_runs(leader))
         leader.set_evacuated(frozenset({"z1"}))
         rules.is_answered = rules.is_reachable_ = False
         self.store.is_down = True
--- a/pimentomill/control/tests/test_handover_log.py
+++ b/pimentomill/control/tests/test_handover_log.py
@@ -17,6 +17,7 @@
 from pimentomill.dispatch.tests.samples import step
 from pimentomill.exceptions import FencedError, TransportError
 from pimentomill.fleet import AttemptPhase
+from pimentomill.replica import Authority
 from pimentomill.utils import Instant
 
 from .test_leader import WAIT_S, LeaderCase
@@ -73,6 +74,7 @@
             self.port,
             self.clock,
             ControlSettings(),
+            Authority(self.clock.now(), self.clock.now()),
             lambda: None,
             self.reasons.append,
         )
@@ -93,7 +95,8 @@
 
     # Guards against a plan of a successor that can't be traced to what it was told.
     def test_the_first_answer_of_a_worker_is_logged_with_what_it_lists(self):
-        self.worker.is_reachable = self.worker.has_answered = False
+        self.worker.is_reachable = False
+        self.worker.answered_at = None
         fields = fields_of(self.hold(self.report()), "Worker is reachable again")
         self.assertTrue(fields["is_first_answer"])
         listed = (fields["running"], fields["ended"], fields["incarnation_ms"])
--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -3,6 +3,7 @@
 import unittest
 
 from pimentomill.control import LeaderState
+from pimentomill.control._leader_state import WAITING_HOLD_MS
 from pimentomill.dispatch.tests.samples import SERVICE, accepted, info, step
 from pimentomill.fleet import EndKind, RunEnd, RunStatus, WorkerReport
 from pimentomill.jobs import JobTable, TaskKey, accepted_key, encode_record
@@ -73,20 +74,69 @@
         self.end_survey()
         self.assertEqual(self.ready(), [0])
 
+    def report_first_run(self):
+        """Report a run when the survey ends, and again once no earlier hold waits."""
+        running = [RunStatus(FIRST_TASK, 1, "", 40, 0)]
+        self.report(self.prompt, running)
+        self.end_survey()
+        self.clock.advance(WAITING_HOLD_MS)
+        self.report(self.prompt, running)
+
     def test_a_reported_task_that_fails_starts_again_at_once(self):
         self.inherit([step()])
-        self.report(self.prompt, [RunStatus(FIRST_TASK, 1, "", 40, 0)])
-        self.end_survey()
+        self.report_first_run()
         self.report(self.prompt, ended=[RunEnd(1, FIRST_TASK, 1, EndKind.FAILED, "")])
         self.assertEqual(self.ready(), [0])
 
     def test_a_step_after_a_reported_task_starts_at_once(self):
         self.inherit([step(), step(depends_on=(0,)), step(depends_on=(1,))])
-        self.report(self.prompt, [RunStatus(FIRST_TASK, 1, "", 40, 0)])
-        self.end_survey()
+        self.report_first_run()
         self.report(self.prompt, ended=[RunEnd(1, FIRST_TASK, 1, EndKind.DONE, "")])
         self.assertEqual(self.ready(), [1])
 
+    # Guards against two runs of a task: the previous leader reads the end by a hold
+    # that was waiting, and starts what follows on the silent worker.
+    def test_an_end_that_a_waiting_hold_may_have_told_the_previous_leader_waits(self):
+        for kind in (EndKind.FAILED, EndKind.DONE, EndKind.STOPPED):
+            with self.subTest(kind=kind):
+                self.setUp()
+                self.inherit([step(), step(depends_on=(0,))])
+                self.report(self.prompt, [RunStatus(FIRST_TASK, 1, "", 40, 0)])
+                self.end_survey()
+                self.clock.advance(WAITING_HOLD_MS - 20)
+                self.report(self.prompt, [RunStatus(FIRST_TASK, 1, "", 41, 0)])
+                # The end may have been told long before this report.
+                self.clock.advance(1000)
+                end = RunEnd(1, FIRST_TASK, 1, kind, "")
+                self.report(self.prompt, ended=[end])
+                self.assertEqual(self.ready(), [])
+                self.report(self.silent)
+                self.assertEqual(len(self.ready()), 1)
+
+    # Guards against two runs of a task: a worker that has answered restarts, which the
+    # previous leader notices as well, as the new incarnation has seen no token.
+    def test_a_task_lost_by_a_restart_waits_for_the_silent_worker(self):
+        self.inherit([step()])
+        self.report_first_run()
+        restarted = WorkerReport(2, 100, [], [], True)
+        self.state.apply_report(self.prompt, restarted, self.clock.now())
+        self.assertEqual(self.ready(), [])
+        self.report(self.silent)
+        self.assertEqual(self.ready(), [0])
+
+    # Guards against two runs of a task: a later leader reaches the silent worker and
+    # renews its lease, which this leader takes for expired.
+    def test_a_silent_worker_is_waited_for_until_no_later_leader_can_have_renewed(self):
+        proven_at = self.clock.now()
+        self.state.inheritance.is_covered = lambda at: at <= proven_at
+        self.inherit([step()])
+        self.report(self.prompt)
+        self.end_survey()
+        self.clock.advance(LEASE_MS)
+        self.assertEqual(self.ready(), [])
+        proven_at = self.clock.now()
+        self.assertEqual(self.ready(), [0])
+
     def test_a_step_after_an_end_that_the_previous_leader_may_have_read_waits(self):
         self.inherit([step(), step(depends_on=(0,))])
         self.report(self.prompt, ended=[RunEnd(1, FIRST_TASK, 1, EndKind.DONE, "")])
--- a/pimentomill/control/tests/test_late_starts.py
+++ b/pimentomill/control/tests/test_late_starts.py
@@ -10,6 +10,7 @@
 from pimentomill.exceptions import TransportError
 from pimentomill.fleet import AttemptPhase, StartAnswer, StartOutcome
 from pimentomill.jobs import Cancelled, TaskKey, cancelled_key, encode_record
+from pimentomill.replica import Authority
 
 from .test_leader import JOB, LeaderCase
 from .test_leader_state import LeaderStateCase
@@ -35,7 +36,13 @@
     def answer_stop(self, attempt):
         port = mock.AsyncMock()
         context = ControlContext(
-            self.state, port, self.clock, ControlSettings(), mock.Mock(), mock.Mock()
+            self.state,
+            port,
+            self.clock,
+            ControlSettings(),
+            Authority(self.clock.now(), self.clock.now()),
+            mock.Mock(),
+            mock.Mock(),
         )
         for stop in self.state.pop_stop_orders():
             asyncio.run(OrderSender(context)._stop(stop))
--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -15,7 +15,13 @@
 from pimentomill.dispatch import Preemption
 from pimentomill.dispatch.tests.samples import accepted, info, queue, step
 from pimentomill.exceptions import TransportError
-from pimentomill.fleet import AttemptPhase, EndKind, Registration, WorkerInfo
+from pimentomill.fleet import (
+    AttemptPhase,
+    EndKind,
+    Registration,
+    WorkerInfo,
+    lease_expiry_bound,
+)
 from pimentomill.jobs import (
     JobState,
     JobTable,
@@ -24,7 +30,7 @@
     accepted_key,
     encode_record,
 )
-from pimentomill.replica import LeaderRecord
+from pimentomill.replica import LeaderRecord, authority_end_bound
 from pimentomill.standins import MemoryStore, MemoryWorkers
 from pimentomill.utils import SystemClock
 
@@ -93,6 +99,11 @@
             while not condition():
                 await asyncio.sleep(0.005)
 
+    @staticmethod
+    def accept_runs(leader):
+        workers = leader.state.workers.values()
+        return workers and all(worker.accepts_runs() for worker in workers)
+
     def workers_started(self, index=0):
         return [
             worker for worker, task, _ in self.workers.started if task.index == index
@@ -124,9 +135,32 @@
         self.store.is_down = False
         await self.wait_until(lambda: not self.workers.workers[worker].ended)
 
+    # Guards against two runs of a task: the leader before renews the lease of a worker
+    # that does not answer its successor.
+    async def test_a_successor_waits_until_no_leader_before_renews_leases(self):
+        claimed_at = self.clock.now()
+        leader = self.start_leader(2, fleet=[self.infos["w1"]])
+        await asyncio.sleep(0)
+        renewed_until = authority_end_bound(claimed_at)
+        bound = lease_expiry_bound(renewed_until, leader.cfg.lease_ms)
+        self.assertGreaterEqual(leader.state.workers["w1"].lease_until, bound)
+
+    # Guards against two runs of a task: a replaced leader without the store starts what
+    # its successor has started.
+    async def test_nothing_is_started_without_authority(self):
+        leader = self.start_leader(1)
+        await self.wait_until(lambda: leader._surveyed and self.accept_runs(leader))
+        leader.authority.is_valid = lambda now: False
+        self.submit(leader, [step()])
+        await self.wait_until(lambda: leader._start_refusal is not None)
+        self.assertEqual(self.workers.started, [])
+        del leader.authority.is_valid
+        leader.request_plan()
+        await self.wait_until(lambda: self.workers.started)
+
     async def test_accepted_work_starts_while_the_store_is_down(self):
         leader = self.start_leader(1)
-        await self.wait_until(lambda: leader.state.workers and leader._surveyed)
+        await self.wait_until(lambda: leader._surveyed and self.accept_runs(leader))
         self.store.is_down = True
         self.submit(leader, [step()])
         await self.wait_until(lambda: self.workers.started)
--- a/pimentomill/control/tests/test_leader_state.py
+++ b/pimentomill/control/tests/test_leader_state.py
@@ -346,3 +346,38 @@
         )
         self.assertTrue(attempt.worker.is_suspect)
         self.assertFalse(attempt.worker.can_start(self.clock.now() - 1000))
+
+
+class TestConfirmation(LeaderStateCase):
+    """A worker restarts after a later leader has called all workers."""
+
+    def setUp(self):
+        super().setUp()
+        self.proven_at = self.clock.now()
+        self.state.is_covered = lambda at: at <= self.proven_at
+        self.clock.advance(100)
+        self.worker = self.state.workers["w1"]
+
+    def restart(self):
+        report = self.report(incarnation_ms=2)
+        self.state.apply_report(self.worker, report, self.clock.now())
+
+    # Guards against two runs of a task, and against a worker with more than it has room
+    # for: the new incarnation has seen no token, so that a replaced leader fills it.
+    def test_a_new_incarnation_gets_no_run_before_a_later_proof(self):
+        self.restart()
+        self.state.sync_worker(info("w1", incarnation_ms=2))
+        self.assertFalse(self.worker.accepts_runs())
+        self.assertFalse(self.state.confirm_workers())
+        self.proven_at = self.clock.now()
+        self.assertTrue(self.state.confirm_workers())
+        self.assertTrue(self.worker.accepts_runs())
+
+    def test_a_worker_that_goes_on_answering_needs_no_later_proof(self):
+        self.state.apply_report(self.worker, self.report(), self.clock.now())
+        self.assertTrue(self.worker.accepts_runs())
+
+    def test_a_worker_that_answers_for_the_first_time_needs_a_later_proof(self):
+        worker = self.state.sync_worker(info("w3"))
+        self.state.apply_report(worker, self.report(), self.clock.now())
+        self.assertFalse(worker.accepts_runs())
--- a/pimentomill/control/tests/test_lease_keeper.py
+++ b/pimentomill/control/tests/test_lease_keeper.py
@@ -8,6 +8,7 @@
 from pimentomill.dispatch.tests.samples import step
 from pimentomill.exceptions import ConflictError, TransportError
 from pimentomill.fleet import EARLY_RUN_MS
+from pimentomill.replica import AUTHORITY_MS, Authority
 
 from .test_leader_state import LeaderStateCase
 
@@ -20,8 +21,10 @@
     def __init__(self, clock):
         self.clock = clock
         self.failures = []
+        self.orders = []
 
     async def hold(self, info, order):
+        self.orders.append(order)
         delay_ms, exc = self.failures.pop(0)
         self.clock.advance(delay_ms)
         raise exc
@@ -33,8 +36,20 @@
         self.cfg = ControlSettings()
         self.port = FailingPort(self.clock)
         self.changes = 0
+        self.is_proven = True
+        self.authority = Authority(
+            self.clock.now(),
+            self.clock.now(),
+            lambda: self.clock.now() if self.is_proven else None,
+        )
         context = ControlContext(
-            self.state, self.port, self.clock, self.cfg, self.count_change, self.fail
+            self.state,
+            self.port,
+            self.clock,
+            self.cfg,
+            self.authority,
+            self.count_change,
+            self.fail,
         )
         self.keeper = LeaseKeeper(context, asyncio.Event(), lambda: None)
         job = self.submit([step()])
@@ -73,3 +88,49 @@
         self.hold((0, broken), (3000, ConflictError("another incarnation")))
         self.assertFalse(self.run_step.crashed_runs)
         self.assertFalse(self.worker.attempts)
+
+    def let_lease_expire(self):
+        """Let the lease of the silent worker expire, and the hold fail once more."""
+        silent = TransportError("no answer", sent=True)
+        self.hold((0, silent))
+        self.clock.advance(self.worker.lease_until - self.clock.now())
+        self.hold((0, silent))
+
+    # Guards against two runs of a task: a replaced leader renews leases that its
+    # successor waits out.
+    def test_no_lease_is_renewed_without_authority(self):
+        silent = TransportError("no answer", sent=True)
+        self.worker.update_clock(5000, self.clock.now())
+        self.hold((0, silent))
+        self.is_proven = False
+        self.worker.is_reachable = True
+        self.clock.advance(AUTHORITY_MS)
+        lease_until = self.worker.lease_until
+        self.hold((0, silent))
+        first, second = self.port.orders
+        self.assertIsNotNone(first.lease_until_ms)
+        self.assertIsNone(second.lease_until_ms)
+        self.assertEqual(self.worker.lease_until, lease_until)
+
+    # Guards against a call each few milliseconds to each worker while the store is
+    # down.
+    def test_a_hold_without_renewal_waits_for_an_end_as_well(self):
+        self.is_proven = False
+        self.clock.advance(AUTHORITY_MS)
+        self.worker.is_reachable = True
+        self.hold((0, TransportError("no answer", sent=True)))
+        self.assertEqual(self.port.orders[0].wait_ms, self.cfg.hold_wait_ms)
+
+    # Guards against two runs of a task: a replaced leader takes a worker for gone that
+    # its successor reaches and renews.
+    def test_a_silent_worker_is_not_taken_for_gone_without_a_later_proof(self):
+        self.is_proven = False
+        self.let_lease_expire()
+        self.assertTrue(self.worker.attempts)
+        self.is_proven = True
+        self.hold((0, TransportError("no answer", sent=True)))
+        self.assertFalse(self.worker.attempts)
+
+    def test_a_silent_worker_is_taken_for_gone_when_its_lease_has_expired(self):
+        self.let_lease_expire()
+        self.assertFalse(self.worker.attempts)
--- a/pimentomill/control/tests/test_past_use.py
+++ b/pimentomill/control/tests/test_past_use.py
@@ -148,6 +148,7 @@
     async def test_accounting_continues_while_the_store_is_down(self):
         leader = self.start(1)
         await self.wait_until(lambda: leader.state.usage.capacity.cpu_milli)
+        await self.wait_until(lambda: self.accept_runs(leader))
         self.store.is_down = True
         await self.run_task(leader, 0.1)
         leader.usage.add_record()
--- a/pimentomill/control/tests/test_progress_writer.py
+++ b/pimentomill/control/tests/test_progress_writer.py
@@ -10,7 +10,13 @@
 from pimentomill.control._settings import ControlSettings
 from pimentomill.exceptions import FencedError
 from pimentomill.jobs import KeyedRecord
-from pimentomill.replica import LEADER_KEY, MAX_BATCH_BYTES, LeaderRecord, Writer
+from pimentomill.replica import (
+    LEADER_KEY,
+    MAX_BATCH_BYTES,
+    Authority,
+    LeaderRecord,
+    Writer,
+)
 from pimentomill.standins import MemoryStore
 from pimentomill.utils import ManualClock
 
@@ -27,6 +33,7 @@
             5,
             self.clock,
             ControlSettings(retry_ms=1),
+            Authority(self.clock.now(), self.clock.now()),
         )
 
     def keys(self):
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -1,6 +1,7 @@
 """The leader's state of a worker and of the attempts on it."""
 
 from collections import deque
+from collections.abc import Callable
 from enum import Enum
 
 from ..jobs import TaskKey
@@ -43,6 +44,11 @@
 """Margin in milliseconds before a lease counts as expired: one slow round trip."""
 
 
+MAX_CLOCK_AGE_MS = 3000
+"""Age in milliseconds of a reading of a worker's clock above which no expiry is derived
+from it: the drift would exceed the margin of the lease."""
+
+
 def lease_expiry_bound(now: Instant, term_ms: int) -> Instant:
     """Return when a lease that starts now has expired on any worker's clock.
 
@@ -233,8 +239,13 @@
         Whether operators have evacuated the worker's data centre.
     is_reachable : bool
         Whether the worker replied to the last hold request.
-    has_answered : bool
-        Whether the worker has ever replied to a hold request of this leader.
+    answered_at : Instant or None
+        Time of the first reply to a hold request of this leader, None before.
+    reported_at : Instant or None
+        Time of the latest reply, None before the first.
+    is_confirmed : bool
+        Whether this leader is known to have led when the present incarnation had
+        answered. Otherwise a later leader may not know what is started there.
     lease_until : Instant
         Upper bound on the expiry of the lease, on this process's clock.
     silent_since : Instant or None
@@ -259,7 +270,10 @@
         self.is_listed = True
         self.is_evacuated = False
         self.is_reachable = False
-        self.has_answered = False
+        self.answered_at: Instant | None = None
+        self.reported_at: Instant | None = None
+        self.is_confirmed = True
+        self._confirmed_from = now
         self.silent_since: Instant | None = None
         self.closed_until = now
         self.cold_until = now
@@ -304,9 +318,38 @@
         free = self.info.capacity - self.used
         return free.minimum(ZERO) if self._unsized_count else free
 
+    @property
+    def has_answered(self) -> bool:
+        """Whether the worker has ever replied to a hold request of this leader."""
+        return self.answered_at is not None
+
+    def record_answer(self, now: Instant) -> None:
+        """Record a reply to a hold request."""
+        self.reported_at = now
+        if self.answered_at is None:
+            self.answered_at = now
+            self.require_confirmation(now)
+
+    def require_confirmation(self, now: Instant) -> None:
+        """Record that a new incarnation has answered."""
+        self.is_confirmed = False
+        self._confirmed_from = now
+
+    def confirm(self, is_covered: Callable[[Instant], bool]) -> None:
+        """Confirm the present incarnation if no later leader acted before its answer.
+
+        Parameters
+        ----------
+        is_covered : callable
+            Returns whether no later leader acted up to a time.
+        """
+        if not self.is_confirmed:
+            self.is_confirmed = is_covered(self._confirmed_from)
+
     def accepts_runs(self) -> bool:
         """Return whether the worker is eligible for new runs at all."""
-        return self.may_get_runs and self.is_reachable and self.is_record_current
+        is_known = self.is_record_current and self.is_confirmed
+        return self.may_get_runs and self.is_reachable and is_known
 
     @property
     def may_get_runs(self) -> bool:
@@ -422,9 +465,9 @@
         -------
         int or None
             Expiry in milliseconds on the worker's clock; None if the clock is not
-            known yet.
+            known, or not any more after a pause.
         """
-        if not self._has_clock:
+        if not self._has_clock or now - self._clock_at > MAX_CLOCK_AGE_MS:
             return None
         self.lease_until = max(self.lease_until, lease_expiry_bound(now, term_ms))
         return self._clock_ms + (now - self._clock_at) + term_ms
--- a/pimentomill/node/_election.py
+++ b/pimentomill/node/_election.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -14,13 +15,15 @@
     OutOfSequenceError,
 )
 from ..jobs import KeyedRecord
-from ..links import LinkClient, WatchOutcome
+from ..links import LinkClient, Watcher, WatchOutcome
 from ..overload import LoadReport
 from ..replica import (
     LEADER_KEY,
     Follower,
+    Grantor,
     LeaderRecord,
     LeaderWatch,
+    LeaseRequest,
     LinkView,
     RecordStore,
     Writer,
@@ -29,7 +32,7 @@
 from ..utils import Clock, Epoch, Instant, wait_for_event
 from ._members import Members
 
-__all__ = ["Candidate"]
+__all__ = ["Candidate", "Claim"]
 
 FIRST_SEQUENCE_SPAN = 1 << 30
 """Range of the random first sequence number of a claim, so that two claims differ."""
@@ -49,6 +52,21 @@
 _log = ComponentLogger("node")
 
 
+class Claim(NamedTuple):
+    """A claim of an epoch.
+
+    Parameters
+    ----------
+    sequence : int
+        Sequence number of its append.
+    sent_at : Instant
+        Time at which it was sent for the first time.
+    """
+
+    sequence: int
+    sent_at: Instant
+
+
 class Candidate:
     """Watches the leader and claims the next epoch when the leader is lost.
 
@@ -71,13 +89,17 @@
     can_lead : callable
         Returns whether this entry is able to lead now.
     lead : callable
-        Leads until another leader takes over; called with the epoch and the sequence
-        number of the claim.
+        Leads until another leader takes over; called with the epoch and the claim.
     suspicion_age_ms : int, default=250
         Age of the replay, in milliseconds, above which it is brought up to date while
         the leader may be lost.
     on_load_report : callable, default=None
         Called with the load reports of the leader; None to ignore them.
+    grantor : Grantor, default=None
+        Decides whether this entry may replace a leader that may still act; None if it
+        always may.
+    address : str, default=""
+        Address of this entry for other entries.
     """
 
     def __init__(
@@ -90,9 +112,11 @@
         links: LinkClient,
         clock: Clock,
         can_lead: Callable[[], bool],
-        lead: Callable[[Epoch, int], Awaitable[None]],
+        lead: Callable[[Epoch, Claim], Awaitable[None]],
         suspicion_age_ms: int = MAX_SUSPICION_AGE_MS,
         on_load_report: Callable[[LoadReport], None] | None = None,
+        grantor: Grantor | None = None,
+        address: str = "",
     ) -> None:
         self.record = record
         self.store = store
@@ -105,7 +129,10 @@
         self.lead = lead
         self.suspicion_age_ms = suspicion_age_ms
         self.on_load_report = on_load_report
-        self._claims: dict[int, int] = {}
+        self.grantor = grantor
+        self.watcher = Watcher(record.incarnation, address)
+        self._claims: dict[Epoch, Claim] = {}
+        self._is_held_back = False
         self._led_epoch = 0
 
     async def run(self) -> None:
@@ -132,10 +159,14 @@
 
     async def _watch_incarnation(self, record: LeaderRecord, address: str) -> None:
         incarnation = record.incarnation
-        hooks = [lambda writes: self._on_heartbeat(incarnation, writes)]
-        if self.on_load_report is not None:
-            hooks.append(self.on_load_report)
-        status = await self.links.watch_incarnation(address, incarnation, *hooks)
+        requested_at = self.clock.now()
+        status = await self.links.watch_incarnation(
+            address,
+            incarnation,
+            lambda writes: self._on_heartbeat(incarnation, writes, requested_at),
+            self.on_load_report,
+            self.watcher,
+        )
         if status is WatchOutcome.ENDED:
             self.watch.observe_end(incarnation)
         elif status is WatchOutcome.TIMED_OUT:
@@ -151,7 +182,11 @@
                 sign=status.value,
             )
 
-    def _on_heartbeat(self, incarnation: str, writes: bool) -> None:
+    def _on_heartbeat(
+        self, incarnation: str, writes: bool, requested_at: Instant
+    ) -> None:
+        if self.grantor is not None:
+            self.grantor.enrol(incarnation, requested_at)
         view = LinkView.HEALTHY if writes else LinkView.NOT_WRITING
         self.watch.observe_link(incarnation, view)
 
@@ -163,11 +198,33 @@
             epoch = self.watch.epoch
             if self.watch.is_leader() and epoch > self._led_epoch:
                 await self._lead(epoch)
-            elif self.watch.should_claim(
-                self.work.current_as_of_, self.members.rivals()
+            elif (
+                self.watch.should_claim(self.work.current_as_of_, self.members.rivals())
+                and self._may_claim()
             ):
                 await self._claim(Epoch(epoch + 1))
 
+    def _may_claim(self) -> bool:
+        """Return whether the leader on record may be replaced; log a change."""
+        record = self.watch.record_
+        if self.grantor is None or record is None or not self.watch.may_still_act():
+            return True
+        leader = LeaseRequest(record.epoch, record.incarnation)
+        silence_ms = self.work.current_as_of_ - self.watch.heartbeat_at_
+        may_claim = self.grantor.may_claim(leader, silence_ms)
+        if may_claim == self._is_held_back:
+            self._is_held_back = not may_claim
+            _log.info(
+                "Claim is held back"
+                if self._is_held_back
+                else "Claim is allowed again",
+                leader=record.node,
+                epoch=record.epoch,
+                silent_ms=silence_ms,
+                why=self.grantor.describe(),
+            )
+        return may_claim
+
     async def _pause(self) -> None:
         """Wait until the next check of the leader is due."""
         if self.watch.is_suspected(self.work.current_as_of_):
@@ -185,17 +242,19 @@
 
     async def _lead(self, epoch: Epoch) -> None:
         self._led_epoch = epoch
-        sequence = self._claims.get(epoch)
-        if sequence is not None:
-            await self.lead(epoch, sequence)
+        claim = self._claims.get(epoch)
+        if claim is not None:
+            await self.lead(epoch, claim)
 
     async def _claim(self, epoch: Epoch) -> None:
         """Try to become the leader of an epoch."""
         # A claim whose answer was lost is retried with the same sequence number, so
         # that the store recognizes it.
-        sequence = self._claims.setdefault(
-            epoch, secrets.randbelow(FIRST_SEQUENCE_SPAN)
+        claim = self._claims.setdefault(
+            epoch, Claim(secrets.randbelow(FIRST_SEQUENCE_SPAN), self.clock.now())
         )
+        if self.grantor is not None:
+            self.grantor.record_claim(epoch)
         record = msgspec.structs.replace(self.record, epoch=epoch)
         silent_ms = self.clock.now() - self.watch.seen_at_
         _log.info("Claiming leadership", epoch=epoch, silent_ms=silent_ms)
@@ -203,7 +262,7 @@
             await self.store.append(
                 WORK_STREAM,
                 [KeyedRecord(LEADER_KEY, msgspec.msgpack.encode(record))],
-                Writer(LEADER_WRITER, epoch, sequence),
+                Writer(LEADER_WRITER, epoch, claim.sequence),
             )
         except (FencedError, OutOfSequenceError) as exc:
             _log.info("Leadership claim rejected", epoch=epoch, why=str(exc))
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -40,20 +40,26 @@
 from ..overload import LoadReport, ShareLedger
 from ..replica import (
     LEADER_KEY,
+    Authority,
     ElectionTiming,
+    Enrolments,
     Follower,
     FollowerTiming,
+    Grantor,
+    GrantRefusal,
     GroupAppender,
     LeaderRecord,
     LeaderWatch,
+    LeaseRequest,
     RecordStore,
 )
 from ..telemetry import CellMetrics, ComponentLogger
 from ..usage import USAGE_KEY
 from ..utils import Clock, Epoch, Instant, JobId, supervise
 from ._admission_gate import AdmissionGate
-from ._election import MAX_SUSPICION_AGE_MS, Candidate
+from ._election import MAX_SUSPICION_AGE_MS, Candidate, Claim
 from ._forwarding import Forwarder
+from ._grant_collector import GrantCollector
 from ._members import Members
 from ._read_timing import rules_timing, work_timing
 from ._records import MEMBER_PREFIX, MemberRecord, member_key
@@ -223,6 +229,8 @@
         )
         self.watch = LeaderWatch(self.incarnation, clock, timing, cfg.cores)
         self.members = Members(cfg.node, clock)
+        self.grantor = Grantor(clock)
+        self.enrolments = Enrolments(clock)
         self.forwarder = Forwarder(self.members, links, clock)
         self._max_version_served = -1
         self._leader_query_allowed_at = clock.now()
@@ -277,6 +285,8 @@
             self._lead,
             SPARSE_SUSPICION_AGE_MS if cfg.sparse_reads else MAX_SUSPICION_AGE_MS,
             self.admission.apply_report if self.admission is not None else None,
+            self.grantor,
+            cfg.address,
         )
         self.intake = Intake(
             store,
@@ -679,6 +689,22 @@
                 _log.warning("Heartbeat not written", why=str(exc))
             await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
 
+    def enrol(self, incarnation: str, address: str) -> None:
+        """Record that an entry watches this one and may replace it as the leader."""
+        self.enrolments.add(incarnation, address)
+
+    def grant_lease(self, req: LeaseRequest) -> GrantRefusal | None:
+        """Grant a lease to the leader, or return why none is granted."""
+        record = self.watch.record_
+        known = None
+        if record is not None and not record.resigned:
+            known = LeaseRequest(record.epoch, record.incarnation)
+        return self.grantor.grant(req, known, self.work.age_ms())
+
+    def _latest_read_as_leader(self) -> Instant | None:
+        """Return when the latest read that shows no later leader was sent."""
+        return self.work.current_as_of_ if self.watch.is_leader() else None
+
     def is_writing(self) -> bool:
         """Return whether the store acknowledges this entry's appends as the leader.
 
@@ -695,8 +721,8 @@
             and not self.is_stopping_
         )
 
-    async def _lead(self, epoch: Epoch, sequence: int) -> None:
-        """Lead under an epoch; `sequence` is the sequence number of the claim."""
+    async def _lead(self, epoch: Epoch, claim: Claim) -> None:
+        """Lead under an epoch that this entry has claimed."""
         policy_queries = PolicyQueryDispatcher(
             self.clock,
             self.control.advice_margin_ms,
@@ -704,9 +730,15 @@
             self.control.features.policy_reuse,
         )
         self._set_policy_ports(policy_queries)
+        authority = Authority(
+            claim.sent_at, self.work.current_as_of_, self._latest_read_as_leader
+        )
+        grants = GrantCollector(
+            LeaseRequest(epoch, self.incarnation), self.enrolments, self.links
+        )
         leader = Leader(
             LeaderRecord(epoch, self.cfg.node, self.incarnation),
-            sequence + 1,
+            claim.sequence + 1,
             self.store,
             self.table,
             self.workers,
@@ -717,6 +749,8 @@
             self._fleet,
             self.on_appended,
             self.rules if self.control.evacuation_ms else None,
+            authority,
+            grants.collect,
         )
         leader.restore_speeds(self._speeds)
         leader.set_evacuated(self.evacuations.data_centres)
--- a/pimentomill/node/tests/test_election.py
+++ b/pimentomill/node/tests/test_election.py
@@ -13,11 +13,12 @@
     ElectionTiming,
     Follower,
     FollowerTiming,
+    Grantor,
     LeaderRecord,
     LeaderWatch,
 )
 from pimentomill.standins import MemoryStore
-from pimentomill.utils import SystemClock
+from pimentomill.utils import ManualClock, SystemClock
 
 LIMIT_S = 30.0
 
@@ -26,7 +27,7 @@
     def __init__(self):
         self.status = WatchOutcome.INCONCLUSIVE
 
-    async def watch_incarnation(self, address, incarnation, on_heartbeat):
+    async def watch_incarnation(self, address, incarnation, *hooks):
         return self.status
 
 
@@ -60,7 +61,7 @@
         if record.key == LEADER_KEY:
             self.watch.apply(record.value)
 
-    async def lead(self, epoch, sequence):
+    async def lead(self, epoch, claim):
         self.led.append(epoch)
         await asyncio.sleep(LIMIT_S)
 
@@ -144,6 +145,34 @@
         await candidate._wait_for_change()
         self.assertEqual(requests, [True])
 
+    # Guards against two leaders: a leader that acts on leases while the store is down
+    # is replaced by an entry that it has not asked for one.
+    async def test_a_silent_leader_is_not_replaced_by_an_entry_it_does_not_know(self):
+        clock = ManualClock(1000)
+        candidate = self.entries[0].candidate
+        candidate.grantor = Grantor(clock)
+        candidate.work = mock.Mock()
+        candidate.work.current_as_of_ = self.entries[0].watch.clock.now()
+        leader = LeaderRecord(1, "b", "life-b")
+        candidate.watch.apply(msgspec.msgpack.encode(leader))
+        with mock.patch.object(election, "_log") as log:
+            self.assertFalse(candidate._may_claim())
+            self.assertFalse(candidate._may_claim())
+            candidate.grantor.enrol("life-b", clock.now())
+            self.assertTrue(candidate._may_claim())
+        lines = [call.args[0] for call in log.info.call_args_list]
+        self.assertEqual(lines, ["Claim is held back", "Claim is allowed again"])
+
+    async def test_a_leader_that_has_ended_or_resigned_is_replaced_by_any_entry(self):
+        for end in ("ended", "resigned"):
+            candidate = self.entries[0].candidate
+            candidate.grantor = Grantor(ManualClock(1000))
+            leader = LeaderRecord(1, "b", "life-b", resigned=end == "resigned")
+            candidate.watch.apply(msgspec.msgpack.encode(leader))
+            if end == "ended":
+                candidate.watch.observe_end("life-b")
+            self.assertTrue(candidate._may_claim(), end)
+
     async def test_an_entry_that_can_not_lead_claims_nothing(self):
         self.entries[0].can_lead = False
         self.tasks += self.entries[0].run()
--- a/pimentomill/node/tests/test_node.py
+++ b/pimentomill/node/tests/test_node.py
@@ -21,6 +21,7 @@
     encode_record,
 )
 from pimentomill.node import CellNode, MemberRecord, NodeSettings, _node
+from pimentomill.node._election import Claim
 from pimentomill.replica import LEADER_KEY, LeaderRecord
 from pimentomill.standins import MemoryStore, MemoryWorkers
 from pimentomill.telemetry import CellMetrics
@@ -154,7 +155,9 @@
         record = UsageRecord(0, 60.0, (TeamUsage("t", 12.5),))
         value = msgspec.msgpack.encode(record)
         self.node._apply_work(KeyedRecord(USAGE_KEY, value))
-        leading = asyncio.ensure_future(self.node._lead(2, 7))
+        leading = asyncio.ensure_future(
+            self.node._lead(2, Claim(7, self.node.clock.now()))
+        )
         await asyncio.sleep(0)
         now = self.node.clock.now()
         self.assertEqual(self.node.leader_.state.usage.past_s("t", now), 12.5)
