--- a/pimentomill/control/tests/test_late_starts.py
+++ b/pimentomill/control/tests/test_late_starts.py
@@ -8,10 +8,10 @@
 from pimentomill.control._orders import OrderSender
 from pimentomill.dispatch.tests.samples import step
 from pimentomill.exceptions import TransportError
-from pimentomill.fleet import AttemptPhase, StartAnswer, StartOutcome
+from pimentomill.fleet import AttemptPhase, EndKind, StartAnswer, StartOutcome
 from pimentomill.jobs import Cancelled, TaskKey, cancelled_key, encode_record
 
-from .test_leader import JOB, LeaderCase
+from .test_leader import JOB, WAIT_S, LeaderCase
 from .test_leader_state import LeaderStateCase
 
 HOLDS = 3
@@ -80,7 +80,9 @@
         self.assertEqual(len(self.state.stop_orders), 1)
 
 
-class TestLateStarts(LeaderCase):
+class LateStartCase(LeaderCase):
+    """The first run of the first job is carried out only once an event is set."""
+
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.late = asyncio.Event()
@@ -100,10 +102,19 @@
         return order.task.job == JOB and order.task.index == 0 and order.run == 1
 
     async def start_late(self, worker_info, order):
-        """Carry out the first run of the first task only once the event is set."""
+        """Carry out a late start once the event is set, even if nobody waits for it."""
         self.ordered.append((worker_info.worker, order.task, order.run))
-        if self.is_late(order):
-            await self.late.wait()
+        if not self.is_late(order):
+            return await self.carry_out(worker_info, order)
+        self.late_start = asyncio.ensure_future(self.carry_out_late(worker_info, order))
+        self.tasks.append(self.late_start)
+        return await asyncio.shield(self.late_start)
+
+    async def carry_out_late(self, worker_info, order):
+        await self.late.wait()
+        return await self.carry_out(worker_info, order)
+
+    async def carry_out(self, worker_info, order):
         answer = await self._start(worker_info, order)
         name = worker_info.worker
         running = self.workers.workers[name].running
@@ -129,6 +140,11 @@
         leader._plan()
         await asyncio.sleep(0)
 
+    def is_started(self, job):
+        return any(task.job == job for _, task, _ in self.workers.started)
+
+
+class TestLateStarts(LateStartCase):
     def cancel(self, leader):
         record = Cancelled(JOB, self.clock.wall_ms())
         self.table.apply(cancelled_key(JOB), encode_record(record))
@@ -149,9 +165,7 @@
         self.late.set()
         await self.wait_until(lambda: ("w1", self.task, 1) in self.workers.started)
         self.is_stop_lost = False
-        await self.wait_until(
-            lambda: any(task.job == "b" * 16 for _, task, _ in self.workers.started)
-        )
+        await self.wait_until(lambda: self.is_started("b" * 16))
         self.assertLessEqual(self.peak_cpu_milli["w1"], 16000)
 
     # Guards against TWICE: a worker rejects a member of a gang while the start of
@@ -187,3 +201,72 @@
         await self.wait_until(
             lambda: any(run > 1 for _, _, run in self.workers.started)
         )
+
+
+class TestLateStartsOfAReplacedLeader(LateStartCase):
+    """A start of the leader before is held up on the way to the only worker."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.list_worker("w2", is_draining=True)
+        self.cpu_milli = {letter * 16: 12000 for letter in "abc"}
+        self.is_cut_off = True
+        hold = self.workers.hold
+
+        async def hold_if_reached(worker_info, order):
+            if order.token == 2 and self.is_cut_off:
+                raise TransportError("no answer", sent=True)
+            return await hold(worker_info, order)
+
+        self.workers.hold = hold_if_reached
+        self.first = self.start_leader(1)
+        await self.wait_until(lambda: self.first.state.workers and self.first._surveyed)
+        self.submit(self.first, [step(cpu=12000)])
+        await self.wait_until(lambda: self.ordered)
+
+    def take_over(self, lease_ms=60_000):
+        return self.start_leader(2, fleet=self.infos.values(), lease_ms=lease_ms)
+
+    # Guards against LIMIT: a successor fills a worker beside a start of the leader
+    # before that the worker carries out just before it answers the successor.
+    async def test_a_start_before_the_first_answer_to_a_successor_is_counted(self):
+        second = self.take_over()
+        self.submit(second, [step(cpu=12000)], job="b" * 16)
+        self.late.set()
+        await self.wait_until(lambda: self.is_started(JOB))
+        self.is_cut_off = False
+        await self.wait_until(lambda: second.state.workers["w1"].has_answered)
+        await self.wait_for_reports(second, "w1")
+        self.assertFalse(self.is_started("b" * 16))
+        self.workers.end("w1", self.task, EndKind.DONE)
+        await self.wait_until(lambda: self.is_started("b" * 16))
+        self.assertEqual(self.peak_cpu_milli, {"w1": 12000})
+
+    # Guards against LIMIT and TWICE: the same start, carried out after the worker has
+    # answered the successor, which has started the task itself.
+    async def test_a_start_after_the_first_answer_to_a_successor_is_rejected(self):
+        self.take_over()
+        self.is_cut_off = False
+        await self.wait_until(lambda: self.is_started(JOB))
+        self.late.set()
+        answer = await asyncio.wait_for(self.late_start, WAIT_S)
+        self.assertIs(answer.outcome, StartOutcome.FENCED)
+        self.assertEqual(self.peak_cpu_milli, {"w1": 12000})
+
+    # Guards against LIMIT: a replaced leader fills a worker that its successor can't
+    # reach, and the successor counts by what it knew at its takeover.
+    async def test_what_a_replaced_leader_starts_meanwhile_is_counted(self):
+        self.late.set()
+        await self.wait_until(lambda: self.is_started(JOB))
+        second = self.take_over()
+        self.submit(second, [step(cpu=12000)], job="b" * 16)
+        self.workers.end("w1", self.task, EndKind.DONE)
+        self.submit(self.first, [step(cpu=12000)], job="c" * 16)
+        await self.wait_until(lambda: self.is_started("c" * 16))
+        self.is_cut_off = False
+        await self.wait_until(lambda: second.state.workers["w1"].has_answered)
+        await self.wait_for_reports(second, "w1")
+        self.assertFalse(self.is_started("b" * 16))
+        self.workers.end("w1", TaskKey("c" * 16, 0, 0, 0), EndKind.DONE)
+        await self.wait_until(lambda: self.is_started("b" * 16))
+        self.assertEqual(self.peak_cpu_milli, {"w1": 12000})
