soak: a lease lapses although nobody calls the worker

The stand-in checked its lease when it was called or when a task finished. A standing task on a worker that nobody reaches counted as running for good: a later start elsewhere would have been reported as TWICE, and the test of the outage of the store could not fail.

The ledger checks the lease whenever it asks whether a run is in progress.

--- a/pimentomill/platform/tests/soak/_ledger.py
+++ b/pimentomill/platform/tests/soak/_ledger.py
@@ -15,6 +15,12 @@
         self.is_completed = False
         self.is_acknowledged = False
 
+    def is_in_progress(self):
+        """Return whether it runs, under a lease that has not lapsed."""
+        if self.ended_at is None:
+            self.worker.check_lease()
+        return self.ended_at is None
+
 
 class Ledger:
     """Record events and collect violations of the guarantees.
@@ -46,7 +52,7 @@
     def record_start(self, task, worker, now):
         """Record the start of a run and check that it is no duplicate."""
         for run in self.runs[task]:
-            if run.ended_at is None:
+            if run.is_in_progress():
                 self.violations.append(
                     f"TWICE {task}: at {run.worker.name}, {worker.name}"
                 )
@@ -92,7 +98,7 @@
         return sorted(
             task
             for task in self.standing_tasks
-            if all(run.ended_at is not None for run in self.runs[task])
+            if not any(run.is_in_progress() for run in self.runs[task])
         )
 
     def check_capacity(self, worker, used):
--- a/pimentomill/platform/tests/soak/_worker.py
+++ b/pimentomill/platform/tests/soak/_worker.py
@@ -61,7 +61,8 @@
             self._end(task, "lapsed", is_reported=False)
         await self.stop()
 
-    def _check_lease(self):
+    def check_lease(self):
+        """End all runs if the lease has lapsed, which no timer does."""
         if self.now() <= self.lease_expires_at:
             return
         for task in list(self.running):
@@ -93,7 +94,7 @@
         if req.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421)
         order = await req.json()
-        self._check_lease()
+        self.check_lease()
         if order["FencingToken"] < self.token:
             return self._reject("fence")
         self.token = order["FencingToken"]
@@ -133,7 +134,7 @@
         return self._answer()
 
     def _finish(self, task):
-        self._check_lease()
+        self.check_lease()
         if task in self.running:
             self._end(task, "done")
 
@@ -158,7 +159,7 @@
                 async with asyncio.timeout(order["WaitMs"] / 1000):
                     await end_recorded.wait()
             except TimeoutError:
-                self._check_lease()
+                self.check_lease()
         running = [
             [task, run_id, "", 100 if timer is None else 50, 0]
             for task, (run_id, _, timer) in self.running.items()
--- a/pimentomill/platform/tests/soak/test_soak.py
+++ b/pimentomill/platform/tests/soak/test_soak.py
@@ -129,7 +129,7 @@
             await asyncio.sleep(SETTLED_S)
             runs = [run for task_runs in ledger.runs.values() for run in task_runs]
             self.assertEqual(len(runs), len(ledger.standing_tasks))
-            self.assertEqual([run for run in runs if run.ended_at is not None], [])
+            self.assertTrue(all(run.is_in_progress() for run in runs))
             self.assertEqual(ledger.violations, [])
         finally:
             await cell.stop()
