soak: free loopback addresses, slow clocks, restarts of workers, more entries

A soak took its loopback addresses from its process id alone. Beside another soak all entries of one run failed to bind (127.55.0.x in use) and the run ended after 60 s; now addresses in use are passed over.

Every other pair of workers has a clock that is 2 % slow, as the platform's may be. A worker can restart under its name: it then knows nothing, and its clock starts anew. Entries can join.

--- a/pimentomill/platform/tests/soak/_cell.py
+++ b/pimentomill/platform/tests/soak/_cell.py
@@ -1,8 +1,10 @@
 """Entry processes together with stand-ins for the store and the workers."""
 
 import asyncio
+import contextlib
 import os
 import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -21,8 +23,12 @@
 
 ROOT = Path(__file__).resolve().parents[4]
 KEYS = {"t": "key-t", "u": "key-u"}
+FRONT_PORT = 18686
+SUBNET_COUNT = 250
 WORKER_CPU_MILLI = 4000
 DATA_CENTRES = ("z1", "z2")
+CLOCK_RATES = (1.0, 0.98)
+"""Rates of the workers' clocks, in turn; the platform's may be 2 % slow."""
 COLD_LEFT_MS = 1000
 """Time for which workers stay slow after the return of their data centre."""
 READY_TIMEOUT_S = 60.0
@@ -46,6 +52,22 @@
 """
 
 
+def find_free_subnet():
+    """Return the second number of loopback addresses that no other soak uses.
+
+    Raises
+    ------
+    OSError
+        If none is free.
+    """
+    for attempt in range(SUBNET_COUNT):
+        subnet = 1 + (os.getpid() + attempt) % SUBNET_COUNT
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((f"127.{subnet}.0.1", FRONT_PORT))
+            return subnet
+    raise OSError(f"none of {SUBNET_COUNT} ranges of loopback addresses is free")
+
+
 class Entry:
     """An entry process and its proxy to the store."""
 
@@ -54,13 +76,14 @@
         self.name = f"n{number}"
         # Each entry has its own loopback address, so that the fixed ports do not clash.
         self.ip = f"127.{subnet}.0.{number + 1}"
-        self.ports = (18686, 18689, 18688)
+        self.ports = (FRONT_PORT, 18689, 18688)
         self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         self.proxy = Proxy()
         self.switch = None
         self.path = folder / f"n{number}.toml"
         self.log = folder / f"n{number}.log"
         self.process = None
+        self._restart_lock = asyncio.Lock()
 
     @property
     def front_url(self):
@@ -84,6 +107,12 @@
                 cwd=ROOT,
             )
 
+    async def start_again(self, ended_process):
+        """Start a process in place of one that has ended, unless that was done."""
+        async with self._restart_lock:
+            if self.process is ended_process:
+                await self.start()
+
     def send_signal(self, signum):
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signum)
@@ -114,8 +143,9 @@
         self.cpu_by_job = {}
         self.incarnation_count = 0
         self.settings_version = 0
-        subnet = 1 + os.getpid() % 250
-        self.entries = [Entry(number, folder, subnet) for number in range(entries)]
+        self.folder = folder
+        self.subnet = find_free_subnet()
+        self.entries = [Entry(number, folder, self.subnet) for number in range(entries)]
         self.worker_count = workers
         self.workers = {}
         self.registered_cpu_milli = {}
@@ -130,24 +160,33 @@
         for _ in range(self.worker_count):
             await self.add_worker()
         for entry in self.entries:
-            await entry.proxy.start(("127.0.0.1", self.store.port))
-            entry.switch = await self.network.add_switch(entry.data_centre)
-            self.network.store_addresses.add(("127.0.0.1", entry.proxy.port))
-            self.network.entries[entry.ip, entry.ports[2]] = entry.data_centre
-            text = render_settings(
-                entry.name,
-                entry.ip,
-                entry.data_centre,
-                entry.proxy.port,
-                entry.ports,
-            )
-            entry.path.write_text(text)
-            await entry.start()
+            await self._start_entry(entry)
         async with asyncio.timeout(READY_TIMEOUT_S):
             for entry in self.entries:
                 while not await self.is_ready(entry):
                     await asyncio.sleep(0.1)
 
+    async def _start_entry(self, entry):
+        await entry.proxy.start(("127.0.0.1", self.store.port))
+        entry.switch = await self.network.add_switch(entry.data_centre)
+        self.network.store_addresses.add(("127.0.0.1", entry.proxy.port))
+        self.network.entries[entry.ip, entry.ports[2]] = entry.data_centre
+        text = render_settings(
+            entry.name,
+            entry.ip,
+            entry.data_centre,
+            entry.proxy.port,
+            entry.ports,
+        )
+        entry.path.write_text(text)
+        await entry.start()
+
+    async def add_entry(self):
+        """Start another entry, which is not waited for."""
+        entry = Entry(len(self.entries), self.folder, self.subnet)
+        await self._start_entry(entry)
+        self.entries.append(entry)
+
     async def stop(self):
         for entry in self.entries:
             entry.send_signal(signal.SIGCONT)
@@ -201,6 +240,7 @@
             WORKER_CPU_MILLI,
             self.cpu_by_job,
             DATA_CENTRES[self.incarnation_count % len(DATA_CENTRES)],
+            CLOCK_RATES[self.incarnation_count // 2 % len(CLOCK_RATES)],
         )
         await worker.start()
         proxy = Proxy()
@@ -233,10 +273,20 @@
             "ColdLeftMs": cold_left_ms,
             "Capacity": {"Cpu": cpu_milli, "MemMb": 1000},
             "Labels": ["kind", "r1"],
-            "born": 1,
+            "born": self.workers[name].born,
         }
         self.store.put("keyed.servers", name, registration)
 
+    async def restart_worker(self, name, pause_s):
+        """Restart a worker under its name, after a pause."""
+        worker = self.workers[name]
+        worker.lose_life()
+        self.proxies[name].abort_connections()
+        await asyncio.sleep(pause_s)
+        if self.workers.get(name) is worker:
+            worker.restart()
+            self.register_worker(name, self.registered_cpu_milli[name])
+
     async def remove_worker(self, name):
         """Crash a worker and remove its registration."""
         worker = self.workers.pop(name)
--- a/pimentomill/platform/tests/soak/_worker.py
+++ b/pimentomill/platform/tests/soak/_worker.py
@@ -8,7 +8,9 @@
 
 __all__ = ["STANDING_PAYLOAD", "WireWorker"]
 
-MAX_LEASE_S = 6.0
+MAX_LEASE_MS = 6000
+INITIAL_CLOCK_S = 1.0
+"""Reading of the clock of a worker that has restarted."""
 STANDING_PAYLOAD = "standing"
 """Payload of tasks that run until they are stopped."""
 
@@ -19,7 +21,7 @@
     Parameters
     ----------
     name : str
-        Name of this incarnation.
+        Name, which it keeps over restarts.
     ledger : Ledger
         Ledger that records all runs.
     draw_duration_s : callable
@@ -30,10 +32,26 @@
         CPU demand of each task, in thousandths of a core, by job.
     data_centre : str, default=""
         Name of its data centre.
+    clock_rate : float, default=1.0
+        Rate of its clock.
+
+    Attributes
+    ----------
+    born : int
+        Time of the start of its present life, as registered.
+    is_up : bool
+        Whether it answers.
     """
 
     def __init__(
-        self, name, ledger, draw_duration_s, capacity, cpu_by_job, data_centre=""
+        self,
+        name,
+        ledger,
+        draw_duration_s,
+        capacity,
+        cpu_by_job,
+        data_centre="",
+        clock_rate=1.0,
     ):
         super().__init__()
         self.name = name
@@ -42,6 +60,14 @@
         self.capacity = capacity
         self.cpu_by_job = cpu_by_job
         self.data_centre = data_centre
+        self.clock_rate = clock_rate
+        self.born = 1
+        self.is_up = True
+        self.end_recorded = asyncio.Event()
+        self._begin_life(clock_origin=0.0)
+
+    def _begin_life(self, clock_origin):
+        self.clock_origin = clock_origin
         self.running = {}
         self.highest_run_ids = {}
         self.pending_ends = []
@@ -50,16 +76,26 @@
         self.lease_expires_at = 0.0
         self.has_lease = False
         self.lapses = []
-        self.end_recorded = asyncio.Event()
 
     def now(self):
         return asyncio.get_running_loop().time()
 
     async def crash(self):
         """End this incarnation and all its runs without reporting their ends."""
+        self.lose_life()
+        await self.stop()
+
+    def lose_life(self):
+        """End all runs without reporting their ends, and answer no more."""
+        self.is_up = False
         for task in list(self.running):
             self._end(task, "lapsed", is_reported=False)
-        await self.stop()
+
+    def restart(self):
+        """Begin a new life, which knows nothing of the one before."""
+        self.born += 1
+        self._begin_life(self.now() - INITIAL_CLOCK_S)
+        self.is_up = True
 
     def check_lease(self):
         """End all runs if the lease has lapsed, which no timer does."""
@@ -84,13 +120,20 @@
 
     def _extend_lease(self, until_ms):
         if until_ms is not None:
-            latest = self.now() + MAX_LEASE_S
-            self.lease_expires_at = max(
-                self.lease_expires_at, min(until_ms / 1000, latest)
-            )
+            latest_ms = self._clock_ms() + MAX_LEASE_MS
+            until = self._to_time(min(until_ms, latest_ms))
+            self.lease_expires_at = max(self.lease_expires_at, until)
             self.has_lease = self.lease_expires_at > self.now()
 
+    def _clock_ms(self):
+        return (self.now() - self.clock_origin) * 1000 * self.clock_rate
+
+    def _to_time(self, clock_ms):
+        return self.clock_origin + clock_ms / 1000 / self.clock_rate
+
     async def _handle(self, req):
+        if not self.is_up:
+            return self._abort(req)
         if req.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421)
         order = await req.json()
@@ -102,11 +145,19 @@
             return self._start(order)
         if req.path == "/run-stop":
             return self._stop(order)
-        return await self._hold(order)
+        born = self.born
+        answer = await self._hold(order)
+        return answer if born == self.born and self.is_up else self._abort(req)
+
+    @staticmethod
+    def _abort(req):
+        if req.transport is not None:
+            req.transport.abort()
+        return web.Response(status=503)
 
     def _answer(self, status=200, **fields):
-        clock = round(self.now() * 1000)
-        return web.json_response({"ClockMs": clock, "born": 1, **fields}, status=status)
+        message = {"ClockMs": round(self._clock_ms()), "born": self.born, **fields}
+        return web.json_response(message, status=status)
 
     def _reject(self, reason):
         return self._answer(409, Reason=reason)
@@ -116,7 +167,7 @@
         if task in self.running and self.running[task][0] == run_id:
             self._extend_lease(order["ExpiresMs"])
             return self._answer()
-        if order["ExpiresMs"] / 1000 <= self.now():
+        if self._to_time(order["ExpiresMs"]) <= self.now():
             return self._reject("late")
         if run_id <= self.highest_run_ids.get(task, 0):
             return self._reject("old")
