node: records of usage and speeds that are nested too deeply

Seen: with such a record of the usage under the cell's key no entry became the leader: each one failed with RecursionError when it took the record over, again and again.

Cause: only the decoder's own errors counted as an undecodable record.

Change: both decoders report it as such; the record is ignored and named in the log.

--- a/pimentomill/platform/tests/odd_shapes.py
+++ b/pimentomill/platform/tests/odd_shapes.py
@@ -11,6 +11,7 @@
     "LOCALLY_ODD_ADDRESSES",
     "ODD_ADDRESSES",
     "ODD_KEYS",
+    "deeply_nested_records",
     "odd_json_records",
     "odd_msgpack_records",
 ]
@@ -139,11 +140,7 @@
         "2**64-1": 2**64 - 1,
     }
     raw = {name: msgspec.Raw(msgspec.msgpack.encode(v)) for name, v in values.items()}
-    # A list or a map of one item, nested; then text that is not UTF-8.
-    for depth in DEPTHS:
-        raw[f"{depth} lists"] = msgspec.Raw(b"\x91" * depth + b"\x01")
-        raw[f"{depth} maps"] = msgspec.Raw(b"\x81\xa1a" * depth + b"\x01")
-        raw[f"{depth} open lists"] = msgspec.Raw(b"\x91" * depth)
+    raw.update(_nested_values())
     raw["not UTF-8"] = msgspec.Raw(b"\xa2\xff\xfe")
     shapes.update({name: bytes(value) for name, value in raw.items()})
     for path in _paths(base):
@@ -152,11 +149,34 @@
             shapes[f"{path} = {name}"] = msgspec.msgpack.encode(
                 _changed(base, path, value)
             )
-    if isinstance(base, dict):
-        for name, value in raw.items():
-            shapes[f"{name} in an unknown field"] = msgspec.msgpack.encode(
-                {**base, "odd": value}
-            )
+    shapes.update(_with_unknown_field(base, raw))
+    return shapes
+
+
+def deeply_nested_records(base: dict | list) -> dict[str, bytes]:
+    """Return msgpack values with a deeply nested part, by description."""
+    nested = _nested_values()
+    shapes = {name: bytes(value) for name, value in nested.items()}
+    return {**shapes, **_with_unknown_field(base, nested)}
+
+
+def _nested_values() -> dict[str, msgspec.Raw]:
+    """Return lists and maps of one item, nested."""
+    raw = {}
+    for depth in DEPTHS:
+        raw[f"{depth} lists"] = msgspec.Raw(b"\x91" * depth + b"\x01")
+        raw[f"{depth} maps"] = msgspec.Raw(b"\x81\xa1a" * depth + b"\x01")
+        raw[f"{depth} open lists"] = msgspec.Raw(b"\x91" * depth)
+    return raw
+
+
+def _with_unknown_field(base: dict | list, values: dict[str, msgspec.Raw]):
+    """Return the record with an unknown field or item that has the values."""
+    shapes = {}
+    for name, value in values.items():
+        longer = {**base, "odd": value} if isinstance(base, dict) else [*base, value]
+        encoded = msgspec.msgpack.encode(longer)
+        shapes[f"{name} in an unknown field"] = encoded
     return shapes
 
 
--- a/pimentomill/platform/tests/test_odd_records.py
+++ b/pimentomill/platform/tests/test_odd_records.py
@@ -6,7 +6,7 @@
 import eliot
 import msgspec
 
-from pimentomill.control import ControlSettings, Features
+from pimentomill.control import SPEEDS_KEY, ControlSettings, Features
 from pimentomill.dispatch.tests.samples import accepted, step
 from pimentomill.fleet import EndKind
 from pimentomill.httpclient import HttpClient
@@ -18,14 +18,18 @@
 from pimentomill.node import CellNode, NodeSettings
 from pimentomill.platform._rules import decode_rule
 from pimentomill.platform._workers import PlatformWorkers, decode_worker
+from pimentomill.speeds import SpeedModel
 from pimentomill.standins import MemoryStore, MemoryWorkers
 from pimentomill.telemetry import CellMetrics
+from pimentomill.usage import USAGE_KEY, TeamUsage, UsageLedger, UsageRecord
 from pimentomill.utils import SystemClock
 
 from .odd_shapes import (
     ODD_ADDRESSES,
     ODD_KEYS,
+    deeply_nested_records,
     odd_json_records,
+    odd_msgpack_records,
 )
 
 WAIT_S = 40.0
@@ -280,3 +284,45 @@
         ):
             entry = json.dumps({**REGISTRATION, field: value}).encode()
             self.assertIsNotNone(decode_worker("w", entry), (field, value))
+
+
+class TestOddRecordsOfTheCell(OddRecordsCase):
+    """Another writer leaves odd records among those of the cell itself."""
+
+    async def lead_after(self, key, shapes):
+        """Check for each value that an entry which starts with it can lead."""
+        for name, value in shapes.items():
+            with self.subTest(name):
+                self.put("work", key, value)
+                try:
+                    await self.start_entry()
+                finally:
+                    await self.stop_entry()
+                failures = [item.get("trace") for item in self.failures]
+                self.assertEqual(failures[:1], [])
+
+    # Guards against a cell without a leader, as each successor reads the same record.
+    async def test_an_entry_leads_whatever_its_predecessor_seems_to_have_left(self):
+        usage = UsageRecord(1, 60.0, (TeamUsage("t", 12.5, 0.5, 1.0),))
+        speeds = [30, [1, 2], [["a", 1, 2]], [["image", 1, 2]], [["w1", 0, 1, 2]]]
+        nested = deeply_nested_records
+        await self.lead_after(USAGE_KEY, nested(plain(usage)))
+        await self.lead_after(SPEEDS_KEY, nested(speeds))
+        await self.start_entry()
+        await self.check_serving()
+
+    # Guards against an error in a value that no play has tried.
+    def test_each_usage_record_is_restored_or_ignored(self):
+        usage = UsageRecord(1, 60.0, (TeamUsage("t", 12.5, 0.5, 1.0),))
+        for name, value in odd_msgpack_records(plain(usage)).items():
+            with self.subTest(name), contextlib.suppress(ValueError):
+                UsageLedger(60).restore(value, 0)
+
+    # Guards against an error in a value that no play has tried.
+    def test_each_speeds_record_is_restored_or_ignored(self):
+        speeds = [30, [1, 2], [["a", 1, 2]], [["image", 1, 2]], [["w1", 0, 1, 2]]]
+        for name, value in odd_msgpack_records(speeds).items():
+            model = SpeedModel(1.5)
+            with self.subTest(name), contextlib.suppress(msgspec.DecodeError):
+                model.restore(value)
+                model.encode()
--- a/pimentomill/speeds/_record.py
+++ b/pimentomill/speeds/_record.py
@@ -130,7 +130,10 @@
     msgspec.DecodeError
         If the record can't be read.
     """
-    record = msgspec.msgpack.decode(value, type=_Record)
+    try:
+        record = msgspec.msgpack.decode(value, type=_Record)
+    except RecursionError as exc:
+        raise msgspec.DecodeError(f"nested too deeply: {exc}") from exc
     names = [name for name, _, _ in record.kinds]
     return LearnedSpeeds(
         _from_units(0, record.task_sd)[1],
--- a/pimentomill/usage/_record.py
+++ b/pimentomill/usage/_record.py
@@ -57,7 +57,10 @@
     ValueError
         If it can't be decoded or contains an impossible number.
     """
-    record = msgspec.msgpack.decode(value, type=UsageRecord)
+    try:
+        record = msgspec.msgpack.decode(value, type=UsageRecord)
+    except RecursionError as exc:
+        raise ValueError(f"nested too deeply: {exc}") from exc
     numbers = [record.half_life_s, *(item.past_s for item in record.teams)]
     if not all(math.isfinite(number) and number >= 0 for number in numbers):
         raise ValueError("a sum or the half-life is not a finite number of at least 0")
