election: leader records of an impossible epoch

Seen: with a leader record of epoch 2**64 - 1 no entry became the leader, as the claim that follows it can't be encoded. From 2**63 on the platform may take neither the epoch of an append nor the token of an order.

Change: epochs above 2**36 are ignored, with a log line.

The test fails before (epoch 2**40 is believed) and passes after.

--- a/pimentomill/replica/_leadership.py
+++ b/pimentomill/replica/_leadership.py
@@ -46,6 +46,10 @@
 partition of the store, one at a time. Where the store is slow, those of a hundred
 entries would keep the first one from being read for seconds."""
 
+MAX_EPOCH = 1 << 36
+"""Highest epoch that is believed; epochs count the changes of the leader. The numbers
+of runs, 100,000 for each epoch, stay whole numbers that every JSON reader can take."""
+
 _log = ComponentLogger("election")
 
 
@@ -177,8 +181,17 @@
         """Apply a record of the leader's key."""
         try:
             record = msgspec.msgpack.decode(value, type=LeaderRecord)
-        except msgspec.DecodeError as exc:
-            _log.warning("Ignoring undecodable leader record", reason=str(exc))
+        except (msgspec.DecodeError, RecursionError) as exc:
+            _log.warning(
+                "Ignoring undecodable leader record", key=LEADER_KEY, why=str(exc)
+            )
+            return
+        if record.epoch > MAX_EPOCH:
+            _log.warning(
+                "Ignoring leader record of an impossible epoch",
+                key=LEADER_KEY,
+                why=f"epoch {record.epoch} is above {MAX_EPOCH}",
+            )
             return
         if record.epoch < self.epoch:
             return
--- a/pimentomill/replica/tests/test_leadership.py
+++ b/pimentomill/replica/tests/test_leadership.py
@@ -43,6 +43,15 @@
         silences = [call.kwargs["silent_ms"] for call in logged.call_args_list]
         self.assertEqual(silences, [None, 873])
 
+    # Guards against a cell without a leader: no claim could follow such an epoch.
+    def test_a_record_of_an_impossible_epoch_is_ignored(self):
+        self.apply_heartbeat(3, "other")
+        for epoch in (2**40, 2**63 - 2, 2**63 - 1, 2**63, 2**64 - 1):
+            self.apply_heartbeat(epoch, "odd")
+            self.assertEqual((self.watch.epoch, self.should_claim()), (3, False))
+        self.apply_heartbeat(4, "next")
+        self.assertEqual(self.watch.epoch, 4)
+
     # Guards against candidates that notice a silent leader late because all of them
     # read rarely, and against an entry that counts the leader as ahead of it.
     def test_a_few_of_the_largest_entries_are_likely_successors(self):
