links: a watch of a leader at an address that can't be used

Cause: a leader record and the member record of its entry, both of another writer, with a host such as a..b made the watch fail with a UnicodeError. The election's task was started again each 0.5 s, and each time the loop that claims was left running beside the new one.

Change: such a watch is inconclusive, and logged, like one that fails otherwise.

Result: the test fails with UnicodeError before and passes after.

--- a/pimentomill/links/_client.py
+++ b/pimentomill/links/_client.py
@@ -194,7 +194,7 @@
             return WatchOutcome.ENDED if refused else WatchOutcome.INCONCLUSIVE
         except TimeoutError:
             return WatchOutcome.TIMED_OUT
-        except (aiohttp.ClientError, OSError) as exc:
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
             reason = str(exc) or type(exc).__name__
             _log.info("Watch of another entry failed", address=address, why=reason)
         return WatchOutcome.INCONCLUSIVE
--- a/pimentomill/links/tests/test_links.py
+++ b/pimentomill/links/tests/test_links.py
@@ -150,6 +150,12 @@
             self.address, incarnation, on_heartbeat
         )
 
+    # Guards against an election that ends with an error, as another writer has left a
+    # leader whose address can't be used.
+    async def test_a_watch_of_an_unusable_address_is_inconclusive(self):
+        for self.address in ("a..b:1", "127.0.0.1:99999", "." * 300 + ":1"):
+            self.assertIs(await self.watch("life"), WatchOutcome.INCONCLUSIVE)
+
     async def test_a_watch_delivers_load_reports_besides_heartbeats(self):
         report = LoadReport(3, 20, {"p": PoolLoad({0: [0, 5], 2: [1, 9]}, ["t"])})
         self.server.load_report = lambda: report
