--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from benchmarks import configuration, planner, slopes, takeover, whole_path
+from benchmarks import authority, configuration, planner, slopes, takeover, whole_path
 
 MODULES = {
     "slopes": slopes,
@@ -10,6 +10,7 @@
     "configuration": configuration,
     "takeover": takeover,
     "planner": planner,
+    "authority": authority,
 }
 
 
