--- a/pimentomill/platform/tests/soak/_worker.py
+++ b/pimentomill/platform/tests/soak/_worker.py
@@ -41,6 +41,11 @@
         Time of the start of its present life, as registered.
     is_up : bool
         Whether it answers.
+    delays_s : dict of (str, str) to float
+        Time in seconds that the orders of one path for one job take on their way.
+    sent, arrived : set of (str, str)
+        Path and job of the orders that were sent, and of those that are not on their
+        way any more.
     """
 
     def __init__(
@@ -63,6 +68,9 @@
         self.clock_rate = clock_rate
         self.born = 1
         self.is_up = True
+        self.delays_s = {}
+        self.sent = set()
+        self.arrived = set()
         self.end_recorded = asyncio.Event()
         self._begin_life(clock_origin=0.0)
 
@@ -131,12 +139,20 @@
     def _to_time(self, clock_ms):
         return self.clock_origin + clock_ms / 1000 / self.clock_rate
 
+    async def _delay(self, path, job):
+        self.sent.add((path, job))
+        if (path, job) in self.delays_s:
+            await asyncio.sleep(self.delays_s[path, job])
+        self.arrived.add((path, job))
+
     async def _handle(self, req):
         if not self.is_up:
             return self._abort(req)
         if req.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421)
         order = await req.json()
+        if "Task" in order:
+            await self._delay(req.path, order["Task"].split(".")[0])
         self.check_lease()
         if order["FencingToken"] < self.token:
             return self._reject("fence")
--- a/pimentomill/platform/tests/soak/test_soak.py
+++ b/pimentomill/platform/tests/soak/test_soak.py
@@ -14,6 +14,8 @@
 SETTLED_S = 3.0
 CUT_S = 12.0
 OUTAGE_S = 8.0
+LATE_START_S = 3.0
+LATE_STOP_S = 4.5
 SEEDS = (1,)
 """Seeds run in CI; a seed that fails is added here with a line on the cause."""
 
@@ -73,6 +75,35 @@
             while not condition():
                 await asyncio.sleep(0.05)
 
+    # Guards against LIMIT: a job is cancelled while its start is under way, and the
+    # worker is filled before the start arrives, which is ahead of the stop (issue 36).
+    def test_a_late_start_of_a_cancelled_job_overloads_no_worker(self):
+        with tempfile.TemporaryDirectory() as name:
+            violations = asyncio.run(self.cancel_during_start(Path(name)))
+        self.assertEqual(violations, [])
+
+    async def cancel_during_start(self, folder):
+        cell = Cell(folder, random.Random(1), entries=1, workers=1)
+        caller = Caller(cell, random.Random(2))
+        late, other = "a" * 16, "b" * 16
+        try:
+            await cell.start()
+            worker = next(iter(cell.workers.values()))
+            worker.draw_duration_s = lambda: 2.0
+            worker.delays_s = {
+                ("/run-start", late): LATE_START_S,
+                ("/run-stop", late): LATE_STOP_S,
+            }
+            await self.submit(caller, late, count=1, cpu=WORKER_CPU_MILLI)
+            await self.wait_until(lambda: ("/run-start", late) in worker.sent)
+            await self.submit(caller, other, count=1, cpu=WORKER_CPU_MILLI)
+            await caller.call("DELETE", late)
+            await self.wait_until(lambda: ("/run-start", late) in worker.arrived)
+            await self.wait_completed(caller, other)
+        finally:
+            await cell.stop()
+        return cell.ledger.violations
+
     # Guards against a replaced leader that goes on renewing leases while it is cut off
     # together with its data centre, so that tasks run twice (issue 36).
     def test_cut_of_data_centre_with_its_leader_runs_no_task_twice(self):
