control: no hold carries a number that another incarnation may take for its own

Ends of the new incarnation are never listed, and their tasks, which had ended done, run again elsewhere.

Cause: the numbers of ends begin anew with each incarnation, and a hold names none. Each hold repeated the highest number that was durable; the first one after the restart carried that of the previous incarnation and dropped ends that nobody had read. The number was reset only when an answer showed the restart, which was too late.

Change: a hold carries a number only if the last hold was answered, was sent after the latest sign of a restart, and not more than 0.5 s ago (a process that was suspended knows nothing of the time between). Signs are a hold, start, stop or pace without an answer of the worker, a start whose answer shows a clock that went back, and a registration of another incarnation. Otherwise the hold carries no number and does not wait. A number that an answered hold has carried is not repeated, so that most waiting holds carry none.

--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -91,11 +91,14 @@
             lease_end = worker.extend_lease(now, self.context.cfg.lease_ms)
         wait_ms = (
             0
-            if worker.has_pending_ends or lease_end is None
+            if worker.has_pending_ends
+            or lease_end is None
+            or not worker.is_incarnation_known(now)
             else self.context.cfg.hold_wait_ms
         )
+        doubts = worker.doubts
         order = HoldOrder(
-            self.context.state.epoch, worker.acknowledged, lease_end, wait_ms
+            self.context.state.epoch, worker.acknowledgement(now), lease_end, wait_ms
         )
         try:
             report = await self.context.port.hold(worker.info, order)
@@ -116,6 +119,8 @@
                 token=order.token,
                 lease_left_ms=worker.lease_until - self.context.clock.now(),
             )
+        answered_at = self.context.clock.now()
+        worker.record_hold_answer(order.acknowledged, doubts, answered_at)
         self.context.state.apply_report(worker, report, now)
         self.context.on_change()
         return True
@@ -123,6 +128,7 @@
     def _on_hold_failure(
         self, worker: Worker, exc: Exception, order: HoldOrder, sent_at: Instant
     ) -> None:
+        worker.record_doubt()
         self._record_silence(worker, order, sent_at)
         if worker.is_reachable:
             _log.warning(
