--- a/pimentomill/control/tests/test_late_starts.py
+++ b/pimentomill/control/tests/test_late_starts.py
@@ -9,7 +9,14 @@
 from pimentomill.dispatch.tests.samples import step
 from pimentomill.exceptions import TransportError
 from pimentomill.fleet import AttemptPhase, EndKind, StartAnswer, StartOutcome
-from pimentomill.jobs import Cancelled, TaskKey, cancelled_key, encode_record
+from pimentomill.jobs import (
+    Cancelled,
+    JobState,
+    TaskKey,
+    cancelled_key,
+    encode_record,
+    progress_key,
+)
 from pimentomill.replica import Authority
 
 from .test_leader import JOB, WAIT_S, LeaderCase
@@ -234,6 +241,13 @@
     def take_over(self, lease_ms=60_000):
         return self.start_leader(2, fleet=self.infos.values(), lease_ms=lease_ms)
 
+    def is_completed(self, job):
+        """Read the stored progress of a job and return whether it is completed."""
+        for record in self.store.records("work"):
+            if record.key == progress_key(job):
+                self.table.apply(record.key, record.value)
+        return self.table.state_of(job) is JobState.COMPLETED
+
     # Guards against LIMIT: a successor fills a worker beside a start of the leader
     # before that the worker carries out just before it answers the successor.
     async def test_a_start_before_the_first_answer_to_a_successor_is_counted(self):
@@ -265,9 +279,10 @@
     async def test_what_a_replaced_leader_starts_meanwhile_is_counted(self):
         self.late.set()
         await self.wait_until(lambda: self.is_started(JOB))
+        self.workers.end("w1", self.task, EndKind.DONE)
+        await self.wait_until(lambda: self.is_completed(JOB))
         second = self.take_over()
         self.submit(second, [step(cpu=12000)], job="b" * 16)
-        self.workers.end("w1", self.task, EndKind.DONE)
         self.submit(self.first, [step(cpu=12000)], job="c" * 16)
         await self.wait_until(lambda: self.is_started("c" * 16))
         self.is_cut_off = False
