control: a job begins when a worker accepts a start

Cause: a job was marked as running, and stored so, when a start was about to be ordered. No rejection took that back.

Change: it is marked when a worker accepts a start, reports a run, or reports the end of a run, also one that an earlier leader ordered. A stored state from before stays as it is.

Two tests of crashes asserted running for jobs of which no start had been answered; they assert queued now, which is as exact and rules out failed all the same.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -365,7 +365,13 @@
         attempt.worker.add_attempt(attempt)
         self.quotas.add(step.job.accepted.team, step.spec.need)
         self.usage.add(step.job.accepted.team, step.spec.reserved, self.clock.now())
-        if step.job.state is JobState.QUEUED:
+
+    def record_begun(self, step: StepRun | None) -> None:
+        """Record that a worker has accepted, or reported, a run of a step.
+
+        An order alone does not begin a job: it may be rejected or lost.
+        """
+        if step is not None and step.job.state is JobState.QUEUED:
             step.job.state = JobState.RUNNING
             self.newly_started.add(step.key.job)
 
@@ -648,6 +654,7 @@
             if attempt is None:
                 return
         attempt.is_start_open = False
+        self.record_begun(self.step_of(attempt.task))
         if attempt.phase is AttemptPhase.STARTING:
             attempt.phase = AttemptPhase.RUNNING
             attempt.last_answer_at = now
@@ -770,6 +777,7 @@
             known=attempt is not None,
         )
         self.metrics.record_run_end(end.kind.value)
+        self.record_begun(step)
         if step is not None:
             step.observe_run(end.task.index, end.run)
             self.crashes.observe_run(step, end.task.index, end.run)
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -152,6 +152,8 @@
     ) -> None:
         now = self.context.clock.now()
         outcome = answer.outcome
+        if outcome is StartOutcome.STARTED:
+            self.context.state.record_begun(placement.step)
         if attempt.phase is AttemptPhase.STOPPING:
             if outcome is not StartOutcome.UNKNOWN:
                 attempt.is_start_open = attempt.is_start_unconfirmed = False
--- a/pimentomill/control/tests/test_crashes.py
+++ b/pimentomill/control/tests/test_crashes.py
@@ -177,7 +177,7 @@
         attempt.is_start_unconfirmed = True
         for _ in range(4):
             self.crash(attempt.worker)
-        self.assertEqual(job.state, JobState.RUNNING)
+        self.assertEqual(job.state, JobState.QUEUED)
 
     # Runs released with the lease of a silent worker were forgotten before its end
     # was known.
@@ -223,7 +223,7 @@
             self.clock.advance(FUSE_MS)
             self.crash(*self.state.workers.values())
             self.clock.advance(1000)
-        self.assertEqual(job.state, JobState.RUNNING)
+        self.assertEqual(job.state, JobState.QUEUED)
 
     # A task at work for long has not crashed its worker.
     def test_settled_runs_are_no_suspects(self):
--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -19,6 +19,8 @@
     AttemptPhase,
     EndKind,
     Registration,
+    StartAnswer,
+    StartOutcome,
     WorkerInfo,
     lease_expiry_bound,
 )
@@ -123,6 +125,35 @@
         self.assertEqual(self.table.find(JOB).state, JobState.COMPLETED)
         self.assertEqual(len(self.workers.started), 1)
 
+    # Guards against a count of waiting jobs that leaves out jobs whose starts a worker
+    # rejects, also under a successor, which reads the stored state.
+    async def test_a_job_begins_when_a_worker_accepts_a_start(self):
+        rejected = []
+        accept = self.workers.start
+
+        async def reject(info, order):
+            rejected.append(order.run)
+            return StartAnswer(StartOutcome.UNHEALTHY, None)
+
+        self.workers.start = reject
+        leader = self.start_leader(1)
+        self.submit(leader, [step()])
+        await self.wait_until(lambda: len(rejected) > 1)
+        await leader.progress_writer.flush()
+        self.apply_records()
+        self.assertEqual(leader.state.jobs[JOB].state, JobState.QUEUED)
+        self.assertEqual(self.table.state_of(JOB), JobState.QUEUED)
+        self.workers.start = accept
+        await self.wait_until(lambda: self.workers.started)
+        await self.wait_until(lambda: leader.state.jobs[JOB].state is JobState.RUNNING)
+        await leader.progress_writer.flush()
+        self.apply_records()
+        self.assertEqual(self.table.state_of(JOB), JobState.RUNNING)
+
+    def apply_records(self):
+        for record in self.store.records("work"):
+            self.table.apply(record.key, record.value)
+
     async def test_an_end_is_not_acknowledged_while_the_store_is_down(self):
         leader = self.start_leader(1)
         self.submit(leader, [step()])
--- a/pimentomill/control/tests/test_leader_state.py
+++ b/pimentomill/control/tests/test_leader_state.py
@@ -54,12 +54,15 @@
         self.state.sync_job(job, self.table.find(job), inherited)
         return self.state.jobs[job]
 
-    def start(self, job, index=0, worker="w1", step_number=0):
+    def order_run(self, job, index=0, worker="w1", step_number=0):
         run_step = list(job.steps.values())[step_number]
         run = run_step.allocate_run(index)
-        attempt = self.state.begin_attempt(
+        return self.state.begin_attempt(
             run_step, index, self.state.workers[worker], run
         )
+
+    def start(self, job, index=0, worker="w1", step_number=0):
+        attempt = self.order_run(job, index, worker, step_number)
         attempt.phase = AttemptPhase.RUNNING
         attempt.last_answer_at = self.clock.now()
         return attempt
@@ -104,6 +107,28 @@
         self.assertEqual([ack.number for ack in acks], [1])
         self.assertNotIn(JOB, self.state.jobs)
 
+    # Guards against a job that is shown as running, and left out of the waiting jobs,
+    # although each of its starts has been rejected.
+    def test_an_order_alone_does_not_begin_a_job(self):
+        job = self.submit([step()])
+        attempt = self.order_run(job)
+        self.state.release(attempt)
+        self.state.pop_changes()
+        self.assertEqual(job.state, JobState.QUEUED)
+
+    # Guards against a job that counts as waiting although a worker has run it.
+    def test_a_report_of_a_run_or_of_its_end_begins_a_job(self):
+        job = self.submit([step(), step()])
+        attempt = self.order_run(job)
+        status = RunStatus(attempt.task, attempt.run, "", 50, 0)
+        self.state.apply_report(attempt.worker, self.report([status]), self.clock.now())
+        self.assertEqual(job.state, JobState.RUNNING)
+        records, _ = self.state.pop_changes()
+        self.assertEqual([record.state for record in records], [JobState.RUNNING])
+        other = self.submit([step()], job="b" * 16)
+        self.end(self.order_run(other), EndKind.STOPPED)
+        self.assertEqual(other.state, JobState.RUNNING)
+
     def test_a_task_runs_again_until_its_attempts_are_used_up(self):
         job = self.submit([step()], of=queue(max_attempts=2))
         self.end(self.start(job), EndKind.FAILED, 1)
