intake: a cancelling of a job that has not been accepted yet

Cause: 410 was answered without a record, so a submission that arrived later, at an entry that had stood still or in an append that the store carried out late, was taken as new.

Change: such a cancelling is stored under a key of its own before it is answered with 410, and with 503 or 504 if it is not stored. A job of that name that is accepted for the same queue and team, before or after, is cancelled in the replay of every entry, so no leader starts it; a submission that finds the record gets 503, which says that it never runs. The key holds a hash of queue and team: another team's key neither cancels the job nor overwrites the record. The records expire with those of finished jobs, after the record of the acceptance if there is one, also cancellations without an acceptance. 5,000 of a team and queue are kept at most; a repeated cancelling appends nothing.

--- a/pimentomill/control/_expiry.py
+++ b/pimentomill/control/_expiry.py
@@ -1,4 +1,4 @@
-"""Expiry of the records of finished jobs."""
+"""Expiry of the records of finished jobs, and of those that were never accepted."""
 
 from ..jobs import JobTable, accepted_key, cancelled_key, progress_key
 
@@ -9,7 +9,9 @@
 
 
 def expired_keys(table: JobTable, oldest_ms: int) -> list[str]:
-    """Return the record keys of jobs that finished before a point in time.
+    """Return the record keys of jobs that ended before a point in time.
+
+    That includes jobs that were cancelled and have not been accepted.
 
     At most `MAX_JOBS` jobs are covered by one call.
 
@@ -28,17 +30,21 @@
     keys: list[str] = []
     dropped = 0
     for job_id, entry in table.entries_.items():
-        if entry.accepted_ is None or not entry.state.is_final:
+        if dropped >= MAX_JOBS:
+            break
+        if entry.accepted_ is not None and not entry.state.is_final:
             continue
-        last = max(
-            record.at_ms
-            for record in (entry.accepted_, entry.progress_, entry.cancelled_)
-            if record is not None
+        records = (
+            entry.accepted_,
+            entry.progress_,
+            entry.cancelled_,
+            *entry.withdrawn_,
         )
+        last = max(record.at_ms for record in records if record is not None)
         if last >= oldest_ms:
             continue
         keys += [accepted_key(job_id), progress_key(job_id), cancelled_key(job_id)]
+        # Last, as the job must not count as accepted without them.
+        keys += [item.key for item in entry.withdrawn_]
         dropped += 1
-        if dropped >= MAX_JOBS:
-            break
     return keys
--- a/pimentomill/intake/_intake.py
+++ b/pimentomill/intake/_intake.py
@@ -20,6 +20,7 @@
     JobState,
     JobTable,
     KeyedRecord,
+    Withdrawn,
     accepted_key,
     cancelled_key,
     encode_record,
@@ -49,6 +50,10 @@
 """Time for which a job whose append this entry has begun is not refused: callers retry
 for some seconds, and the store may carry an unanswered append out late."""
 
+MAX_WITHDRAWN_JOBS = 5000
+"""Cancelled jobs of a team and queue that were not accepted. Further such cancellations
+are rejected until some have expired, so that they can't fill the store."""
+
 LeaderStateQuery = Callable[[JobId], Awaitable[JobState | None]]
 
 _log = ComponentLogger("intake")
@@ -61,6 +66,7 @@
     REJECTED = "not kept"
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no such job"
+    WITHDRAWN = "cancelled before"
 
 
 class AdmissionCheck(Protocol):
@@ -159,6 +165,7 @@
         -------
         ChangeOutcome
             `REJECTED` only if it is certain that this request never runs the job.
+            `WITHDRAWN` if a caller has cancelled the job before; it never runs.
 
         Raises
         ------
@@ -168,6 +175,8 @@
         """
         if self.table.find(job) is not None:
             return ChangeOutcome.DURABLE
+        if self.table.is_withdrawn(job, queue.name, team):
+            return ChangeOutcome.WITHDRAWN
         if self.is_store_unreachable() and self.relay is None:
             return ChangeOutcome.REJECTED
         if self.admission is not None:
@@ -215,15 +224,40 @@
         raise SubmissionRefusedError(refusal.reason, refusal.retry_after_s)
 
     async def cancel(self, queue: Queue, team: str, job: JobId) -> ChangeOutcome:
-        """Cancel a job."""
+        """Cancel a job, also one that has not been accepted.
+
+        Returns
+        -------
+        ChangeOutcome
+            `NO_SUCH_JOB` if no job that the caller may see is known. One of that name
+            never runs then, even if its submission is still on its way.
+
+        Raises
+        ------
+        StateUnavailableError
+            If the current state of the jobs is not available, or the team has
+            withdrawn too many jobs.
+        """
         job_entry = await self._find(queue, team, job)
         if job_entry is None:
-            return ChangeOutcome.NO_SUCH_JOB
+            return await self._withdraw(queue, team, job)
         if job_entry.state.is_final:
             return ChangeOutcome.DURABLE
         record = Cancelled(job, self.clock.wall_ms())
         return await self._append(cancelled_key(job), encode_record(record))
 
+    async def _withdraw(self, queue: Queue, team: str, job: JobId) -> ChangeOutcome:
+        is_others = self.table.find(job) is not None
+        if is_others or self.table.is_withdrawn(job, queue.name, team):
+            return ChangeOutcome.NO_SUCH_JOB
+        if self.table.count_withdrawn(queue.name, team) >= MAX_WITHDRAWN_JOBS:
+            raise StateUnavailableError("too many cancellations of unknown jobs")
+        record = Withdrawn(job, queue.name, team, self.clock.wall_ms())
+        outcome = await self._append(record.key, encode_record(record))
+        if outcome is ChangeOutcome.DURABLE:
+            return ChangeOutcome.NO_SUCH_JOB
+        return outcome
+
     async def state(self, queue: Queue, team: str, job: JobId) -> JobState | None:
         """Return a job's state, None if there is no such job.
 
@@ -275,17 +309,10 @@
             ):
                 raise StateUnavailableError("the newest state can't be read")
             job_entry = self.table.find(job)
-        if job_entry is None or not self._is_visible(job_entry, queue, team):
+        if job_entry is None or not job_entry.accepted_.is_visible(queue.name, team):
             return None
         return job_entry
 
-    @staticmethod
-    def _is_visible(job_entry: JobEntry, queue: Queue, team: str) -> bool:
-        accepted = job_entry.accepted_
-        if accepted.queue.name != queue.name:
-            return False
-        return not (accepted.team and team) or accepted.team == team
-
     async def _append(self, key: str, value: bytes) -> ChangeOutcome:
         deadline = Instant(self.clock.now() + APPEND_RETRY_WINDOW_MS)
         try:
--- a/pimentomill/intake/tests/test_intake.py
+++ b/pimentomill/intake/tests/test_intake.py
@@ -141,6 +141,64 @@
         await self.wait_current()
         self.assertIs(await self.state(), JobState.CANCELLED)
 
+    async def cancel(self, team="t", job=JOB):
+        return await self.intake.cancel(self.queue, team, job)
+
+    # Guards against a job that runs although its cancelling was answered with 410, as
+    # its submission was on its way through an entry that stood still.
+    async def test_a_job_cancelled_before_its_acceptance_never_runs(self):
+        self.assertIs(await self.cancel(), ChangeOutcome.NO_SUCH_JOB)
+        self.assertIsNone(await self.state())
+        record = accepted(JOB, [step()], team="t")
+        late = KeyedRecord(accepted_key(JOB), encode_record(record))
+        await self.store.append("work", [late])
+        await self.wait_current()
+        self.assertIs(await self.state(), JobState.CANCELLED)
+
+    # Guards against a caller who is told that a job was accepted that never runs.
+    async def test_a_submission_after_the_cancelling_is_not_accepted(self):
+        await self.cancel()
+        await self.wait_current()
+        self.assertIs(await self.submit(), ChangeOutcome.WITHDRAWN)
+        self.assertEqual(len(self.store.records("work")), 1)
+
+    # Guards against a key of one team that cancels jobs of another one by their names.
+    async def test_a_cancelling_by_another_team_does_not_keep_a_job_from_running(self):
+        self.assertIs(await self.cancel("u"), ChangeOutcome.NO_SUCH_JOB)
+        await self.wait_current()
+        self.assertIs(await self.submit(), ChangeOutcome.DURABLE)
+        self.assertIs(await self.state(), JobState.QUEUED)
+        self.assertIs(await self.cancel("u"), ChangeOutcome.NO_SUCH_JOB)
+        await self.wait_current()
+        self.assertIs(await self.state(), JobState.QUEUED)
+
+    # Guards against 410 for a cancelling that could not be stored.
+    async def test_a_cancelling_that_is_not_stored_is_not_acknowledged(self):
+        append = self.store.append
+
+        async def reject(stream, records, writer=None):
+            raise LogUnavailableError("the store rejects appends")
+
+        self.store.append = reject
+        self.assertIs(await self.cancel(), ChangeOutcome.REJECTED)
+        self.store.append = append
+        self.store.lose_answers = 1000
+        with mock.patch.object(_intake, "APPEND_RETRY_WINDOW_MS", 30):
+            self.assertIs(await self.cancel(job="b" * 16), ChangeOutcome.UNKNOWN)
+
+    # Guards against a flood of cancellations that fills the store, or keeps those of
+    # other teams from being stored.
+    async def test_cancellations_of_unknown_jobs_are_bounded_for_each_team(self):
+        with mock.patch.object(_intake, "MAX_WITHDRAWN_JOBS", 2):
+            for job in ("b" * 16, "b" * 16, "c" * 16):
+                await self.cancel(job=job)
+                await self.wait_current()
+            self.assertEqual(len(self.store.records("work")), 2)
+            with self.assertRaises(StateUnavailableError):
+                await self.cancel()
+            self.assertIs(await self.cancel("u"), ChangeOutcome.NO_SUCH_JOB)
+        self.assertEqual(len(self.store.records("work")), 3)
+
     async def test_queued_jobs_are_counted_by_queue(self):
         await self.submit()
         await self.state()
--- a/pimentomill/jobs/__init__.py
+++ b/pimentomill/jobs/__init__.py
@@ -16,12 +16,14 @@
     Progress,
     StepCrashes,
     StepProgress,
+    Withdrawn,
     accepted_key,
     cancelled_key,
     decode_job_record,
     encode_record,
     job_of_key,
     progress_key,
+    withdrawn_key,
 )
 from ._table import JobEntry, JobTable
 
@@ -40,6 +42,7 @@
     "StepProgress",
     "StepSpec",
     "TaskKey",
+    "Withdrawn",
     "WorkerId",
     "accepted_key",
     "cancelled_key",
@@ -47,4 +50,5 @@
     "encode_record",
     "job_of_key",
     "progress_key",
+    "withdrawn_key",
 ]
--- a/pimentomill/jobs/_records.py
+++ b/pimentomill/jobs/_records.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..catalog import Queue
-from ..utils import JobId
+from ..utils import JobId, stable_hash
 from ._model import JobSpec, JobState
 
 __all__ = [
@@ -16,17 +16,22 @@
     "Progress",
     "StepCrashes",
     "StepProgress",
+    "Withdrawn",
     "accepted_key",
     "cancelled_key",
     "decode_job_record",
     "encode_record",
     "job_of_key",
     "progress_key",
+    "withdrawn_key",
 ]
 
 ACCEPTED_PREFIX = "j:"
 PROGRESS_PREFIX = "p:"
 CANCELLED_PREFIX = "c:"
+WITHDRAWN_PREFIX = "d:"
+"""Sorts before that of accepted jobs: a reload, which reads the keys in order, must not
+let a job start that has been withdrawn."""
 PREFIX_LENGTH = 2
 
 
@@ -60,6 +65,11 @@
     spec: JobSpec
     at_ms: int
 
+    def is_visible(self, queue: str, team: str) -> bool:
+        """Return whether callers of a team may see and cancel the job in a queue."""
+        is_own = not (self.team and team) or self.team == team
+        return is_own and self.queue.name == queue
+
 
 class Cancelled(msgspec.Struct, frozen=True, tag="cancelled"):
     """Record that a caller cancelled a job."""
@@ -68,6 +78,33 @@
     at_ms: int
 
 
+class Withdrawn(msgspec.Struct, frozen=True, tag="withdrawn"):
+    """Record that a caller cancelled a job that had not been accepted.
+
+    Its submission may still be on its way, at an entry that stands still or in an
+    append that the store carries out late. The job is never run then.
+
+    Parameters
+    ----------
+    job : JobId
+        Name of the job.
+    queue, team : str
+        Queue and team of the caller. A job of another team or queue is not concerned.
+    at_ms : int
+        Wall-clock time of the cancellation, in milliseconds since 1970.
+    """
+
+    job: JobId
+    queue: str
+    team: str
+    at_ms: int
+
+    @property
+    def key(self) -> str:
+        """Key of the record."""
+        return withdrawn_key(self.job, self.queue, self.team)
+
+
 class StepProgress(msgspec.Struct, frozen=True, array_like=True):
     """Durable progress of one step of one occurrence.
 
@@ -133,7 +170,7 @@
     crashes: tuple[StepCrashes, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
-JobRecord = Accepted | Cancelled | Progress
+JobRecord = Accepted | Cancelled | Progress | Withdrawn
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(JobRecord)
@@ -154,8 +191,18 @@
     return CANCELLED_PREFIX + job
 
 
+def withdrawn_key(job: JobId, queue: str, team: str) -> str:
+    """Return the key of the record that callers of a team withdrew a job.
+
+    Callers of different teams do not overwrite each other's records.
+    """
+    return f"{WITHDRAWN_PREFIX}{job}:{stable_hash(queue, team):x}"
+
+
 def job_of_key(key: str) -> JobId | None:
     """Return the job that a key belongs to, None if it is not a job key."""
+    if key.startswith(WITHDRAWN_PREFIX):
+        return JobId(key[PREFIX_LENGTH:].partition(":")[0])
     if key[:PREFIX_LENGTH] in (ACCEPTED_PREFIX, PROGRESS_PREFIX, CANCELLED_PREFIX):
         return JobId(key[PREFIX_LENGTH:])
     return None
--- a/pimentomill/jobs/_table.py
+++ b/pimentomill/jobs/_table.py
@@ -1,5 +1,6 @@
 """State of all jobs, rebuilt by replaying the store's records."""
 
+from collections import Counter
 from collections.abc import Iterator
 from functools import singledispatch
 
@@ -13,8 +14,10 @@
     Cancelled,
     JobRecord,
     Progress,
+    Withdrawn,
     decode_job_record,
     job_of_key,
+    withdrawn_key,
 )
 
 __all__ = ["JobEntry", "JobTable"]
@@ -33,14 +36,27 @@
         Latest progress record.
     cancelled_ : Cancelled or None
         Cancellation record.
+    withdrawn_ : tuple of Withdrawn
+        Cancellations from before the acceptance, at most one of each team and queue.
     """
 
-    __slots__ = ("accepted_", "cancelled_", "progress_")
+    __slots__ = ("accepted_", "cancelled_", "progress_", "withdrawn_")
 
     def __init__(self) -> None:
         self.accepted_: Accepted | None = None
         self.progress_: Progress | None = None
         self.cancelled_: Cancelled | None = None
+        self.withdrawn_: tuple[Withdrawn, ...] = ()
+
+    @property
+    def is_withdrawn(self) -> bool:
+        """Whether the job was cancelled by a caller before it was accepted."""
+        accepted = self.accepted_
+        if accepted is None or not self.withdrawn_:
+            return False
+        return any(
+            accepted.is_visible(item.queue, item.team) for item in self.withdrawn_
+        )
 
     @property
     def state(self) -> JobState:
@@ -48,14 +64,16 @@
         progress = self.progress_
         if progress is not None and progress.state.is_final:
             return progress.state
-        if self.cancelled_ is not None:
+        if self.cancelled_ is not None or self.is_withdrawn:
             return JobState.CANCELLED
         return progress.state if progress is not None else JobState.QUEUED
 
     @property
     def is_empty(self) -> bool:
         """Whether the job has no records."""
-        return not (self.accepted_ or self.progress_ or self.cancelled_)
+        return not (
+            self.accepted_ or self.progress_ or self.cancelled_ or self.withdrawn_
+        )
 
 
 @singledispatch
@@ -75,6 +93,12 @@
     entry.cancelled_ = entry.cancelled_ or record
 
 
+@_apply_record.register
+def _(record: Withdrawn, entry: JobEntry) -> None:
+    if all(record.key != item.key for item in entry.withdrawn_):
+        entry.withdrawn_ += (record,)
+
+
 @_apply_record.register
 def _(record: Progress, entry: JobEntry) -> None:
     # A final state is never overwritten.
@@ -93,6 +117,7 @@
 
     def __init__(self) -> None:
         self.entries_: dict[JobId, JobEntry] = {}
+        self._withdrawn_counts: Counter[tuple[str, str]] = Counter()
 
     def find(self, job: JobId) -> JobEntry | None:
         """Return the entry of an accepted job, None if there is none."""
@@ -104,6 +129,16 @@
         entry = self.find(job)
         return entry.state if entry is not None else None
 
+    def is_withdrawn(self, job: JobId, queue: str, team: str) -> bool:
+        """Return whether callers of a team have withdrawn a job of a queue."""
+        entry = self.entries_.get(job)
+        key = withdrawn_key(job, queue, team)
+        return entry is not None and any(item.key == key for item in entry.withdrawn_)
+
+    def count_withdrawn(self, queue: str, team: str) -> int:
+        """Return the number of jobs that callers of a team have withdrawn."""
+        return self._withdrawn_counts[queue, team]
+
     def iter_accepted(self) -> Iterator[JobEntry]:
         """Yield all accepted jobs."""
         return (entry for entry in self.entries_.values() if entry.accepted_)
@@ -134,7 +169,11 @@
         except msgspec.DecodeError as exc:
             _log.warning("Record ignored", key=key, reason=str(exc))
             return None
-        _apply_record(record, self.entries_.setdefault(job, JobEntry()))
+        entry = self.entries_.setdefault(job, JobEntry())
+        known = len(entry.withdrawn_)
+        _apply_record(record, entry)
+        for item in entry.withdrawn_[known:]:
+            self._withdrawn_counts[item.queue, item.team] += 1
         return job
 
     def _drop(self, job: JobId, key: str) -> None:
@@ -146,7 +185,15 @@
             entry.accepted_ = None
         elif prefix == "p":
             entry.progress_ = None
+        elif prefix == "d":
+            self._drop_withdrawn(entry, key)
         else:
             entry.cancelled_ = None
         if entry.is_empty:
             del self.entries_[job]
+
+    def _drop_withdrawn(self, entry: JobEntry, key: str) -> None:
+        for item in entry.withdrawn_:
+            if item.key == key:
+                self._withdrawn_counts[item.queue, item.team] -= 1
+        entry.withdrawn_ = tuple(item for item in entry.withdrawn_ if item.key != key)
--- a/pimentomill/platform/_caller_handler.py
+++ b/pimentomill/platform/_caller_handler.py
@@ -198,6 +198,8 @@
         return b""
     if outcome is ChangeOutcome.NO_SUCH_JOB:
         raise RequestRejectedError(410, "no such job")
+    if outcome is ChangeOutcome.WITHDRAWN:
+        raise RequestRejectedError(503, "the job was cancelled before")
     if outcome is ChangeOutcome.REJECTED:
         raise RequestRejectedError(503, "the store can't be reached")
     raise RequestRejectedError(504, "the outcome is not known")
--- a/tests/test_old_records.py
+++ b/tests/test_old_records.py
@@ -27,9 +27,11 @@
 from pimentomill.jobs import (
     JobRecord,
     JobState,
+    Withdrawn,
     accepted_key,
     cancelled_key,
     progress_key,
+    withdrawn_key,
 )
 from pimentomill.journal import (
     Appended,
@@ -202,7 +204,14 @@
 }
 """Fields that earlier builds do not know; they are written only when they are set."""
 
-ADDED_TYPES = {EvacuationSet: "94a26465a3646331c311"}
+ADDED_TYPES = {
+    EvacuationSet: ("cell", "94a26465a3646331c311"),
+    Withdrawn: (
+        "job",
+        "85a474797065a977697468647261776ea36a6f62a56a6f622d32a57175657565a171"
+        "a47465616da174a561745f6d73cf0000018bcfe5680a",
+    ),
+}
 """Types that earlier builds do not know, each with a sample of the build that added it:
 like those in the file, it must not change."""
 
@@ -260,10 +269,11 @@
                 self.assertEqual(seen[name], set(expected) - set(ADDED_TYPES))
 
     def test_added_types_are_read_and_written_byte_for_byte(self):
-        for kind, sample in ADDED_TYPES.items():
+        unions = {"cell": union_of(CellRecord), "job": JobRecord}
+        for kind, (union, sample) in ADDED_TYPES.items():
             with self.subTest(kind.__name__):
                 raw = bytes.fromhex(sample)
-                value = msgspec.msgpack.decode(raw, type=union_of(CellRecord))
+                value = msgspec.msgpack.decode(raw, type=unions[union])
                 self.assertIs(type(value), kind)
                 self.assertEqual(msgspec.msgpack.encode(value), raw)
 
@@ -282,3 +292,4 @@
             "failing heartbeat": FAILING_HEARTBEAT.decode(),
         }
         self.assertEqual(names, DATA["names"])
+        self.assertEqual(withdrawn_key("x", "q", "t"), "d:x:23f05655f92ade53")
