jobs: records of jobs that can't be run

Seen: with an accepted job of a step with 10**6 tasks no other job started within 6 s, and with 10**9 or more no entry became the leader: each one failed or hung when it took the job over.

Cause: the limits of a submission were checked where callers submit, not where records of the store are read, which another writer may have left.

Change: a record is ignored, with a line that names its key and the reason, if it is not of its key's job and kind, or if its job violates the limits of a submission.

--- a/pimentomill/jobs/__init__.py
+++ b/pimentomill/jobs/__init__.py
@@ -1,6 +1,8 @@
 """Job model, job records in the store and job state rebuilt by replay."""
 
 from ._model import (
+    MAX_STEPS,
+    MAX_TASKS,
     JobSpec,
     JobState,
     StepKey,
@@ -28,6 +30,8 @@
 from ._table import JobEntry, JobTable
 
 __all__ = [
+    "MAX_STEPS",
+    "MAX_TASKS",
     "Accepted",
     "Cancelled",
     "JobEntry",
--- a/pimentomill/jobs/_model.py
+++ b/pimentomill/jobs/_model.py
@@ -8,6 +8,8 @@
 from ..utils import JobId, Resources
 
 __all__ = [
+    "MAX_STEPS",
+    "MAX_TASKS",
     "JobSpec",
     "JobState",
     "StepKey",
@@ -16,6 +18,11 @@
     "WorkerId",
 ]
 
+MAX_STEPS = 256
+"""Maximum steps of a job; far above what callers use."""
+MAX_TASKS = 10_000
+"""Maximum tasks of a step; far above what callers use."""
+
 WorkerId = NewType("WorkerId", str)
 """Name under which a worker is registered."""
 
@@ -157,6 +164,25 @@
         """Number of times the steps run, at least 1."""
         return max(1, self.occurrences)
 
+    def check(self) -> None:
+        """Check the limits that the scheduler relies on.
+
+        Raises
+        ------
+        ValueError
+            If the job can't be run; the message names the field and its value.
+        """
+        if not 1 <= len(self.steps) <= MAX_STEPS:
+            raise ValueError(f"steps: {len(self.steps)} is not 1 to {MAX_STEPS}")
+        for index, step in enumerate(self.steps):
+            if not 1 <= step.count <= MAX_TASKS:
+                raise ValueError(f"steps[{index}].count: {step.count} is out of range")
+            need = step.need
+            if min(need.cpu_milli, need.memory_mb, need.accelerators) < 0:
+                raise ValueError(f"steps[{index}].need: {need} is negative")
+            if any(not 0 <= earlier < index for earlier in step.depends_on):
+                raise ValueError(f"steps[{index}].depends_on: {step.depends_on}")
+
     def critical_path_ms(self) -> int:
         """Return the declared duration of the longest chain of dependent steps."""
         ends_ms: list[int] = []
--- a/pimentomill/jobs/_records.py
+++ b/pimentomill/jobs/_records.py
@@ -9,6 +9,7 @@
 from ._model import JobSpec, JobState
 
 __all__ = [
+    "KEY_PREFIXES",
     "Accepted",
     "Cancelled",
     "JobRecord",
@@ -34,6 +35,9 @@
 let a job start that has been withdrawn."""
 PREFIX_LENGTH = 2
 
+MAX_STRETCH = 1e9
+"""Highest multiple of a job's critical path up to which it counts as in time."""
+
 
 class KeyedRecord(NamedTuple):
     """Latest value of a key; an empty value deletes the key."""
@@ -70,6 +74,18 @@
         is_own = not (self.team and team) or self.team == team
         return is_own and self.queue.name == queue
 
+    def check(self) -> None:
+        """Check what the scheduler relies on.
+
+        Raises
+        ------
+        ValueError
+            If the job can't be run; the message names the field and its value.
+        """
+        if not 0 <= self.queue.stretch <= MAX_STRETCH:
+            raise ValueError(f"queue.stretch: {self.queue.stretch} is out of range")
+        self.spec.check()
+
 
 class Cancelled(msgspec.Struct, frozen=True, tag="cancelled"):
     """Record that a caller cancelled a job."""
@@ -171,6 +187,12 @@
 
 
 JobRecord = Accepted | Cancelled | Progress | Withdrawn
+KEY_PREFIXES = {
+    Accepted: ACCEPTED_PREFIX,
+    Cancelled: CANCELLED_PREFIX,
+    Progress: PROGRESS_PREFIX,
+    Withdrawn: WITHDRAWN_PREFIX,
+}
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(JobRecord)
--- a/pimentomill/jobs/_table.py
+++ b/pimentomill/jobs/_table.py
@@ -10,6 +10,7 @@
 from ..utils import JobId
 from ._model import JobState
 from ._records import (
+    KEY_PREFIXES,
     Accepted,
     Cancelled,
     JobRecord,
@@ -106,6 +107,22 @@
         entry.progress_ = record
 
 
+def _check_record(key: str, job: JobId, record: JobRecord) -> None:
+    """Check that a record belongs to its key and that its job can be run.
+
+    Raises
+    ------
+    ValueError
+        If it does not; another writer has left it.
+    """
+    if record.job != job or not key.startswith(KEY_PREFIXES[type(record)]):
+        raise ValueError(f"{type(record).__name__} of job {record.job[:40]!r}")
+    if isinstance(record, Withdrawn) and record.key != key:
+        raise ValueError(f"Withdrawn of the key {record.key[:40]!r}")
+    if isinstance(record, Accepted):
+        record.check()
+
+
 class JobTable:
     """All jobs in the store.
 
@@ -166,8 +183,9 @@
             return job
         try:
             record = decode_job_record(value)
-        except msgspec.DecodeError as exc:
-            _log.warning("Record ignored", key=key, reason=str(exc))
+            _check_record(key, job, record)
+        except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+            _log.warning("Record ignored", key=key, why=str(exc))
             return None
         entry = self.entries_.setdefault(job, JobEntry())
         known = len(entry.withdrawn_)
--- a/pimentomill/platform/_jobs.py
+++ b/pimentomill/platform/_jobs.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ..exceptions import ValidationError
-from ..jobs import JobSpec, JobState, StepSpec
+from ..jobs import MAX_STEPS, MAX_TASKS, JobSpec, JobState, StepSpec
 from ..utils import Resources
 from ._numbers import WholeNumber
 
@@ -11,10 +11,6 @@
 
 MAX_PAYLOAD_BYTES = 4000
 """Maximum size of a job's payload, by the platform's contract."""
-MAX_STEPS = 256
-"""Maximum steps of a job; far above what callers use."""
-MAX_TASKS = 10_000
-"""Maximum tasks of a step; far above what callers use."""
 
 
 class WireStep(msgspec.Struct):
--- a/pimentomill/platform/tests/test_odd_records.py
+++ b/pimentomill/platform/tests/test_odd_records.py
@@ -7,22 +7,33 @@
 import msgspec
 
 from pimentomill.control import SPEEDS_KEY, ControlSettings, Features
+from pimentomill.control._leader_state import LeaderState
 from pimentomill.dispatch.tests.samples import accepted, step
 from pimentomill.fleet import EndKind
 from pimentomill.httpclient import HttpClient
 from pimentomill.jobs import (
+    Cancelled,
     JobState,
+    JobTable,
     KeyedRecord,
+    Progress,
+    StepCrashes,
+    StepProgress,
+    Withdrawn,
+    accepted_key,
+    cancelled_key,
+    encode_record,
+    progress_key,
 )
 from pimentomill.links import LinkClient
 from pimentomill.node import CellNode, NodeSettings
-from pimentomill.platform._rules import decode_rule
+from pimentomill.platform._rules import decode_rule, decode_rules
 from pimentomill.platform._workers import PlatformWorkers, decode_worker
 from pimentomill.speeds import SpeedModel
 from pimentomill.standins import MemoryStore, MemoryWorkers
 from pimentomill.telemetry import CellMetrics
 from pimentomill.usage import USAGE_KEY, TeamUsage, UsageLedger, UsageRecord
-from pimentomill.utils import SystemClock
+from pimentomill.utils import ManualClock, SystemClock
 
 from .odd_shapes import (
     ODD_ADDRESSES,
@@ -326,3 +337,90 @@
             with self.subTest(name), contextlib.suppress(msgspec.DecodeError):
                 model.restore(value)
                 model.encode()
+
+    def check_job_record(self, key, value):
+        """Check that a successor takes the cell's jobs over beside a record."""
+        table = JobTable()
+        job = accepted(ODD_JOB, [step(3), step(depends_on=(0,))])
+        if key != accepted_key(ODD_JOB):
+            table.apply(accepted_key(ODD_JOB), encode_record(job))
+        if table.apply(key, value) is None:
+            self.assert_logged(key)
+        state = LeaderState(2, ManualClock(1000), table.find)
+        for entry in table.iter_accepted():
+            state.sync_job(entry.accepted_.job, entry, inherited=True)
+        list(state.ready_steps())
+        state.pop_changes()
+        table.apply(cancelled_key(ODD_JOB), encode_record(Cancelled(ODD_JOB, 1)))
+        state.sync_job(ODD_JOB, table.find(ODD_JOB), inherited=False)
+        for record in state.pop_changes()[0]:
+            encode_record(record)
+
+    # Guards against a cell without a leader, as each successor fails at the same job.
+    def test_each_job_record_is_taken_over_or_ignored(self):
+        steps = [step(estimate_ms=5, max_per_worker=1), step(2, depends_on=(0,))]
+        done = StepProgress(0, 0, b"\1", {1: (2,)}, {2: "c"})
+        crashes = StepCrashes(0, 0, {1: (2,)}, {1: (2,)})
+        progress = Progress(ODD_JOB, JobState.RUNNING, 1, (done,), (crashes,))
+        withdrawn = Withdrawn(ODD_JOB, "q", "t", 1)
+        for key, record in (
+            (accepted_key(ODD_JOB), accepted(ODD_JOB, steps)),
+            (accepted_key(ODD_JOB), accepted(ODD_JOB, steps, occurrences=2)),
+            (progress_key(ODD_JOB), progress),
+            (cancelled_key(ODD_JOB), Cancelled(ODD_JOB, 1)),
+            (withdrawn.key, withdrawn),
+        ):
+            for name, value in odd_msgpack_records(plain(record)).items():
+                with self.subTest(key=key[:2], shape=name):
+                    self.logged.clear()
+                    self.check_job_record(key, value)
+
+    # Guards against a record that is taken for one of another job or kind.
+    def test_a_job_record_under_the_key_of_another_is_ignored(self):
+        value = encode_record(accepted(ODD_JOB, [step()]))
+        keys = [prefix + key for prefix in ("j:", "p:", "c:", "d:") for key in ODD_KEYS]
+        for key in (*keys, progress_key(ODD_JOB), accepted_key("f" * 16)):
+            table = JobTable()
+            self.assertIsNone(table.apply(key, value), key)
+            self.assertEqual(table.entries_, {})
+            self.assert_logged(key)
+
+    # Guards against a cell without a leader: a step of so many tasks fills the memory.
+    async def test_an_entry_leads_beside_a_job_with_countless_tasks(self):
+        job = plain(accepted(ODD_JOB, [step()]))
+        for count in (0, -1, 10**6, 10**15, 2**63):
+            job["spec"]["steps"][0]["count"] = count
+            key = accepted_key(ODD_JOB)
+            self.put("work", key, msgspec.msgpack.encode(job))
+            await self.start_entry()
+            await self.run_job()
+            await self.stop_entry()
+        await self.start_entry()
+        await self.check_serving()
+
+    # Guards against settings that another writer has left and that end the process.
+    async def test_jobs_run_beside_every_odd_rule(self):
+        rules = {**CONFIG, "Version": 7}
+        await self.start_entry()
+        for value in odd_json_records(rules).values():
+            catalog = decode_rules(value)
+            if catalog is None or self.is_harmless(catalog):
+                self.put("rules", "config", value)
+        for key in (*ODD_KEYS, "evacuate/", "evacuate/a\nb", "evacuate/" + "x" * 240):
+            for value in (b"{}", b"[" * 200_000, b""):
+                self.put("rules", key, value)
+        await self.run_job()
+        # An entry that starts knows no settings from before.
+        self.put_rule("config", json.dumps(CONFIG).encode())
+        await self.check_serving()
+
+    @staticmethod
+    def is_harmless(catalog):
+        """Return whether settings send the jobs of the tests to their workers."""
+        queue = catalog.queues.get("q")
+        limits = [team.limit for team in catalog.teams.values()]
+        return (
+            queue is not None
+            and queue.service == "s"
+            and all(limit.is_zero() for limit in limits)
+        )
