--- a/pimentomill/jobs/__init__.py
+++ b/pimentomill/jobs/__init__.py
@@ -1,6 +1,8 @@
 """Job model, job records in the store and job state rebuilt by replay."""
 
 from ._model import (
+    MAX_STEPS,
+    MAX_TASKS,
     JobSpec,
     JobState,
     StepKey,
@@ -16,16 +18,20 @@
     Progress,
     StepCrashes,
     StepProgress,
+    Withdrawn,
     accepted_key,
     cancelled_key,
     decode_job_record,
     encode_record,
     job_of_key,
     progress_key,
+    withdrawn_key,
 )
 from ._table import JobEntry, JobTable
 
 __all__ = [
+    "MAX_STEPS",
+    "MAX_TASKS",
     "Accepted",
     "Cancelled",
     "JobEntry",
@@ -40,6 +46,7 @@
     "StepProgress",
     "StepSpec",
     "TaskKey",
+    "Withdrawn",
     "WorkerId",
     "accepted_key",
     "cancelled_key",
@@ -47,4 +54,5 @@
     "encode_record",
     "job_of_key",
     "progress_key",
+    "withdrawn_key",
 ]
