control: limit of a team beside a silent worker, failing

Cause: a successor counts for a team's limit only what workers have reported to it. What the leader before has started on a worker that is silent goes on there until its lease has expired. The tasks themselves wait, but other work of the same team starts at once: up to twice the limit is in use.

Result: two tasks are placed beside two that may run, with a limit of two.

--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -2,12 +2,14 @@
 
 import unittest
 
+from pimentomill.catalog import Team
 from pimentomill.control import LeaderState
 from pimentomill.control._leader_state import WAITING_HOLD_MS
+from pimentomill.dispatch import Planner
 from pimentomill.dispatch.tests.samples import SERVICE, accepted, info, step
 from pimentomill.fleet import EndKind, RunEnd, RunStatus, WorkerReport
 from pimentomill.jobs import JobTable, TaskKey, accepted_key, encode_record
-from pimentomill.utils import ManualClock
+from pimentomill.utils import ManualClock, Resources
 
 JOB = "a" * 16
 FIRST_TASK = TaskKey(JOB, 0, 0, 0)
@@ -169,3 +171,28 @@
         self.end_survey()
         self.report(self.prompt, ended=[RunEnd(1, FIRST_TASK, 1, EndKind.ALONE, "")])
         self.assertEqual(self.ready(), [])
+
+    # Guards against a team beyond its limit: what the previous leader has started on a
+    # silent worker goes on until the lease there expires.
+    def test_tasks_that_may_run_on_a_silent_worker_count_for_the_limit_of_their_team(
+        self,
+    ):
+        limit = Resources(cpu_milli=2000)
+        self.state.quotas.teams = {"t": Team("t", 1.0, limit)}
+        self.inherit([step(count=2, cpu=1000)])
+        self.report(self.prompt)
+        self.end_survey()
+        later = "b" * 16
+        record = accepted(later, [step(count=2, cpu=1000)])
+        self.table.apply(accepted_key(later), encode_record(record))
+        self.state.sync_job(later, self.table.find(later), inherited=False)
+        self.prompt.confirm(lambda at: True)
+        self.assertEqual(self.plan(), [])
+        self.report(self.silent)
+        self.assertEqual(len(self.plan()), 2)
+
+    def plan(self):
+        planner = Planner(self.state.quotas)
+        steps = list(self.state.ready_steps())
+        workers = self.state.workers.values()
+        return planner.plan(self.clock.now(), steps, workers).placements
