node: tests of what an entry proves, grants and claims

The classes of the decision had tests, their use in the node had none: a read as a proof after another leader is on record, the time of the first proof, the entries that are asked, leases for a leader that has resigned, and claims beside a lease.

--- /dev/null
+++ b/pimentomill/node/tests/test_authority.py
@@ -0,0 +1,139 @@
+"""What an entry proves, grants and claims as a leader and beside one."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+import msgspec
+
+from pimentomill.control import ControlSettings
+from pimentomill.jobs import KeyedRecord
+from pimentomill.links import LeaseOutcome, LeaseQuery
+from pimentomill.node import CellNode, NodeSettings, _node
+from pimentomill.node._election import Claim
+from pimentomill.replica import (
+    LEADER_KEY,
+    GrantRefusal,
+    LeaderRecord,
+    LeaseRequest,
+)
+from pimentomill.standins import MemoryStore, MemoryWorkers
+from pimentomill.telemetry import CellMetrics
+from pimentomill.utils import ManualClock
+
+NOW = 10_000
+READ_AT = 9000
+CLAIMED_AT = 8900
+
+
+class FakeLinks:
+    def __init__(self):
+        self.queries = []
+
+    async def request_lease(self, address, query):
+        self.queries.append((address, query))
+        return LeaseOutcome.GRANTED
+
+
+class TestAuthority(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.links = FakeLinks()
+        self.node = CellNode(
+            NodeSettings("n1", "127.0.0.1:1", key_term_ms=1000),
+            ControlSettings(),
+            MemoryStore(),
+            MemoryWorkers(),
+            None,
+            lambda key, value: None,
+            lambda key, value: None,
+            self.links,
+            ManualClock(NOW),
+            CellMetrics(),
+        )
+        self.node.work.current_as_of_ = READ_AT
+
+    def apply_leader(self, epoch, incarnation, resigned=False):
+        record = LeaderRecord(epoch, "n", incarnation, resigned)
+        value = msgspec.msgpack.encode(record)
+        self.node._apply_work(KeyedRecord(LEADER_KEY, value))
+
+    async def lead(self):
+        """Return what the leader is created with."""
+        with mock.patch.object(_node, "Leader", autospec=True) as leader_type:
+            leader_type.return_value.usage = mock.Mock()
+            leader_type.return_value.run = mock.AsyncMock(return_value="end")
+            await self.node._lead(1, Claim(7, CLAIMED_AT))
+        return leader_type.call_args.args
+
+    # Guards against two leaders: the authority counts from a time after which another
+    # entry may have claimed.
+    async def test_the_first_proof_is_the_read_that_returned_the_claim(self):
+        *_, authority, grant_round = await self.lead()
+        self.assertEqual(authority.proven_at_, READ_AT)
+        self.assertEqual(authority.appended_at_, CLAIMED_AT)
+
+    # Guards against two leaders: a replaced leader goes on reading the store.
+    async def test_a_read_proves_the_authority_only_of_the_leader_on_record(self):
+        *_, authority, grant_round = await self.lead()
+        self.apply_leader(1, self.node.incarnation)
+        self.node.work.current_as_of_ = READ_AT + 500
+        self.assertEqual(authority.proven_at_, READ_AT + 500)
+        for epoch, incarnation, resigned in (
+            (1, self.node.incarnation, True),
+            (2, "life-2", False),
+        ):
+            self.apply_leader(epoch, incarnation, resigned)
+            self.node.work.current_as_of_ += 100
+            self.assertEqual(authority.proven_at_, READ_AT + 500)
+
+    # Guards against leases of all workers that end while the whole store is down.
+    async def test_a_leader_asks_the_entries_that_have_enrolled(self):
+        *_, authority, grant_round = await self.lead()
+        self.node.enrol("life-2", "a2")
+        self.assertTrue(await grant_round(READ_AT))
+        query = LeaseQuery(1, self.node.incarnation, "life-2")
+        self.assertEqual(self.links.queries, [("a2", query)])
+
+    def grant(self, epoch=3, incarnation="life-2"):
+        return self.node.grant_lease(LeaseRequest(epoch, incarnation))
+
+    def test_a_lease_is_granted_to_the_leader_on_record(self):
+        self.assertIs(self.grant(), GrantRefusal.OTHER_LEADER)
+        self.apply_leader(3, "life-2")
+        self.assertIsNone(self.grant())
+        self.assertIs(self.grant(2), GrantRefusal.OTHER_LEADER)
+
+    # Guards against a lease granted beside the claim that a resignation permits.
+    def test_a_leader_that_has_resigned_is_granted_no_lease(self):
+        self.apply_leader(3, "life-2", resigned=True)
+        self.assertIs(self.grant(), GrantRefusal.OTHER_LEADER)
+
+    # Guards against a leader without the store that keeps its replacement away.
+    def test_an_entry_that_reads_the_store_grants_no_lease(self):
+        self.apply_leader(3, "life-2")
+        self.node.work.current_as_of_ = NOW
+        self.assertIs(self.grant(), GrantRefusal.STORE_REACHABLE)
+
+    # Guards against two leaders: this entry claims while its lease to the leader lasts.
+    def test_the_leases_that_an_entry_grants_bind_its_claims(self):
+        candidate = self.node._candidate
+        self.apply_leader(3, "life-2")
+        self.assertFalse(candidate._may_claim())
+        candidate._on_heartbeat("life-2", True, NOW)
+        self.assertTrue(candidate._may_claim())
+        self.assertIsNone(self.grant())
+        self.assertFalse(candidate._may_claim())
+
+    # Guards against two leaders: a claim is on its way while this entry grants a lease.
+    async def test_an_entry_grants_nothing_once_its_claim_is_on_its_way(self):
+        self.apply_leader(3, "life-2")
+        refusals = []
+
+        async def append(stream, records, writer=None):
+            refusals.append(self.grant())
+            raise asyncio.CancelledError
+
+        self.node._candidate.store.append = append
+        with self.assertRaises(asyncio.CancelledError):
+            await self.node._candidate._claim(4)
+        self.assertEqual(refusals, [GrantRefusal.CLAIMED])
