--- a/pimentomill/control/tests/test_authority_keeper.py
+++ b/pimentomill/control/tests/test_authority_keeper.py
@@ -51,6 +51,13 @@
         self.assertEqual(self.rounds, [1000])
         self.assertTrue(self.authority.covers(1000 + GRANT_ROUND_AGE_MS))
 
+    # Guards against an entry that is left out as it could not claim any more by the
+    # last round, while only the store shows that it has not claimed before.
+    async def test_each_round_asks_for_the_time_since_the_last_proof_by_the_store(self):
+        for _ in range(2):
+            await self.run_for(GRANT_ROUND_AGE_MS)
+        self.assertEqual(self.rounds, [1000, 1000])
+
     async def test_a_proof_counts_from_the_beginning_of_its_round(self):
         self.round_ms = 300
         await self.run_for(GRANT_ROUND_AGE_MS)
--- a/pimentomill/replica/tests/test_grants.py
+++ b/pimentomill/replica/tests/test_grants.py
@@ -4,6 +4,7 @@
     AUTHORITY_MS,
     ENROLMENT_MS,
     GRANT_MS,
+    MAX_APPEND_SILENCE_MS,
     Enrolments,
     Grantor,
     GrantRefusal,
@@ -17,6 +18,8 @@
 from pimentomill.utils import ManualClock
 
 LEADER = LeaseRequest(3, "life-l")
+FASTEST = 1.02 / 0.98
+"""Largest ratio of two clocks."""
 
 
 class TestGrantor(unittest.TestCase):
@@ -60,6 +63,11 @@
         self.clock.advance(1)
         self.assertTrue(self.may_claim())
 
+    # Guards against two leaders where one clock is faster than the other.
+    def test_an_entry_on_a_faster_clock_waits_for_longer_than_the_leader_acts(self):
+        self.assertGreater(GRANT_MS, AUTHORITY_MS * FASTEST)
+        self.assertGreater(UNENROLLED_SILENCE_MS, MAX_APPEND_SILENCE_MS * FASTEST)
+
     def test_a_grant_binds_only_against_its_leader(self):
         self.grant()
         self.grantor.enrol("life-m", self.clock.now())
@@ -100,6 +108,12 @@
         self.assertEqual(set(self.required(1000 + ENROLMENT_MS)), {"life-a"})
         self.assertEqual(self.required(self.clock.now()), {})
 
+    # Guards against two leaders: an entry on a slower clock claims while its enrolment
+    # lasts there, and the store carries out the claim late.
+    def test_an_entry_is_asked_until_its_latest_claim_would_show(self):
+        latest_ms = ENROLMENT_MS * FASTEST + LATE_CLAIM_MS
+        self.assertEqual(set(self.required(1000 + int(latest_ms))), {"life-a"})
+
     # Guards against a claim that the store carries out after its entry has ended.
     def test_an_entry_that_has_ended_is_asked_until_a_late_claim_would_show(self):
         self.enrolments.record_end("life-a")
