--- a/pimentomill/links/tests/test_links.py
+++ b/pimentomill/links/tests/test_links.py
@@ -28,7 +28,7 @@
     _server,
 )
 from pimentomill.overload import LoadReport, PoolLoad
-from pimentomill.replica import GrantRefusal, LeaseRequest
+from pimentomill.replica import ENROLMENT_MS, GrantRefusal, LeaseRequest
 
 STEP = StepKey("a" * 16, 0, 1)
 RECORDS = [KeyedRecord("k", b"\x00v")]
@@ -177,6 +177,11 @@
             )
         self.assertEqual(self.services.enrolled, [("life-2", "10.0.0.2:1")])
 
+    # Guards against an entry that can't claim, as its enrolment has ended while it
+    # watches the leader.
+    def test_the_next_watch_renews_the_enrolment_before_it_ends(self):
+        self.assertLess(1000 * _server.WATCH_DURATION_S, 0.75 * ENROLMENT_MS)
+
     async def request_lease(self, grantor="life-1"):
         query = LeaseQuery(3, "life-l", grantor)
         return await self.client.request_lease(self.address, query)
--- a/pimentomill/node/tests/test_election.py
+++ b/pimentomill/node/tests/test_election.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from pimentomill.exceptions import OutOfSequenceError
-from pimentomill.links import WatchOutcome
+from pimentomill.exceptions import AppendUnknownError, OutOfSequenceError
+from pimentomill.links import Watcher, WatchOutcome
 from pimentomill.node import Members
 from pimentomill.node import _election as election
 from pimentomill.replica import (
@@ -173,6 +173,47 @@
                 candidate.watch.observe_end("life-b")
             self.assertTrue(candidate._may_claim(), end)
 
+    # Guards against two leaders: an entry that was silent for long counts as enrolled
+    # after the leader has dropped it.
+    async def test_an_enrolment_counts_from_the_request_of_the_watch(self):
+        candidate = self.entries[0].candidate
+        candidate.clock = clock = ManualClock(1000)
+        candidate.grantor = mock.Mock()
+        watches = []
+
+        async def watch_incarnation(address, incarnation, on_heartbeat, *hooks):
+            clock.advance(300)
+            on_heartbeat(True)
+            watches.append((address, incarnation, hooks))
+            return WatchOutcome.INCONCLUSIVE
+
+        candidate.links.watch_incarnation = watch_incarnation
+        await candidate._watch_incarnation(LeaderRecord(1, "b", "life-b"), "b1")
+        candidate.grantor.enrol.assert_called_once_with("life-b", 1000)
+        watcher = Watcher("life-a", "")
+        self.assertEqual(watches, [("b1", "life-b", (None, watcher))])
+
+    # Guards against a leader that acts for longer without an append than an entry waits
+    # that is not enrolled: the first claim may have been stored.
+    async def test_a_repeated_claim_counts_from_the_first_one(self):
+        entry = self.entries[0]
+        entry.candidate.clock = clock = ManualClock(1000)
+        entry.candidate.work = mock.AsyncMock()
+        entry.candidate.store = mock.AsyncMock()
+        claims = []
+        entry.candidate.lead = mock.AsyncMock(
+            side_effect=lambda epoch, claim: claims.append(claim)
+        )
+        entry.candidate.store.append.side_effect = AppendUnknownError("lost")
+        for _ in range(2):
+            await entry.candidate._claim(1)
+            clock.advance(500)
+        await entry.candidate._lead(1)
+        self.assertEqual([claim.sent_at for claim in claims], [1000])
+        writers = [call.args[2] for call in entry.candidate.store.append.mock_calls]
+        self.assertEqual(len(set(writers)), 1)
+        self.assertEqual(writers[0].sequence, claims[0].sequence)
+
     async def test_an_entry_that_can_not_lead_claims_nothing(self):
         self.entries[0].can_lead = False
         self.tasks += self.entries[0].run()
