control: tests of proofs by appends, and of the end of an authority

An append that is repeated proves the authority as of its first call; a requested proof does not wait for the next heartbeat; a clock that was read long ago renews no lease; a leader that steps down has no authority, and one that resigns asks for no lease.

--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -158,6 +158,44 @@
         leader.request_plan()
         await self.wait_until(lambda: self.workers.started)
 
+    # Guards against two leaders: orders that are under way are sent after the end.
+    async def test_a_leader_that_steps_down_has_no_authority(self):
+        leader = self.start_leader(1)
+        self.assertTrue(leader.authority.is_valid(self.clock.now()))
+        leader.step_down("a later leader is on record")
+        self.assertFalse(leader.authority.is_valid(self.clock.now()))
+
+    # Guards against a leader that acts on leases beside the entry that has read its
+    # resignation, while the answer to the append is lost.
+    async def test_a_leader_that_resigns_asks_for_no_lease(self):
+        leader = self.start_leader(1)
+        leader.authority_keeper.grant_round = mock.AsyncMock(return_value=True)
+        await self.wait_until(lambda: leader._surveyed)
+        self.store.is_down = True
+        resigning = asyncio.ensure_future(leader.resign())
+        self.tasks.append(resigning)
+        await self.wait_until(lambda: leader.progress_writer.is_failing_)
+        self.assertIsNone(leader.authority_keeper.grant_round)
+
+    # Guards against two runs of a task: a silent worker is taken for gone, or a new one
+    # is filled, while a later leader may be in charge of it.
+    async def test_the_state_asks_the_authority_of_the_leader(self):
+        leader = self.start_leader(1)
+        covered = leader.authority.proven_at_
+        for is_covered in (
+            leader.state.is_covered,
+            leader.state.inheritance.is_covered,
+        ):
+            self.assertTrue(is_covered(covered))
+            self.assertFalse(is_covered(covered + 1))
+
+    # Guards against work that waits for the next heartbeat after a takeover.
+    async def test_a_first_answer_is_confirmed_by_an_append_at_once(self):
+        settings = ControlSettings(hold_wait_ms=50, hold_gap_ms=1, beat_ms=60_000)
+        leader = self.start_leader(1)
+        leader.cfg = leader.progress_writer.cfg = settings
+        await self.wait_until(lambda: self.accept_runs(leader))
+
     async def test_accepted_work_starts_while_the_store_is_down(self):
         leader = self.start_leader(1)
         await self.wait_until(lambda: leader._surveyed and self.accept_runs(leader))
--- a/pimentomill/control/tests/test_lease_keeper.py
+++ b/pimentomill/control/tests/test_lease_keeper.py
@@ -8,6 +8,7 @@
 from pimentomill.dispatch.tests.samples import step
 from pimentomill.exceptions import ConflictError, TransportError
 from pimentomill.fleet import EARLY_RUN_MS
+from pimentomill.fleet._worker import MAX_CLOCK_AGE_MS
 from pimentomill.replica import AUTHORITY_MS, Authority
 
 from .test_leader_state import LeaderStateCase
@@ -112,6 +113,29 @@
         self.assertIsNone(second.lease_until_ms)
         self.assertEqual(self.worker.lease_until, lease_until)
 
+    # Guards against a lease beyond its bound: after a pause of the process, the drift
+    # of the worker's clock exceeds the margin.
+    def test_no_lease_is_renewed_by_a_clock_that_was_read_long_ago(self):
+        self.worker.update_clock(5000, self.clock.now())
+        for age_ms, is_renewed in ((MAX_CLOCK_AGE_MS, True), (1, False)):
+            self.clock.advance(age_ms)
+            self.worker.is_reachable = True
+            self.hold((0, TransportError("no answer", sent=True)))
+            order = self.port.orders[-1]
+            self.assertEqual(order.lease_until_ms is not None, is_renewed)
+
+    # Guards against a worker that is forgotten, with what it runs, while a later leader
+    # renews its lease.
+    def test_an_unlisted_worker_is_kept_without_a_later_proof(self):
+        self.state.release(next(iter(self.worker.attempts.values())))
+        self.worker.is_listed = self.worker.is_reachable = False
+        self.worker.lease_until = self.clock.now() + 1
+        self.is_proven = False
+        self.clock.advance(1)
+        self.assertFalse(self.keeper._can_remove(self.worker))
+        self.is_proven = True
+        self.assertTrue(self.keeper._can_remove(self.worker))
+
     # Guards against a call each few milliseconds to each worker while the store is
     # down.
     def test_a_hold_without_renewal_waits_for_an_end_as_well(self):
--- a/pimentomill/control/tests/test_progress_writer.py
+++ b/pimentomill/control/tests/test_progress_writer.py
@@ -55,6 +55,33 @@
         await self.progress_writer.flush()
         self.assertEqual(self.keys().count("x"), 1)
 
+    # Guards against two leaders: a successor claims between two calls of one append, of
+    # which the first was carried out.
+    async def test_an_append_proves_the_authority_as_of_its_first_call(self):
+        authority = self.progress_writer.authority
+        self.clock.advance(100)
+        sent_at = self.clock.now()
+        append = self.store.append
+
+        async def append_slowly(stream, records, writer=None):
+            self.clock.advance(300)
+            return await append(stream, records, writer)
+
+        self.store.append = append_slowly
+        self.store.lose_answers = 2
+        await self.progress_writer.flush(resign=True)
+        self.assertEqual(authority.proven_at_, sent_at)
+        self.assertEqual(authority.appended_at_, sent_at)
+
+    async def test_a_requested_proof_is_appended_before_the_next_heartbeat(self):
+        self.clock.advance(1)
+        await self.progress_writer.flush()
+        self.assertEqual(self.keys(), [])
+        self.progress_writer.request_proof()
+        await self.progress_writer.flush()
+        self.assertEqual(self.keys(), [LEADER_KEY])
+        self.assertTrue(self.progress_writer.authority.covers(self.clock.now()))
+
     async def test_a_leader_that_was_replaced_writes_nothing(self):
         await self.store.append("work", [], Writer("leader", 2, 9))
         self.progress_writer.extra_records = [KeyedRecord("x", b"1")]
