control: an answer held up beside a waiting hold of the leader before, failing

Cause: _may_predecessor_know compares the time at which the report before was received with the time until which a hold of the leader before may wait. The report tells of a time that is earlier by its transit; an end between the two may be known to the leader before, while its successor starts what follows at once.

Result: the task is ready at once.

--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -115,6 +115,21 @@
                 self.report(self.silent)
                 self.assertEqual(len(self.ready()), 1)
 
+    # Guards against two runs of a task: an answer that was held up on its way tells
+    # only of the time before a hold of the previous leader was answered.
+    def test_an_answer_that_was_held_up_does_not_end_the_wait(self):
+        self.inherit([step()])
+        running = [RunStatus(FIRST_TASK, 1, "", 40, 0)]
+        answered_at = self.clock.now()
+        self.report(self.prompt, running)
+        self.end_survey()
+        self.clock.advance(answered_at + WAITING_HOLD_MS + 100 - self.clock.now())
+        held_up = WorkerReport(1, 5000, running, [], True)
+        sent_at = answered_at + WAITING_HOLD_MS - 200
+        self.state.apply_report(self.prompt, held_up, sent_at)
+        self.report(self.prompt, ended=[RunEnd(1, FIRST_TASK, 1, EndKind.FAILED, "")])
+        self.assertEqual(self.ready(), [])
+
     # Guards against two runs of a task: a worker that has answered restarts, which the
     # previous leader notices as well, as the new incarnation has seen no token.
     def test_a_task_lost_by_a_restart_waits_for_the_silent_worker(self):
