--- a/pimentomill/control/tests/test_leader_state.py
+++ b/pimentomill/control/tests/test_leader_state.py
@@ -377,6 +377,13 @@
         self.state.apply_report(self.worker, self.report(), self.clock.now())
         self.assertTrue(self.worker.accepts_runs())
 
+    # Guards against the same for workers that don't tell their incarnation.
+    def test_a_first_answer_without_an_incarnation_needs_a_later_proof(self):
+        worker = self.state.sync_worker(info("w3"))
+        report = self.report(incarnation_ms=0)
+        self.state.apply_report(worker, report, self.clock.now())
+        self.assertFalse(worker.accepts_runs())
+
     def test_a_worker_that_answers_for_the_first_time_needs_a_later_proof(self):
         worker = self.state.sync_worker(info("w3"))
         self.state.apply_report(worker, self.report(), self.clock.now())
