--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -12,7 +12,7 @@
     PolicyQueryDispatcher,
     _leader,
 )
-from pimentomill.dispatch import Preemption
+from pimentomill.dispatch import Placement, Preemption
 from pimentomill.dispatch.tests.samples import accepted, info, queue, step
 from pimentomill.exceptions import TransportError
 from pimentomill.fleet import (
@@ -158,6 +158,18 @@
         leader.request_plan()
         await self.wait_until(lambda: self.workers.started)
 
+    # Guards against two runs of a task: the authority ends between plan and order.
+    async def test_an_order_that_was_planned_with_authority_is_not_sent_without(self):
+        leader = self.start_leader(1)
+        await self.wait_until(lambda: leader._surveyed and self.accept_runs(leader))
+        leader.authority.is_valid = lambda now: False
+        self.submit(leader, [step()])
+        run = next(iter(leader.state.open_steps.values()))
+        worker = leader.state.workers["w1"]
+        leader.orders.start_all([Placement(run, 0, worker, "")])
+        await self.wait_until(lambda: not run.active)
+        self.assertEqual(self.workers.started, [])
+
     # Guards against two leaders: orders that are under way are sent after the end.
     async def test_a_leader_that_steps_down_has_no_authority(self):
         leader = self.start_leader(1)
