replica: a leader without appends acts for 25 s

Cause: an outage of the store of 20 s, which accepted work has to outlast, ended at the bound of 20 s: the leader stepped down, its successor needed longer than a lease, and all 9 lasting tasks of the benchmark stopped for up to 0.44 s (benchmarks authority, outage); none did before the bound counted from the sending of the last append.

Change: 25 s. An entry that is not enrolled waits 26.1 s instead of 20.9 s.

--- a/pimentomill/replica/_authority.py
+++ b/pimentomill/replica/_authority.py
@@ -26,7 +26,7 @@
 """Fraction by which the clock of an entry may run fast or slow."""
 BOUND_MARGIN_MS = 50
 """Milliseconds added to a bound on another clock, for rounding."""
-MAX_APPEND_SILENCE_MS = 20_000
+MAX_APPEND_SILENCE_MS = 25_000
 """Milliseconds after its last acknowledged append in which a leader may act on other
 proofs, so that accepted work goes on while the store is down."""
 
