control: an answer of a worker tells of the time at which it was requested

Callers could see a task run twice: an answer that was held up on its way ended the wait for a hold of the leader before, by the time of its receipt. Cause: the receipt is no bound on what an answer tells of. Change: the wait counts from the sending of the request.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -657,7 +657,7 @@
             self._stop_stragglers(worker, now)
         if report.is_complete:
             self._release_missing(worker, reported, sent_at)
-        worker.record_answer(now)
+        worker.record_answer(sent_at, now)
         worker.confirm(self.is_covered)
 
     def _release_missing(self, worker: Worker, reported: set, sent_at: Instant) -> None:
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -249,7 +249,7 @@
     answered_at : Instant or None
         Time of the first reply to a hold request of this leader, None before.
     reported_at : Instant or None
-        Time of the latest reply, None before the first.
+        Time at which the latest hold request with a reply was sent, None before.
     is_confirmed : bool
         Whether this leader is known to have led when the present incarnation had
         answered. Otherwise a later leader may not know what is started there.
@@ -342,9 +342,17 @@
         """Whether the worker has ever replied to a hold request of this leader."""
         return self.answered_at is not None
 
-    def record_answer(self, now: Instant) -> None:
-        """Record a reply to a hold request."""
-        self.reported_at = now
+    def record_answer(self, sent_at: Instant, now: Instant) -> None:
+        """Record a reply to a hold request.
+
+        Parameters
+        ----------
+        sent_at : Instant
+            Time at which the request was sent. The reply may tell of no later time.
+        now : Instant
+            Current time.
+        """
+        self.reported_at = sent_at
         if self.answered_at is None:
             self.answered_at = now
             self.require_confirmation(now)
