control: a pause before a start order extends no lease

Callers could see a task run twice: a process that pauses between the check of its authority and the start order computed the lease after the pause, up to the length of the pause beyond what a successor waits for. Cause: two readings of the clock. Change: the reading from before the check counts.

--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -87,11 +87,12 @@
             # Another member of the gang has been withdrawn; the stop is on its way.
             attempt.is_start_open = attempt.is_start_unconfirmed = False
             return
+        # Read before the check: the process may pause after it.
+        now = self.context.clock.now()
         refusal = self.context.refuse_start(worker)
         if refusal is not None:
             self._withdraw_start(attempt, refusal)
             return
-        now = self.context.clock.now()
         order = StartOrder(
             attempt.task,
             attempt.run,
