control: the pace of an inherited run is set anew

Callers saw work that uses idle processor time stand still after a change of the leader: a successor took an adopted run for one at full speed, and sent no pace while the tail latency was low, so that one paced down to 0 stayed there. Cause: a report tells no pace. Change: the first check of an adopted run sets its pace.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -754,6 +754,7 @@
         )
         attempt.phase = AttemptPhase.RUNNING
         attempt.is_resumed = True
+        attempt.is_pace_known = False
         attempt.is_settled = not step.is_suspect(task.index)
         step.dequeue(task.index)
         self._add_attempt(step, attempt)
--- a/pimentomill/control/_pacing.py
+++ b/pimentomill/control/_pacing.py
@@ -87,7 +87,7 @@
         calls = []
         for attempt in idle_cpu_runs:
             pace = next_pace(attempt.pace, worst_ratio)
-            if pace != attempt.pace:
+            if pace != attempt.pace or not attempt.is_pace_known:
                 calls.append(self._set_pace(attempt, pace, worst_ratio))
         return calls
 
@@ -102,6 +102,7 @@
             _log.warning("Setting the pace failed", task=attempt.task, why=str(exc))
             return
         attempt.pace = pace
+        attempt.is_pace_known = True
         attempt.last_progress_at = self.context.clock.now()
         _log.info(
             "Pace set",
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -111,6 +111,8 @@
         Times and percentages of the latest progress reports.
     pace : int
         Speed limit set for the run, in percent of full speed.
+    is_pace_known : bool
+        Whether `pace` is in force at the worker; a previous leader may have set another.
     is_start_unconfirmed : bool
         Whether the request to start the run got no reply, or none before its stop was
         ordered.
@@ -138,6 +140,7 @@
         "is_backfill",
         "is_known_long",
         "is_long_running",
+        "is_pace_known",
         "is_resumed",
         "is_size_unknown",
         "is_settled",
@@ -177,6 +180,7 @@
         self.is_resumed = False
         self.load = 0
         self.pace = 100
+        self.is_pace_known = True
         self.is_start_unconfirmed = False
         self.is_start_open = False
         self.is_backfill = False
