control: what may run on a silent worker counts for the limit of its team

Callers could see a team beyond its limit (QUOTA) after a change of the leader beside a silent worker: what the leader before had started there went on until its lease expired, and the successor gave the team's limit to later work. Cause: the successor counts what workers report. Change: tasks that wait for a silent worker count as well, up to the capacity of the workers that are waited for.

--- a/pimentomill/control/_inheritance.py
+++ b/pimentomill/control/_inheritance.py
@@ -5,7 +5,7 @@
 from ..dispatch import JobRun, StepRun
 from ..fleet import Worker
 from ..jobs import StepKey, WorkerId
-from ..utils import Clock, Instant, JobId
+from ..utils import ZERO, Clock, Instant, JobId, Resources
 
 __all__ = ["Inheritance"]
 
@@ -96,6 +96,31 @@
             return True
         return any(_could_run(worker, step) for worker in self._awaited())
 
+    def withheld_by_team(
+        self, step_of: Callable[[StepKey], StepRun | None]
+    ) -> dict[str, Resources]:
+        """Return what the tasks that may run on silent workers use at most, by team.
+
+        Parameters
+        ----------
+        step_of : callable
+            Returns an unfinished step, None if there is none.
+        """
+        withheld: dict[str, Resources] = {}
+        for key, unseen in list(self._unseen.items()):
+            step = step_of(key)
+            if step is None or not self.is_withheld(step):
+                continue
+            team = step.job.accepted.team
+            for _ in unseen.intersection(step.waiting):
+                withheld[team] = withheld.get(team, ZERO) + step.spec.need
+        if self.is_surveying_:
+            return withheld
+        capacity = ZERO
+        for worker in self._awaited():
+            capacity = capacity + worker.largest_capacity
+        return {team: need.minimum(capacity) for team, need in withheld.items()}
+
     def waits_ms(self) -> dict[str, int]:
         """Return the longest wait for a silent worker in milliseconds, by pool."""
         now = self.clock.now()
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -320,6 +320,7 @@
 
     def ready_steps(self) -> Iterator[StepRun]:
         """Yield steps that have tasks ready to start."""
+        self.quotas.withheld = self.inheritance.withheld_by_team(self.open_steps.get)
         for step in self.open_steps.values():
             if step.ready_at is None or not step.waiting:
                 continue
--- a/pimentomill/dispatch/_quota.py
+++ b/pimentomill/dispatch/_quota.py
@@ -13,6 +13,15 @@
 class QuotaBook:
     """Resources that each team has in use, checked against its limit.
 
+    Attributes
+    ----------
+    teams : dict of str to Team
+        Teams, by name.
+    used : dict of str to Resources
+        Resources in use, by team.
+    withheld : dict of str to Resources
+        Resources that inherited tasks of a team may use, unknown to this leader.
+
     Examples
     --------
     >>> book = QuotaBook()
@@ -27,6 +36,7 @@
     def __init__(self) -> None:
         self.teams: dict[str, Team] = {}
         self.used: dict[str, Resources] = {}
+        self.withheld: dict[str, Resources] = {}
 
     def allows(self, team: str, need: Resources, planned: Resources = ZERO) -> bool:
         """Return whether a team may use the additional resources.
@@ -43,7 +53,8 @@
         record = self.teams.get(team)
         if record is None or record.limit.is_zero():
             return True
-        total = self.used.get(team, ZERO) + planned + need
+        used = self.used.get(team, ZERO) + self.withheld.get(team, ZERO)
+        total = used + planned + need
         limit = record.limit
         return (
             (not limit.cpu_milli or total.cpu_milli <= limit.cpu_milli)
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -112,7 +112,7 @@
     pace : int
         Speed limit set for the run, in percent of full speed.
     is_pace_known : bool
-        Whether `pace` is in force at the worker; a previous leader may have set another.
+        Whether `pace` is in force; a previous leader may have set another one.
     is_start_unconfirmed : bool
         Whether the request to start the run got no reply, or none before its stop was
         ordered.
