--- a/pimentomill/platform/tests/soak/_cell.py
+++ b/pimentomill/platform/tests/soak/_cell.py
@@ -15,7 +15,7 @@
 
 from ._ledger import Ledger
 from ._network import SWITCH_PORT_VARIABLE, Network
-from ._proxy import Proxy
+from ._proxy import NetworkFault, Proxy
 from ._store import WireStore, decode_record
 from ._worker import WireWorker
 
@@ -199,6 +199,11 @@
         await self.network.stop()
         await self.store.stop()
 
+    def is_store_down(self):
+        """Return whether no entry reaches the store."""
+        is_reachable = self.network.store_fault is NetworkFault.NONE
+        return self.store.is_down or not is_reachable
+
     def leader(self):
         """Return the entry that leads according to the store, or None."""
         for content in reversed(self.store.topic("keyed.work").records):
--- a/pimentomill/platform/tests/soak/_faults.py
+++ b/pimentomill/platform/tests/soak/_faults.py
@@ -22,7 +22,12 @@
     NetworkFault.BLACKHOLE,
     NetworkFault.HELD,
 )
-CUT_PATH_FAULTS = (NetworkFault.BLACKHOLE, NetworkFault.HELD)
+CUT_PATH_FAULTS = (
+    NetworkFault.BLACKHOLE,
+    NetworkFault.BLACKHOLE,
+    NetworkFault.HELD,
+    NetworkFault.NONE,
+)
 CUT_LINKS_PROBABILITY = 0.75
 
 SHRUNK_CAPACITY_COUNTS_S = 4.5
@@ -59,9 +64,10 @@
         self.cut_rng = cut_rng
         self.injected = []
         self._resizing = set()
+        self._entries = tuple(cell.entries)
 
     async def run(self, count, mean_interval_s):
-        """Inject `count` faults and an evacuation, which may overlap."""
+        """Inject `count` faults, an evacuation and cuts, which may overlap."""
         kinds = (
             self.kill,
             self.terminate,
@@ -74,7 +80,10 @@
             self.change_settings,
             self.resize_worker,
         )
-        tasks = [asyncio.ensure_future(self.evacuate())]
+        tasks = [
+            asyncio.ensure_future(self.evacuate()),
+            asyncio.ensure_future(self.cut_data_centres()),
+        ]
         for _ in range(count):
             await asyncio.sleep(self.rng.uniform(0, 2 * mean_interval_s))
             kind = self.rng.choice(kinds)
@@ -83,7 +92,7 @@
         await asyncio.gather(*tasks)
 
     def choose_entry(self):
-        return self.rng.choice(self.cell.entries)
+        return self.rng.choice(self._entries)
 
     async def _restart(self, entry, signum):
         process = entry.process
@@ -91,8 +100,7 @@
         entry.send_signal(signum)
         await process.wait()
         await asyncio.sleep(self.rng.uniform(0.1, 0.8))
-        if entry.process is process:
-            await entry.start()
+        await entry.start_again(process)
 
     async def kill(self):
         await self._restart(self.choose_entry(), signal.SIGKILL)
@@ -102,7 +110,7 @@
 
     async def kill_all(self):
         await asyncio.gather(
-            *(self._restart(entry, signal.SIGKILL) for entry in self.cell.entries)
+            *(self._restart(entry, signal.SIGKILL) for entry in self._entries)
         )
 
     async def pause(self):
@@ -191,20 +199,83 @@
                 rng.choice(CUT_PATH_FAULTS),
                 rng.random() < CUT_LINKS_PROBABILITY,
             )
-            await self.cut(cut, rng.uniform(3.0, 12.0))
+            lasts_s = rng.uniform(3.0, 12.0)
+            kinds = rng.sample(
+                (
+                    self.restart_worker,
+                    self.restart_leader,
+                    self.restart_follower,
+                    self.add_entry,
+                    self.pause_leader,
+                    self.take_store_down,
+                ),
+                2,
+            )
+            names = ", ".join(kind.__name__ for kind in kinds)
+            self.injected.append(f"cut {cut}, {lasts_s:.1f} s, {names}")
+            await asyncio.gather(
+                self.cut(cut, lasts_s),
+                *(kind(leader, rng.uniform(0.2, 1.0) * lasts_s) for kind in kinds),
+            )
 
     async def cut(self, cut, lasts_s):
         """Cut off a data centre for a time."""
-        self.injected.append(f"cut {cut}, {lasts_s:.1f} s")
         self.cell.network.start_cut(cut)
         await asyncio.sleep(lasts_s)
         self.cell.network.end_cut()
 
+    # Faults during a cut, which begin or end some seconds after it began; `replaced` is
+    # the leader that has been cut off, or None.
+
+    async def restart_worker(self, replaced, after_s):
+        await asyncio.sleep(after_s)
+        name = self.cut_rng.choice(list(self.cell.workers))
+        await self.cell.restart_worker(name, self.cut_rng.uniform(0.1, 2.0))
+
+    async def restart_leader(self, replaced, after_s):
+        await asyncio.sleep(after_s)
+        await self._kill_and_start(self.cell.leader())
+
+    async def restart_follower(self, replaced, after_s):
+        await asyncio.sleep(after_s)
+        leaders = (replaced, self.cell.leader())
+        followers = [entry for entry in self._entries if entry not in leaders]
+        await self._kill_and_start(self.cut_rng.choice(followers))
+
+    async def _kill_and_start(self, entry):
+        if entry is None:
+            return
+        process = entry.process
+        entry.send_signal(signal.SIGCONT)
+        entry.send_signal(signal.SIGKILL)
+        await process.wait()
+        await asyncio.sleep(self.cut_rng.uniform(0.1, 2.0))
+        await entry.start_again(process)
+
+    async def add_entry(self, replaced, after_s):
+        await asyncio.sleep(after_s)
+        await self.cell.add_entry()
+
+    async def take_store_down(self, replaced, until_s):
+        network = self.cell.network
+        network.set_store_fault(self.cut_rng.choice(CUT_STORE_FAULTS))
+        await asyncio.sleep(until_s)
+        network.set_store_fault(NetworkFault.NONE)
+
+    async def pause_leader(self, replaced, until_s):
+        if replaced is None:
+            return
+        process = replaced.process
+        replaced.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(until_s)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+
     async def _sleep_while_store_is_up(self, duration_s):
         """Sleep until the store has been up for so long at a stretch."""
         loop = asyncio.get_running_loop()
         until = loop.time() + duration_s
         while loop.time() < until:
-            if self.cell.store.is_down:
+            if self.cell.is_store_down():
                 until = loop.time() + duration_s
             await asyncio.sleep(0.05)
