soak: reserve the loopback addresses of a run

A free range was found by one address of one entry. An entry of another soak that is just restarting leaves it free, so two soaks could still share a range. A run now holds a socket in its range and looks at the address of every entry, and an entry that ends during the start is reported with its log instead of a timeout after 60 s.

Seen before: a start of a cell that ended after 60 s (127.55.0.x in use); and a test run of a deliberately broken leader, beside a soak, that ended in the same time with an error, not repeated in two runs. The log of the latter was not kept, so its cause is only suspected.

--- a/pimentomill/platform/tests/soak/_cell.py
+++ b/pimentomill/platform/tests/soak/_cell.py
@@ -1,7 +1,6 @@
 """Entry processes together with stand-ins for the store and the workers."""
 
 import asyncio
-import contextlib
 import os
 import signal
 import socket
@@ -11,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from pimentomill.platform._daemon import METRICS_PORT
 from pimentomill.replica import LEADER_KEY, LeaderRecord
 
 from ._ledger import Ledger
@@ -25,6 +25,8 @@
 KEYS = {"t": "key-t", "u": "key-u"}
 FRONT_PORT = 18686
 SUBNET_COUNT = 250
+MAX_ENTRIES = 8
+"""Entries whose addresses have to be free in a range."""
 WORKER_CPU_MILLI = 4000
 DATA_CENTRES = ("z1", "z2")
 CLOCK_RATES = (1.0, 0.98)
@@ -52,8 +54,15 @@
 """
 
 
-def find_free_subnet():
-    """Return the second number of loopback addresses that no other soak uses.
+def reserve_subnet():
+    """Reserve a range of loopback addresses.
+
+    Returns
+    -------
+    int
+        Second number of the addresses.
+    socket.socket
+        Socket that keeps the range from other soaks until it is closed.
 
     Raises
     ------
@@ -62,9 +71,16 @@
     """
     for attempt in range(SUBNET_COUNT):
         subnet = 1 + (os.getpid() + attempt) % SUBNET_COUNT
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((f"127.{subnet}.0.1", FRONT_PORT))
-            return subnet
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{subnet}.255.254", FRONT_PORT))
+            for number in range(MAX_ENTRIES):
+                with socket.socket() as probe:
+                    probe.bind((f"127.{subnet}.0.{number + 1}", METRICS_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        return subnet, reservation
     raise OSError(f"none of {SUBNET_COUNT} ranges of loopback addresses is free")
 
 
@@ -144,7 +160,7 @@
         self.incarnation_count = 0
         self.settings_version = 0
         self.folder = folder
-        self.subnet = find_free_subnet()
+        self.subnet, self._reservation = reserve_subnet()
         self.entries = [Entry(number, folder, self.subnet) for number in range(entries)]
         self.worker_count = workers
         self.workers = {}
@@ -164,6 +180,8 @@
         async with asyncio.timeout(READY_TIMEOUT_S):
             for entry in self.entries:
                 while not await self.is_ready(entry):
+                    if entry.process.returncode is not None:
+                        raise RuntimeError(f"{entry.name} has ended: see {entry.log}")
                     await asyncio.sleep(0.1)
 
     async def _start_entry(self, entry):
@@ -198,6 +216,7 @@
         await self.session.close()
         await self.network.stop()
         await self.store.stop()
+        self._reservation.close()
 
     def is_store_down(self):
         """Return whether no entry reaches the store."""
