control: no hold carries a number that another incarnation may take for its own

Ends of the new incarnation are never listed, and their tasks, which had ended done, run again elsewhere.

Cause: the numbers of ends begin anew with each incarnation, and a hold names none. Each hold repeated the highest number that was durable; the first one after the restart carried that of the previous incarnation and dropped ends that nobody had read. The number was reset only when an answer showed the restart, which was too late.

Change: a hold carries a number only if the last hold was answered, was sent after the latest sign of a restart, and not more than 0.5 s ago (a process that was suspended knows nothing of the time between). Signs are a hold, start, stop or pace without an answer of the worker, a start whose answer shows a clock that went back, and a registration of another incarnation. Otherwise the hold carries no number, and does not wait if one is due. A number that an answered hold has carried is not repeated, so that most waiting holds carry none.

--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -93,11 +93,15 @@
         is_first_report = is_authorized and lease_end is None
         wait_ms = (
             0
-            if worker.has_pending_ends or is_first_report or not worker.is_reachable
+            if worker.has_pending_ends
+            or worker.owes_acknowledgement(now)
+            or is_first_report
+            or not worker.is_reachable
             else self.context.cfg.hold_wait_ms
         )
+        doubts = worker.doubts
         order = HoldOrder(
-            self.context.state.epoch, worker.acknowledged, lease_end, wait_ms
+            self.context.state.epoch, worker.acknowledgement(now), lease_end, wait_ms
         )
         try:
             report = await self.context.port.hold(worker.info, order)
@@ -118,6 +122,7 @@
                 token=order.token,
                 lease_left_ms=worker.lease_until - self.context.clock.now(),
             )
+        worker.record_hold_answer(order.acknowledged, doubts)
         self.context.state.apply_report(worker, report, now)
         self.context.on_change()
         return True
@@ -125,6 +130,7 @@
     def _on_hold_failure(
         self, worker: Worker, exc: Exception, order: HoldOrder, sent_at: Instant
     ) -> None:
+        worker.record_doubt()
         self._record_silence(worker, order, sent_at)
         if worker.is_reachable:
             _log.warning(
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -116,6 +116,8 @@
             token=self.context.state.epoch,
         )
         self.context.state.metrics.record_run_start(answer.outcome.value, waited_ms)
+        if answer.clock_ms is None or worker.has_clock_gone_back(answer.clock_ms, now):
+            worker.record_doubt()
         if answer.clock_ms is not None:
             worker.update_clock(answer.clock_ms, now)
         self._apply_start_answer(attempt, placement, answer)
@@ -217,6 +219,7 @@
             except ConflictError:
                 return
             except TransportError as exc:
+                stop.worker.record_doubt()
                 _log.warning(
                     "Stop order got no answer; retrying",
                     task=stop.task,
--- a/pimentomill/control/_pacing.py
+++ b/pimentomill/control/_pacing.py
@@ -98,6 +98,7 @@
                 info, attempt.task, attempt.run, pace, self.context.state.epoch
             )
         except (TransportError, ConflictError, FencedError) as exc:
+            attempt.worker.record_doubt()
             _log.warning("Setting the pace failed", task=attempt.task, why=str(exc))
             return
         attempt.pace = pace
--- a/pimentomill/control/tests/test_lease_keeper.py
+++ b/pimentomill/control/tests/test_lease_keeper.py
@@ -1,13 +1,25 @@
-"""What a failed hold tells of a worker."""
+"""What a failed hold tells of a worker, and which holds acknowledge ends."""
 
 import asyncio
 
 from pimentomill.control import ControlSettings
 from pimentomill.control._context import ControlContext
 from pimentomill.control._lease_keeper import LeaseKeeper
+from pimentomill.control._orders import OrderSender
+from pimentomill.control._pacing import Pacing
+from pimentomill.dispatch import Placement
 from pimentomill.dispatch.tests.samples import step
 from pimentomill.exceptions import ConflictError, TransportError
-from pimentomill.fleet import EARLY_RUN_MS
+from pimentomill.fleet import (
+    EARLY_RUN_MS,
+    MAX_ANSWER_AGE_MS,
+    EndKind,
+    RunEnd,
+    StartAnswer,
+    StartOutcome,
+    WorkerReport,
+)
+from pimentomill.jobs import TaskKey
 from pimentomill.replica import AUTHORITY_MS, Authority
 
 from .test_leader_state import LeaderStateCase
@@ -134,3 +146,198 @@
     def test_a_silent_worker_is_taken_for_gone_when_its_lease_has_expired(self):
         self.let_lease_expire()
         self.assertFalse(self.worker.attempts)
+
+
+class RestartingPort:
+    """Worker that starts again under its name and counts its ends from 1 each time."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.holds = []
+        self.failures = []
+        self.during_hold = lambda: None
+        self.start_answer = None
+        self.restart(born_ms=1)
+
+    def restart(self, born_ms):
+        self.born_ms = born_ms
+        self.began_at = self.clock.now()
+        self.ended = []
+        self.end_count = 0
+
+    def end(self, task, run=1, kind=EndKind.DONE):
+        self.end_count += 1
+        self.ended.append(RunEnd(self.end_count, task, run, kind, ""))
+
+    @property
+    def clock_ms(self):
+        return 1000 + self.clock.now() - self.began_at
+
+    async def hold(self, info, order):
+        self.holds.append(order)
+        self.clock.advance(1)
+        self.during_hold()
+        if self.failures:
+            raise self.failures.pop(0)
+        self.ended = [end for end in self.ended if end.number > order.acknowledged]
+        return WorkerReport(self.born_ms, self.clock_ms, [], list(self.ended), True)
+
+    async def start(self, info, order):
+        return self.start_answer or StartAnswer(StartOutcome.STARTED, self.clock_ms)
+
+    async def stop(self, info, task, run, token):
+        if self.failures:
+            raise self.failures.pop(0)
+
+    async def pace(self, info, task, run, percent, token):
+        await self.stop(info, task, run, token)
+
+
+class AcknowledgementTest(LeaderStateCase):
+    def setUp(self):
+        super().setUp()
+        self.cfg = ControlSettings()
+        self.port = RestartingPort(self.clock)
+        context = ControlContext(
+            self.state,
+            self.port,
+            self.clock,
+            self.cfg,
+            Authority(self.clock.now(), self.clock.now(), self.clock.now),
+            lambda: None,
+            self.fail,
+        )
+        self.context = context
+        self.keeper = LeaseKeeper(context, asyncio.Event(), lambda: None)
+        self.orders = OrderSender(context)
+        self.job = self.submit([step(count=9)])
+        self.run_step = next(iter(self.job.steps.values()))
+        self.worker = self.state.workers["w1"]
+        self.hold()
+
+    def hold(self):
+        """Hold once, store what was read and return the order."""
+        asyncio.run(self.keeper._hold(self.worker))
+        self.clock.advance(1)
+        _, acks = self.state.pop_changes()
+        for ack in acks:
+            ack.worker.mark_end_durable(ack.incarnation_ms, ack.number)
+        return self.port.holds[-1]
+
+    def task(self, index):
+        return TaskKey(self.job.accepted.job, 0, 0, index)
+
+    def end_tasks(self, *indices):
+        """Let tasks end on the worker that this leader has started there."""
+        for index in indices:
+            attempt = self.start(self.job, index)
+            self.port.end(attempt.task, attempt.run)
+
+    def assert_next_hold_acknowledges(self, number):
+        self.end_tasks(0, 1, 2)
+        self.hold()
+        self.assertEqual(self.worker.acknowledged, 3)
+        self.assertEqual(self.hold().acknowledged, number)
+
+    def restart_during_hold(self):
+        """Let the worker start again while a hold waits, and run three more tasks."""
+        self.port.failures.append(TransportError("no answer", sent=True))
+        self.hold()
+        self.port.restart(born_ms=2)
+        self.end_tasks(3, 4, 5)
+
+    # The ends of a new incarnation were dropped unread, and its tasks ran again.
+    def test_ends_of_a_new_incarnation_are_read_before_they_are_acknowledged(self):
+        self.assert_next_hold_acknowledges(3)
+        self.restart_during_hold()
+        order = self.hold()
+        self.assertEqual((order.acknowledged, order.wait_ms), (0, 0))
+        self.assertEqual(self.run_step.done, {0, 1, 2, 3, 4, 5})
+        self.assertFalse(set(self.run_step.waiting) & self.run_step.done)
+        self.assertEqual(self.hold().acknowledged, 3)
+
+    # An acknowledgement that was carried out late dropped ends of a new incarnation.
+    def test_an_answered_acknowledgement_is_not_repeated(self):
+        self.assert_next_hold_acknowledges(3)
+        order = self.hold()
+        self.assertEqual(order.acknowledged, 0)
+        self.assertEqual(order.wait_ms, self.cfg.hold_wait_ms)
+
+    # Ends were never taken note of after the answer to their hold was lost.
+    def test_an_unanswered_acknowledgement_is_repeated(self):
+        self.port.during_hold = self.lose_the_answer_to_an_acknowledgement
+        self.assert_next_hold_acknowledges(3)
+        self.assertEqual(self.hold().acknowledged, 0)
+        self.assertEqual(self.hold().acknowledged, 3)
+
+    def lose_the_answer_to_an_acknowledgement(self):
+        if self.port.holds[-1].acknowledged:
+            self.port.during_hold = lambda: None
+            self.port.failures.append(TransportError("answer lost", sent=True))
+
+    # A start that a new incarnation had answered did not keep its ends from being lost.
+    def test_nothing_is_acknowledged_after_a_clock_that_went_back(self):
+        self.clock.advance(5000)
+        self.hold()
+        self.end_tasks(0, 1, 2)
+        self.hold()
+        self.port.restart(born_ms=2)
+        self.send_start(6)
+        self.assertEqual(self.hold().acknowledged, 0)
+
+    # An acknowledgement followed a call that had failed.
+    def test_nothing_is_acknowledged_after_a_failed_order(self):
+        self.port.start_answer = StartAnswer(StartOutcome.UNHEALTHY, None)
+        self.send_start(7)
+        self.assert_next_hold_without(lambda: self.send_start(8))
+        self.assert_next_hold_without(self.fail_stop)
+        self.assert_next_hold_without(self.fail_pace)
+
+    def assert_next_hold_without(self, fail_call):
+        self.port.end(self.task(0))
+        self.hold()
+        fail_call()
+        order = self.hold()
+        self.assertEqual((order.acknowledged, order.wait_ms), (0, 0))
+        self.assertGreater(self.hold().acknowledged, 0)
+
+    def send_start(self, index):
+        run = self.run_step.allocate_run(index)
+        attempt = self.state.begin_attempt(self.run_step, index, self.worker, run)
+        placement = Placement(self.run_step, index, self.worker, "")
+        asyncio.run(self.orders._start(attempt, placement))
+
+    def fail_stop(self):
+        attempt = self.start(self.job, 5)
+        self.state.order_stop(attempt, "test")
+        self.port.failures.append(TransportError("no answer", sent=True))
+        (stop,) = self.state.pop_stop_orders()
+        asyncio.run(self.orders._stop(stop))
+
+    def fail_pace(self):
+        attempt = self.start(self.job, 4)
+        self.port.failures.append(TransportError("no answer", sent=True))
+        asyncio.run(Pacing(self.context)._set_pace(attempt, 50, 1.0))
+
+    # A hold from before a failed call counted as an answer after it.
+    def test_a_hold_sent_before_a_failed_call_proves_nothing(self):
+        self.end_tasks(0, 1, 2)
+        self.port.during_hold = self.worker.record_doubt
+        self.hold()
+        self.assertEqual(self.hold().acknowledged, 0)
+
+    # A process that had been suspended acknowledged ends by an old answer.
+    def test_an_old_answer_allows_no_acknowledgement(self):
+        self.end_tasks(0, 1, 2)
+        self.hold()
+        self.clock.advance(MAX_ANSWER_AGE_MS + 1)
+        self.assertEqual(self.hold().acknowledged, 0)
+        self.assertEqual(self.hold().acknowledged, 3)
+
+    # A new registration showed that the worker had started again.
+    def test_nothing_is_acknowledged_while_another_incarnation_is_registered(self):
+        self.end_tasks(0, 1, 2)
+        self.hold()
+        self.state.sync_worker(self.worker.info._replace(incarnation_ms=2))
+        self.assertEqual(self.hold().acknowledged, 0)
+        self.assertEqual(self.hold().acknowledged, 3)
--- a/pimentomill/fleet/__init__.py
+++ b/pimentomill/fleet/__init__.py
@@ -15,6 +15,7 @@
 )
 from ._worker import (
     EARLY_RUN_MS,
+    MAX_ANSWER_AGE_MS,
     RECENT_FAILURE_MS,
     Attempt,
     AttemptPhase,
@@ -24,6 +25,7 @@
 
 __all__ = [
     "EARLY_RUN_MS",
+    "MAX_ANSWER_AGE_MS",
     "RECENT_FAILURE_MS",
     "Attempt",
     "AttemptPhase",
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "EARLY_RUN_MS",
+    "MAX_ANSWER_AGE_MS",
     "RECENT_FAILURE_MS",
     "Attempt",
     "AttemptPhase",
@@ -42,6 +43,12 @@
 crash of its worker."""
 LEASE_EXPIRY_MARGIN_MS = 150
 """Margin in milliseconds before a lease counts as expired: one slow round trip."""
+MAX_ANSWER_AGE_MS = 500
+"""Age in milliseconds up to which the answer to a hold shows which incarnation gets the
+next one. The pauses between two holds are shorter unless this process was suspended."""
+CLOCK_REVERSAL_MS = 500
+"""Milliseconds by which a worker's clock must lie behind its expected reading to count
+as that of a new incarnation. Answers to orders may overtake those to holds."""
 
 
 MAX_CLOCK_AGE_MS = 3000
@@ -259,6 +266,12 @@
         Time until which an isolated run keeps other starts from the worker.
     slowness : float
         Ratio of task durations on this worker to those elsewhere; 1 if equal.
+    acknowledged : int
+        Number of the last end up to which all ends of this incarnation are durable.
+    doubts : int
+        Number of events so far after which another incarnation may have begun: calls
+        without an answer, answers that showed a clock that went back, and registrations
+        of another incarnation.
     """
 
     def __init__(self, info: WorkerInfo, now: Instant) -> None:
@@ -293,9 +306,14 @@
         self._durable_ends: set[int] = set()
         self._pending_ends: deque[int] = deque()
         self.acknowledged = 0
+        self._confirmed_acknowledgement = 0
+        self.doubts = 0
+        self._doubts_at_answer: int | None = None
 
     def register(self, info: WorkerInfo) -> None:
         """Apply a new registration of the worker."""
+        if info.incarnation_ms != self.info.incarnation_ms:
+            self.record_doubt()
         self.info = info
         self.largest_capacity = self.largest_capacity.maximum(info.capacity)
 
@@ -442,6 +460,59 @@
         self._unsized_count -= attempt.is_size_unknown
         return True
 
+    # Incarnations
+
+    def record_doubt(self) -> None:
+        """Record that another incarnation may have begun."""
+        self.doubts += 1
+
+    def record_hold_answer(self, acknowledged: int, doubts: int) -> None:
+        """Record the answer to a hold, before the report is applied.
+
+        Parameters
+        ----------
+        acknowledged : int
+            Number that the hold carried.
+        doubts : int
+            Number of doubts when the hold was sent.
+        """
+        self._doubts_at_answer = doubts
+        self._confirmed_acknowledgement = max(
+            acknowledged, self._confirmed_acknowledgement
+        )
+
+    def is_incarnation_known(self, now: Instant) -> bool:
+        """Return whether the incarnation that answered the last hold gets the next."""
+        return (
+            self.reported_at is not None
+            and self._doubts_at_answer == self.doubts
+            and now - self.reported_at <= MAX_ANSWER_AGE_MS
+        )
+
+    def acknowledgement(self, now: Instant) -> int:
+        """Return the number that the next hold may carry, 0 for none.
+
+        The numbers of ends begin anew with each incarnation, and a hold does not name
+        the one that it is for. One that carries a number of the previous incarnation
+        drops ends of the new one that nobody has read. So a number is sent only while
+        the incarnation is known, and only until a hold that carried it is answered.
+        """
+        is_sent = self._is_acknowledgement_new and self.is_incarnation_known(now)
+        return self.acknowledged if is_sent else 0
+
+    def owes_acknowledgement(self, now: Instant) -> bool:
+        """Return whether a number is held back until another hold is answered."""
+        return self._is_acknowledgement_new and not self.is_incarnation_known(now)
+
+    @property
+    def _is_acknowledgement_new(self) -> bool:
+        return self.acknowledged > self._confirmed_acknowledgement
+
+    def has_clock_gone_back(self, clock_ms: int, now: Instant) -> bool:
+        """Return whether a reading belongs to an incarnation that began later."""
+        expected_ms = self._clock_ms + (now - self._clock_at)
+        return self._has_clock and clock_ms + CLOCK_REVERSAL_MS < expected_ms
+
     def update_clock(self, clock_ms: int, now: Instant) -> None:
         """Record a reading of the worker's clock."""
         self._clock_ms = clock_ms
@@ -478,6 +549,7 @@
         self._has_clock = False
         self.last_recorded_end = 0
         self.acknowledged = 0
+        self._confirmed_acknowledgement = 0
         self._durable_ends.clear()
         self._pending_ends.clear()
         self.record_success()
