control: a start answered after the hold is not lost with the previous incarnation

A worker starts again between two holds without a failed call. The leader's next start is answered by the new incarnation, and overtakes the answer to a hold that was sent before. That answer shows the restart and does not list the run yet: the run counted as lost, and its task was queued and started elsewhere beside it.

Cause: observe_incarnation released each run whose start had been answered, whatever came first, the answer or the hold.

Change: only a run whose last answer is not later than the hold is certain to have been in the previous incarnation. Others are stopped, as those without an answer are already, and keep their task until a later report shows them ended or absent.

Result: the new test fails before (the task is ready at once) and holds now.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -539,8 +539,10 @@
             worker.confirm(self.is_covered)
         return all(worker.is_confirmed for worker in unconfirmed)
 
-    def observe_incarnation(self, worker: Worker, incarnation_ms: int) -> None:
-        """Apply the incarnation of a worker that answered."""
+    def observe_incarnation(
+        self, worker: Worker, incarnation_ms: int, sent_at: Instant
+    ) -> None:
+        """Apply the incarnation of a worker that answered a hold sent at a time."""
         if not incarnation_ms or incarnation_ms == worker.incarnation_ms:
             return
         previous_incarnation_ms = worker.incarnation_ms
@@ -553,8 +555,14 @@
         )
         self._apply_crash(worker, "worker restarted")
         for attempt in list(worker.attempts.values()):
-            # The new incarnation may still carry out an unanswered order.
-            if attempt.phase is AttemptPhase.STARTING or attempt.is_start_unconfirmed:
+            # The new incarnation may still carry out an unanswered order, and may
+            # have carried out one that was answered after the hold was sent.
+            is_lost = (
+                attempt.phase is not AttemptPhase.STARTING
+                and not attempt.is_start_unconfirmed
+                and attempt.last_answer_at <= sent_at
+            )
+            if not is_lost:
                 self._append_stop(attempt, "worker restarted")
             else:
                 self.release(attempt)
@@ -594,7 +602,7 @@
             When the hold was sent.
         """
         now = self.clock.now()
-        self.observe_incarnation(worker, report.incarnation_ms)
+        self.observe_incarnation(worker, report.incarnation_ms, sent_at)
         self.crashes.record_answer(worker)
         worker.update_clock(report.clock_ms, now)
         if self.stragglers is not None:
--- a/pimentomill/control/tests/test_leader_state.py
+++ b/pimentomill/control/tests/test_leader_state.py
@@ -292,6 +292,21 @@
         self.assertEqual([o.task for o in self.state.pop_stop_orders()], [attempt.task])
         self.assertEqual(self.ready(), [])
 
+    # A run of the new incarnation counted as lost, and its task ran a second time.
+    def test_a_start_answered_after_the_hold_may_run_in_the_new_incarnation(self):
+        job = self.submit([step()])
+        sent_at = self.clock.now()
+        self.clock.advance(1)
+        attempt = self.start(job)
+        self.state.apply_report(attempt.worker, self.report(incarnation_ms=2), sent_at)
+        self.assertEqual([o.task for o in self.state.pop_stop_orders()], [attempt.task])
+        self.assertEqual(self.ready(), [])
+        self.clock.advance(1)
+        self.state.apply_report(
+            attempt.worker, self.report(incarnation_ms=2), self.clock.now()
+        )
+        self.assertEqual(len(self.ready()), 1)
+
     def test_a_run_missing_from_a_later_report_is_restarted(self):
         job = self.submit([step()])
         attempt = self.start(job)
