control: due occurrences are opened a few at a time, at a constant cost each

Cause: open_due_occurrences opened all that was due in one pass of the event loop, and each occurrence looked at all steps of the job again (_mark_ready, all_done). Steps of occurrences that were done stayed in the job and were opened once more by each successor.

Change: OccurrenceOpener opens at most 256 steps a call, over all jobs, and no further occurrence of a job of which 32 wait for a start; the next call begins with the jobs that it did not come to. Occurrences that are not open stay due. If a job has started nothing for 1 s although a worker has room for its first steps, 32 more may wait, so that occurrences that are stuck (behind a later step or at a placement policy) do not keep back others. An occurrence that is done is closed: only its progress is kept, and a successor does not open it. _mark_ready and failed_path_ms look at the steps of one occurrence, all_done at open ones.

Three things follow from opening late: a run or an end that a worker reports in a due occurrence that is not open opens it, as a previous leader has started it (the run would be stopped and the end lost); the stored progress of such occurrences stays in the records; and an occurrence counts as ready since it was due, not since it was opened, so that a long backlog does not always look fresh.

--- a/pimentomill/control/_explanation.py
+++ b/pimentomill/control/_explanation.py
@@ -178,7 +178,7 @@
         for entry in entries:
             self.state.sync_job(entry.accepted_.job, entry, inherited=True)
         self.state.inheritance.end_survey([])
-        self.state.open_due_occurrences()
+        self._open_due_occurrences()
         self.planner = Planner(self.state.quotas)
         self.ends: list[tuple[int, int, Worker, RunEnd]] = []
         self._sequence = itertools.count()
@@ -345,13 +345,20 @@
             report = WorkerReport(0, 0, [], [numbered], False)
             self.state.apply_report(worker, report, self.clock.now())
         self.state.pop_changes()
-        self.state.open_due_occurrences()
+        self._open_due_occurrences()
         return True
 
+    def _open_due_occurrences(self) -> None:
+        now = self.clock.now()
+        while self.state.open_due_occurrences() == now:
+            pass
+
 
 def _has_started(job) -> bool:
     if job is None:
         return True
+    if job.has_done_occurrences:
+        return True
     return any(step.active or step.done for step in job.steps.values())
 
 
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -23,6 +23,7 @@
 from ..utils import ZERO, Clock, Epoch, Instant, JobId, Resources
 from ._crashes import CrashTracker
 from ._inheritance import Inheritance
+from ._occurrences import OccurrenceOpener
 from ._relocation import is_straggler, is_stuck, must_evacuate
 from ._scheduling import Features
 from ._share_tracker import ShareTracker
@@ -32,8 +33,6 @@
 
 RUNS_PER_EPOCH = 100_000
 """Size of the range of run numbers of one task that belongs to one epoch."""
-DUE_MARGIN_MS = 20
-"""Delay of an occurrence after its due time, which allows for clock differences."""
 CONSECUTIVE_FAILURE_LIMIT = 2
 """Consecutive failures after which a worker backs off."""
 WORKER_BACKOFF_MS = 1000
@@ -144,7 +143,9 @@
         self.catalog: Catalog | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.open_steps: dict[StepKey, StepRun] = {}
-        self.scheduled: dict[JobId, JobRun] = {}
+        self.occurrences = OccurrenceOpener(
+            clock, self._open_occurrence, self._has_room
+        )
         self.stop_orders: list[StopOrder] = []
         self.dirty: set[JobId] = set()
         self.newly_started: set[JobId] = set()
@@ -213,19 +214,13 @@
         first_run = self.epoch * RUNS_PER_EPOCH if inherited else 1
         waited_ms = max(0, self.clock.wall_ms() - accepted.at_ms) if inherited else 0
         job = JobRun(accepted, first_run, Instant(now - waited_ms))
+        job.led_since = now
         job.counts_failed_runs = self.features.admission
         job.keeps_retries = self.features.policy_reuse
         if self.catalog is not None:
             job.queue = self.catalog.queues.get(accepted.queue.name, job.queue)
         if entry.progress_ is not None:
-            job.state = entry.progress_.state
-            job.stored_steps = {
-                (item.occurrence, item.step): item for item in entry.progress_.steps
-            }
-            job.stored_crashes = {
-                (item.occurrence, item.step): item
-                for item in entry.progress_.crashes or ()
-            }
+            job.restore(entry.progress_)
         self.jobs[accepted.job] = job
         if self.catalog is not None:
             team = self.catalog.teams.get(accepted.team)
@@ -233,44 +228,52 @@
         if inherited:
             self.inheritance.add_job(accepted.job)
         if job.spec.is_scheduled:
-            self.scheduled[accepted.job] = job
+            self.occurrences.add(job)
+            self._complete_if_done(job)
         else:
             self._open_occurrence(job)
         return job
 
     def open_due_occurrences(self) -> Instant | None:
-        """Open due occurrences and return when the next one is due, None if none is."""
-        wall_ms = self.clock.wall_ms()
-        next_due_ms = None
-        for job_id, job in list(self.scheduled.items()):
-            while job.next_occurrence < job.spec.occurrence_count:
-                due_ms = job.spec.due_ms(job.next_occurrence) + DUE_MARGIN_MS
-                if due_ms > wall_ms:
-                    next_due_ms = (
-                        due_ms if next_due_ms is None else min(next_due_ms, due_ms)
-                    )
-                    break
-                self._open_occurrence(job)
-            else:
-                del self.scheduled[job_id]
-        if next_due_ms is None:
-            return None
-        return Instant(self.clock.now() + next_due_ms - wall_ms)
+        """Open due occurrences and return when to continue, None if none is left."""
+        return self.occurrences.open_due()
+
+    def _has_room(self, job: JobRun) -> bool:
+        """Return whether a worker has room for a task that starts an occurrence."""
+        specs = [spec for spec in job.spec.steps if not spec.depends_on]
+        return any(
+            worker.accepts_runs()
+            and worker.info.service == job.queue.service
+            and any(
+                spec.reserved.fits_in(worker.free)
+                and (
+                    not spec.required_label or spec.required_label in worker.info.labels
+                )
+                for spec in specs
+            )
+            for worker in self.workers.values()
+        )
 
-    def _open_occurrence(self, job: JobRun) -> None:
-        steps = job.open_occurrence(self.clock.now())
+    def _open_occurrence(self, job: JobRun, occurrence: int | None = None) -> None:
+        ready_at = self.clock.now()
+        if job.spec.is_scheduled:
+            # It may have been due for long, beside others of the job.
+            number = job.next_occurrence if occurrence is None else occurrence
+            ready_at = self.occurrences.due_since(job, number)
+        steps = job.open_occurrence(self.clock.now(), occurrence)
         self.inheritance.add_steps(steps)
         for step in steps:
             if step.waiting:
                 self.open_steps[step.key] = step
-        self._mark_ready(job)
+        self._mark_ready(steps, ready_at)
         self._complete_if_done(job)
 
-    def _mark_ready(self, job: JobRun) -> None:
-        now = self.clock.now()
-        for step in job.steps.values():
-            if step.ready_at is None and job.is_ready(step):
-                step.ready_at = now
+    @staticmethod
+    def _mark_ready(steps: list[StepRun], at: Instant) -> None:
+        """Mark the steps of one occurrence that depend on no unfinished one."""
+        for step in steps:
+            if step.ready_at is None and step.job.is_ready(step):
+                step.ready_at = at
 
     def _complete_if_done(self, job: JobRun) -> None:
         if not job.state.is_final and job.all_done():
@@ -299,7 +302,7 @@
             took_ms,
         )
         self.dirty.add(job_id)
-        self.scheduled.pop(job_id, None)
+        self.occurrences.discard(job_id)
         for step in job.steps.values():
             self.open_steps.pop(step.key, None)
             for attempt in list(step.active.values()):
@@ -343,6 +346,25 @@
         job = self.jobs.get(task.job)
         return job.steps.get(task.step_key) if job is not None else None
 
+    def _open_step_of(self, task: TaskKey) -> StepRun | None:
+        """Return the step of a task that a worker reports, None if it is not needed.
+
+        A previous leader may have opened its occurrence, which this one has not come
+        to yet.
+        """
+        job = self.jobs.get(task.job)
+        if job is None:
+            return None
+        is_unopened = (
+            not job.state.is_final
+            and 0 <= task.occurrence < job.spec.occurrence_count
+            and not job.is_settled(task.occurrence)
+            and self.occurrences.is_due(job, task.occurrence)
+        )
+        if is_unopened:
+            self._open_occurrence(job, task.occurrence)
+        return job.steps.get(task.step_key)
+
     def begin_attempt(
         self, step: StepRun, index: int, worker: Worker, run: int
     ) -> Attempt:
@@ -364,6 +386,7 @@
         step.last_workers[attempt.task.index] = attempt.worker.info.worker
         attempt.worker.add_attempt(attempt)
         self.quotas.add(step.job.accepted.team, step.spec.need)
+        step.job.moved_at = self.clock.now()
         self.usage.add(step.job.accepted.team, step.spec.reserved, self.clock.now())
         if step.job.state is JobState.QUEUED:
             step.job.state = JobState.RUNNING
@@ -401,6 +424,12 @@
             self.open_steps[step.key] = step
         if step.spec.gang and requeue and not step.is_done:
             self._stop_gang(step, attempt.run)
+        self._close_if_done(step)
+
+    def _close_if_done(self, step: StepRun) -> None:
+        """Drop the steps of a scheduled job's occurrence once nothing of it is left."""
+        if step.is_done and step.job.spec.is_scheduled:
+            step.job.close_if_done(step.key.occurrence)
 
     def _stop_gang(self, step: StepRun, run: int) -> None:
         """Stop the other members, which cannot continue without the one that ended."""
@@ -698,7 +727,7 @@
     def _adopt(self, worker: Worker, status: RunStatus) -> Attempt | None:
         """Adopt a run that this leader did not order; stop it if it is not needed."""
         task = status.task
-        step = self.step_of(task)
+        step = self._open_step_of(task)
         is_needed = (
             step is not None
             and not step.job.state.is_final
@@ -768,7 +797,7 @@
         attempt = worker.attempts.get(end.task)
         if attempt is not None and attempt.run != end.run:
             attempt = None
-        step = self.step_of(end.task)
+        step = self._open_step_of(end.task)
         _log.info(
             "Run ended",
             task=end.task,
@@ -822,8 +851,10 @@
             self.open_steps.pop(step.key, None)
             if self.stragglers is not None:
                 self.stragglers.model.forget_step(step.key)
-            self._mark_ready(step.job)
+            siblings = step.job.steps_of(step.key.occurrence)
+            self._mark_ready(siblings, self.clock.now())
             self._complete_if_done(step.job)
+            self._close_if_done(step)
 
     def _learn_speed(self, attempt: Attempt, step: StepRun) -> None:
         """Learn from a run that succeeded; an error in it is logged.
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -1,6 +1,7 @@
 """State that the leader holds of unfinished jobs and their steps."""
 
 import heapq
+from collections import Counter
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -277,6 +278,11 @@
         self.crashed_runs = _to_sets(crashes.early_runs)
         self.isolated_crashes = _to_sets(crashes.isolated_runs)
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the step is ready and has tasks that wait for a start."""
+        return self.ready_at is not None and bool(self.waiting)
+
     def crashes(self) -> StepCrashes | None:
         """Return the crashes of workers to store, None if there are none."""
         if not self.crashed_runs:
@@ -292,18 +298,26 @@
         """Return the progress to store, None if there is none."""
         if not (self.done or self.failed_runs or self.checkpoints):
             return None
-        bits = 0
-        for index in self.done:
-            bits |= 1 << index
-        size = (self.spec.count + BITS_PER_BYTE - 1) // BITS_PER_BYTE
         return StepProgress(
             self.key.occurrence,
             self.key.step,
-            bits.to_bytes(size, "little"),
+            self._done_bitmap(),
             _to_tuples(self.failed_runs),
             {i: text for i, text in self.checkpoints.items() if i not in self.done},
         )
 
+    def done_progress(self) -> StepProgress:
+        """Return the progress to store of a step whose occurrence is done."""
+        bitmap = self._done_bitmap()
+        return StepProgress(self.key.occurrence, self.key.step, bitmap, {}, {})
+
+    def _done_bitmap(self) -> bytes:
+        bits = 0
+        for index in self.done:
+            bits |= 1 << index
+        size = (self.spec.count + BITS_PER_BYTE - 1) // BITS_PER_BYTE
+        return bits.to_bytes(size, "little")
+
 
 class JobRun:
     """State of an unfinished job.
@@ -322,7 +336,20 @@
     queue : Queue
         Queue as last configured by operators.
     steps : dict of StepKey to StepRun
-        Steps of the occurrences that are due.
+        Steps of the open occurrences: those that were opened and have an unfinished
+        task or a run.
+    next_occurrence : int
+        First occurrence that is neither open nor done; the number of occurrences if
+        there is none.
+    stored_steps, stored_crashes : dict of tuple of int to StepProgress or StepCrashes
+        Progress of the steps that are not open, by occurrence and step.
+    waiting_share : int
+        Multiple of the usual number of waiting occurrences that the job may have.
+    led_since : Instant
+        Time since which this leader has known the job.
+    moved_at : Instant
+        Time of the last start of a task, of the last occurrence that was opened, or of
+        the last check of `waiting_share`.
     state : JobState
         State to store.
     remaining_path_ms : list of int
@@ -348,6 +375,10 @@
         self.remaining_path_ms = _remaining_path_ms(accepted.spec.steps)
         self.stored_steps: dict[tuple[int, int], StepProgress] = {}
         self.stored_crashes: dict[tuple[int, int], StepCrashes] = {}
+        self._done_occurrences: set[int] = set()
+        self.waiting_share = 1
+        self.led_since = seen_at
+        self.moved_at = seen_at
 
     @property
     def spec(self):
@@ -369,32 +400,107 @@
             counts.
         """
         failed_runs = [0] * len(self.spec.steps)
-        for key, step in self.steps.items():
-            if key.occurrence == occurrence and step.failed_runs:
-                failed_runs[key.step] = max(map(len, step.failed_runs.values()))
+        for step in self.steps_of(occurrence):
+            if step.failed_runs:
+                failed_runs[step.key.step] = max(map(len, step.failed_runs.values()))
         if not any(failed_runs):
             return 0
         lengthened = _remaining_path_ms(self.spec.steps, failed_runs)
         return max(lengthened) - max(self.remaining_path_ms)
 
-    def open_occurrence(self, now: Instant) -> list[StepRun]:
-        """Create the steps of the next occurrence and return them."""
-        occurrence = self.next_occurrence
-        self.next_occurrence += 1
+    def restore(self, progress: Progress) -> None:
+        """Restore the state from stored progress, before any occurrence is opened."""
+        self.state = progress.state
+        done_steps: Counter[int] = Counter()
+        for item in progress.steps:
+            if item.step >= len(self.spec.steps):
+                continue
+            self.stored_steps[item.occurrence, item.step] = item
+            count = self.spec.steps[item.step].count
+            if int.from_bytes(item.done_bitmap, "little") == (1 << count) - 1:
+                done_steps[item.occurrence] += 1
+        self.stored_crashes = {
+            (item.occurrence, item.step): item for item in progress.crashes or ()
+        }
+        if self.spec.is_scheduled:
+            step_count = len(self.spec.steps)
+            self._done_occurrences = {
+                occurrence
+                for occurrence, number in done_steps.items()
+                if number == step_count
+            }
+            self._skip_settled()
+
+    def _keys_of(self, occurrence: int) -> list[StepKey]:
+        job = self.accepted.job
+        return [StepKey(job, occurrence, step) for step in range(len(self.spec.steps))]
+
+    def steps_of(self, occurrence: int) -> list[StepRun]:
+        """Return the steps of an occurrence, none if it is not open."""
+        keys = self._keys_of(occurrence)
+        return [self.steps[key] for key in keys if key in self.steps]
+
+    def is_settled(self, occurrence: int) -> bool:
+        """Return whether an occurrence is open or done."""
+        is_open = StepKey(self.accepted.job, occurrence, 0) in self.steps
+        return is_open or occurrence in self._done_occurrences
+
+    @property
+    def has_done_occurrences(self) -> bool:
+        """Whether any occurrence is done and closed."""
+        return bool(self._done_occurrences)
+
+    def _skip_settled(self) -> None:
+        count = self.spec.occurrence_count
+        while self.next_occurrence < count and self.is_settled(self.next_occurrence):
+            self.next_occurrence += 1
+
+    def count_waiting(self) -> tuple[int, int]:
+        """Return how many occurrences, and how many tasks in them, wait for a start."""
+        waiting = [step for step in self.steps.values() if step.is_waiting]
+        occurrences = {step.key.occurrence for step in waiting}
+        return len(occurrences), sum(len(step.waiting) for step in waiting)
+
+    def open_occurrence(
+        self, now: Instant, occurrence: int | None = None
+    ) -> list[StepRun]:
+        """Create the steps of an occurrence and return them.
+
+        Parameters
+        ----------
+        now : Instant
+            Current time.
+        occurrence : int, default=None
+            Number of an occurrence that is neither open nor done; the next one if None.
+        """
+        if occurrence is None:
+            occurrence = self.next_occurrence
         opened = []
         for number, spec in enumerate(self.spec.steps):
             key = StepKey(self.accepted.job, occurrence, number)
             step = StepRun(self, key, spec, self.first_run)
-            stored = self.stored_steps.get((occurrence, number))
+            stored = self.stored_steps.pop((occurrence, number), None)
             if stored is not None:
                 step.restore(stored)
-            crashes = self.stored_crashes.get((occurrence, number))
+            crashes = self.stored_crashes.pop((occurrence, number), None)
             if crashes is not None:
                 step.restore_crashes(crashes)
             self.steps[key] = step
             opened.append(step)
+        self._skip_settled()
         return opened
 
+    def close_if_done(self, occurrence: int) -> None:
+        """Keep only the progress of an occurrence that is done and has no run left."""
+        steps = self.steps_of(occurrence)
+        if not all(step.is_done and not step.active for step in steps):
+            return
+        for step in steps:
+            key = occurrence, step.key.step
+            self.stored_steps[key] = step.done_progress()
+            del self.steps[step.key]
+        self._done_occurrences.add(occurrence)
+
     def is_ready(self, step: StepRun) -> bool:
         """Return whether all dependencies of a step are done."""
         key = step.key
@@ -414,9 +520,9 @@
         progress = Progress(self.accepted.job, self.state, at_ms)
         if self.state.is_final:
             return progress
-        steps = self._collect(StepRun.progress)
-        crashes = self._collect(StepRun.crashes) or UNSET
-        return msgspec.structs.replace(progress, steps=steps, crashes=crashes)
+        steps = (*self.stored_steps.values(), *self._collect(StepRun.progress))
+        crashes = (*self.stored_crashes.values(), *self._collect(StepRun.crashes))
+        return msgspec.structs.replace(progress, steps=steps, crashes=crashes or UNSET)
 
     def _collect(self, read: Callable) -> tuple:
         found = (read(step) for step in self.steps.values())
