control: the record of a job that recurs often stays small

Each change of a job writes all its progress anew, 10 bytes for each step of each occurrence that is done: 20 kB after 2,000 occurrences of one step, and beyond the 262,144 bytes that the store takes after some 26,000, or 5,000 of five steps. That append is repeated without end, and keeps the progress of all jobs from being stored.

Change: once the steps of done occurrences come to 40,000 bytes, the record lists these occurrences as ranges (Progress.done_occurrences). Up to there it is as before, as a leader of an earlier build ignores the field and would run them again (docs/PLATFORM.md).

--- a/pimentomill/control/tests/test_occurrences.py
+++ b/pimentomill/control/tests/test_occurrences.py
@@ -199,6 +199,32 @@
         self.state.apply_report(worker, self.report(ended=[end]), self.clock.now())
         self.assertIs(job.state, JobState.COMPLETED)
 
+    # The record of a job that recurred often grew with each time, up to one that the
+    # store refuses, which keeps the progress of all jobs from being stored.
+    @patch("pimentomill.dispatch._state.MAX_LISTED_BYTES", 1100)
+    def test_the_record_of_done_occurrences_stays_small(self):
+        self.submit_past(600, [step(), step(depends_on=(0,))])
+        ran = set()
+
+        def start_once(found):
+            self.assertNotIn(found.key, ran)
+            ran.add(found.key)
+            return True
+
+        for _ in range(20):
+            self.open_due()
+            self.run_ready(start_once)
+            listed = len(self.store_progress().steps)
+            self.assertLessEqual(listed, 100 + 2 * MAX_WAITING_OCCURRENCES)
+        self.assertGreater(len(ran), 2 * listed)
+        job = self.take_over()
+        self.state.inheritance.end_survey([])
+        self.number = 0
+        while not job.state.is_final:
+            self.open_due()
+            self.run_ready(start_once)
+        self.assertEqual(len(ran), 2 * 600)
+
     # Progress of an occurrence that is not open was lost with the next record.
     def test_progress_of_occurrences_that_are_not_open_stays_stored(self):
         self.submit_past(MAX_WAITING_OCCURRENCES + 1, [step(count=2)])
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -20,6 +20,7 @@
     WorkerId,
 )
 from ..utils import Instant
+from ._occurrence_set import OccurrenceSet
 
 __all__ = ["JobRun", "StepRun", "Ticket"]
 
@@ -33,6 +34,12 @@
 """Crashes among them in which the run was isolated. A crash for another cause hits an
 early isolated run by chance at times, but hardly twice."""
 
+MAX_LISTED_BYTES = 40_000
+"""Bytes of a progress record in which steps of done occurrences are listed one by one.
+Each change writes the record anew, and the store takes 262,144 bytes."""
+LISTED_STEP_BYTES = 10
+"""Bytes of a done step in a progress record beside its bitmap."""
+
 
 class Ticket:
     """Permission of the placement policy to run a step on a worker.
@@ -375,7 +382,9 @@
         self.remaining_path_ms = _remaining_path_ms(accepted.spec.steps)
         self.stored_steps: dict[tuple[int, int], StepProgress] = {}
         self.stored_crashes: dict[tuple[int, int], StepCrashes] = {}
-        self._done_occurrences: set[int] = set()
+        self._done_occurrences = OccurrenceSet()
+        self._lists_done_steps = True
+        self._listed_bytes = 0
         self.waiting_share = 1
         self.led_since = seen_at
         self.moved_at = seen_at
@@ -411,6 +420,9 @@
     def restore(self, progress: Progress) -> None:
         """Restore the state from stored progress, before any occurrence is opened."""
         self.state = progress.state
+        if progress.done_occurrences is not UNSET:
+            self._done_occurrences = OccurrenceSet(progress.done_occurrences)
+            self._lists_done_steps = False
         done_steps: Counter[int] = Counter()
         for item in progress.steps:
             if item.step >= len(self.spec.steps):
@@ -419,16 +431,15 @@
             count = self.spec.steps[item.step].count
             if int.from_bytes(item.done_bitmap, "little") == (1 << count) - 1:
                 done_steps[item.occurrence] += 1
+                self._listed_bytes += LISTED_STEP_BYTES + len(item.done_bitmap)
         self.stored_crashes = {
             (item.occurrence, item.step): item for item in progress.crashes or ()
         }
         if self.spec.is_scheduled:
             step_count = len(self.spec.steps)
-            self._done_occurrences = {
-                occurrence
-                for occurrence, number in done_steps.items()
-                if number == step_count
-            }
+            for occurrence, number in done_steps.items():
+                if number == step_count:
+                    self._done_occurrences.add(occurrence)
             self._skip_settled()
 
     def _keys_of(self, occurrence: int) -> list[StepKey]:
@@ -496,10 +507,19 @@
         if not all(step.is_done and not step.active for step in steps):
             return
         for step in steps:
-            key = occurrence, step.key.step
-            self.stored_steps[key] = step.done_progress()
             del self.steps[step.key]
+            if self._lists_done_steps:
+                item = step.done_progress()
+                self.stored_steps[occurrence, step.key.step] = item
+                self._listed_bytes += LISTED_STEP_BYTES + len(item.done_bitmap)
         self._done_occurrences.add(occurrence)
+        if self._lists_done_steps and self._listed_bytes > MAX_LISTED_BYTES:
+            self._lists_done_steps = False
+            self.stored_steps = {
+                key: item
+                for key, item in self.stored_steps.items()
+                if key[0] not in self._done_occurrences
+            }
 
     def is_ready(self, step: StepRun) -> bool:
         """Return whether all dependencies of a step are done."""
@@ -522,7 +542,10 @@
             return progress
         steps = (*self.stored_steps.values(), *self._collect(StepRun.progress))
         crashes = (*self.stored_crashes.values(), *self._collect(StepRun.crashes))
-        return msgspec.structs.replace(progress, steps=steps, crashes=crashes or UNSET)
+        done = UNSET if self._lists_done_steps else self._done_occurrences.ranges()
+        return msgspec.structs.replace(
+            progress, steps=steps, crashes=crashes or UNSET, done_occurrences=done
+        )
 
     def _collect(self, read: Callable) -> tuple:
         found = (read(step) for step in self.steps.values())
--- a/pimentomill/jobs/_records.py
+++ b/pimentomill/jobs/_records.py
@@ -124,6 +124,10 @@
         Steps in which any run has ended.
     crashes : tuple of StepCrashes, optional
         Steps of which a task may have crashed a worker. Earlier builds ignore it.
+    done_occurrences : tuple of tuple of int, optional
+        Ranges of occurrences that are done and not listed in `steps`, each with its
+        first and last number. Written only for jobs of which very many occurrences are
+        done: earlier builds ignore it and would run these again.
     """
 
     job: JobId
@@ -131,6 +135,7 @@
     at_ms: int
     steps: tuple[StepProgress, ...] = ()
     crashes: tuple[StepCrashes, ...] | msgspec.UnsetType = msgspec.UNSET
+    done_occurrences: tuple[tuple[int, int], ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 JobRecord = Accepted | Cancelled | Progress
