control: the lease of a worker that has restarted may last for the longest term

A worker starts again, unnoticed. Starts and holds of the leader still carry expiries derived from the clock of the incarnation before, hours ahead on the new one, which shortens them to the longest lease (6 s) only. If the worker then can't be reached, the leader takes its runs for gone after its own term (3.6 s and a margin) and starts the tasks elsewhere, up to 2 s before the worker kills them.

Cause: the bound on the lease assumed the term that the leader had asked for.

Change: when a hold is answered by another incarnation, or a start's answer shows a clock that went back, the bound becomes that of the longest lease, counted from the answer.

Result: the new test fails without either part and holds now. What remains: a restart of which no answer tells before the path to the worker is cut, and a leader that is replaced within those 2 s.

--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -123,7 +123,11 @@
                 lease_left_ms=worker.lease_until - self.context.clock.now(),
             )
         worker.record_hold_answer(order.acknowledged, doubts)
+        previous_incarnation_ms = worker.incarnation_ms
         self.context.state.apply_report(worker, report, now)
+        if previous_incarnation_ms not in (0, worker.incarnation_ms):
+            answered_at = self.context.clock.now()
+            worker.record_restart(answered_at, self.context.cfg.max_lease_ms)
         self.context.on_change()
         return True
 
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -116,8 +116,11 @@
             token=self.context.state.epoch,
         )
         self.context.state.metrics.record_run_start(answer.outcome.value, waited_ms)
-        if answer.clock_ms is None or worker.has_clock_gone_back(answer.clock_ms, now):
+        if answer.clock_ms is None:
             worker.record_doubt()
+        elif worker.has_clock_gone_back(answer.clock_ms, now):
+            worker.record_doubt()
+            worker.record_restart(now, self.context.cfg.max_lease_ms)
         if answer.clock_ms is not None:
             worker.update_clock(answer.clock_ms, now)
         self._apply_start_answer(attempt, placement, answer)
--- a/pimentomill/control/_settings.py
+++ b/pimentomill/control/_settings.py
@@ -16,6 +16,8 @@
         Duration of a worker's lease in milliseconds. It outlasts the loss of a
         leader, which takes about 2 s to replace, and bounds the wait after the
         loss of a worker.
+    max_lease_ms : int
+        Upper bound of a worker on its lease in milliseconds, whatever a call says.
     hold_wait_ms : int
         Milliseconds for which a worker may delay its answer to a hold until a run
         ends; several holds fit into a lease.
@@ -55,6 +57,7 @@
     """
 
     lease_ms: int = 3600
+    max_lease_ms: int = 6000
     hold_wait_ms: int = 1000
     hold_timeout_ms: int = 700
     hold_gap_ms: int = 25
--- a/pimentomill/control/tests/test_lease_keeper.py
+++ b/pimentomill/control/tests/test_lease_keeper.py
@@ -18,6 +18,7 @@
     StartAnswer,
     StartOutcome,
     WorkerReport,
+    lease_expiry_bound,
 )
 from pimentomill.jobs import TaskKey
 from pimentomill.replica import AUTHORITY_MS, Authority
@@ -285,6 +286,19 @@
         self.send_start(6)
         self.assertEqual(self.hold().acknowledged, 0)
 
+    # A worker that had just started again ran on for up to 2 s after it was taken for
+    # gone: the expiry of its lease had been derived from the clock before.
+    def test_a_restarted_worker_is_waited_for_as_long_as_it_may_hold_a_lease(self):
+        for notice in (self.hold, lambda: self.send_start(6)):
+            self.clock.advance(5000)
+            self.hold()
+            self.port.restart(self.port.born_ms + 1)
+            now = self.clock.now()
+            notice()
+            bound = lease_expiry_bound(now, self.cfg.max_lease_ms)
+            self.assertGreaterEqual(self.worker.lease_until, bound)
+            self.hold()
+
     # An acknowledgement followed a call that had failed.
     def test_nothing_is_acknowledged_after_a_failed_order(self):
         self.port.start_answer = StartAnswer(StartOutcome.UNHEALTHY, None)
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -543,6 +543,22 @@
         self.lease_until = max(self.lease_until, lease_expiry_bound(now, term_ms))
         return self._clock_ms + (now - self._clock_at) + term_ms
 
+    def record_restart(self, now: Instant, max_lease_ms: int) -> None:
+        """Extend the bound on the lease of a worker that is found to have restarted.
+
+        Its clock began anew. An expiry derived from the clock of the incarnation before
+        lies far ahead on it, and is shortened only to the longest lease.
+
+        Parameters
+        ----------
+        now : Instant
+            Time at which the restart was found.
+        max_lease_ms : int
+            Longest lease in milliseconds.
+        """
+        bound = lease_expiry_bound(now, max_lease_ms)
+        self.lease_until = max(self.lease_until, bound)
+
     def begin_incarnation(self, incarnation_ms: int) -> None:
         """Reset the state that belongs to the previous incarnation."""
         self.incarnation_ms = incarnation_ms
--- a/pimentomill/platform/_daemon.py
+++ b/pimentomill/platform/_daemon.py
@@ -62,6 +62,7 @@
     metrics = CellMetrics()
     control = ControlSettings(
         lease_ms=round(cfg.bounds.max_lease_ms * LEASE_FRACTION),
+        max_lease_ms=cfg.bounds.max_lease_ms,
         keep_finished_ms=round(cfg.bounds.state_retention_s * 1000) + 30_000,
         restore_ms=cfg.bounds.restore_ms,
         stop_ms=cfg.bounds.stop_ms,
