--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -618,10 +618,10 @@
         previous leader that was waiting. So what happened since its report before this
         one may be known there, unless that was late enough.
         """
-        answered_at, reported_at = worker.answered_at, worker.reported_at
-        if answered_at is None or reported_at is None:
+        answered_at, requested_at = worker.answered_at, worker.requested_at
+        if answered_at is None or requested_at is None:
             return True
-        return reported_at < answered_at + WAITING_HOLD_MS
+        return requested_at < answered_at + WAITING_HOLD_MS
 
     def apply_report(
         self, worker: Worker, report: WorkerReport, sent_at: Instant
--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -94,9 +94,9 @@
         wait_ms = (
             0
             if worker.has_pending_ends
+            or worker.owes_acknowledgement(now)
             or is_first_report
             or not worker.is_reachable
-            or not worker.is_incarnation_known(now)
             else self.context.cfg.hold_wait_ms
         )
         doubts = worker.doubts
@@ -122,9 +122,12 @@
                 token=order.token,
                 lease_left_ms=worker.lease_until - self.context.clock.now(),
             )
-        answered_at = self.context.clock.now()
-        worker.record_hold_answer(order.acknowledged, doubts, answered_at)
+        worker.record_hold_answer(order.acknowledged, doubts)
+        previous_incarnation_ms = worker.incarnation_ms
         self.context.state.apply_report(worker, report, now)
+        if previous_incarnation_ms not in (0, worker.incarnation_ms):
+            answered_at = self.context.clock.now()
+            worker.record_restart(answered_at, self.context.cfg.max_lease_ms)
         self.context.on_change()
         return True
 
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -253,7 +253,10 @@
     answered_at : Instant or None
         Time of the first reply to a hold request of this leader, None before.
     reported_at : Instant or None
-        Time at which the latest hold request with a reply was sent, None before.
+        Time of the latest reply, None before the first.
+    requested_at : Instant or None
+        Time at which the request with the latest reply was sent, None before. The reply
+        may tell of no later time.
     is_confirmed : bool
         Whether this leader is known to have led when the present incarnation had
         answered. Otherwise a later leader may not know what is started there.
@@ -289,6 +292,7 @@
         self.is_reachable = False
         self.answered_at: Instant | None = None
         self.reported_at: Instant | None = None
+        self.requested_at: Instant | None = None
         self.is_confirmed = True
         self._confirmed_from = now
         self.silent_since: Instant | None = None
@@ -313,7 +317,6 @@
         self._confirmed_acknowledgement = 0
         self.doubts = 0
         self._doubts_at_answer: int | None = None
-        self._answered_at = now
 
     def register(self, info: WorkerInfo) -> None:
         """Apply a new registration of the worker."""
@@ -352,11 +355,12 @@
         Parameters
         ----------
         sent_at : Instant
-            Time at which the request was sent. The reply may tell of no later time.
+            Time at which the request was sent.
         now : Instant
             Current time.
         """
-        self.reported_at = sent_at
+        self.reported_at = now
+        self.requested_at = sent_at
         if self.answered_at is None:
             self.answered_at = now
             self.require_confirmation(now)
@@ -479,7 +483,7 @@
         """Record that another incarnation may have begun."""
         self.doubts += 1
 
-    def record_hold_answer(self, acknowledged: int, doubts: int, now: Instant) -> None:
+    def record_hold_answer(self, acknowledged: int, doubts: int) -> None:
         """Record the answer to a hold, before the report is applied.
 
         Parameters
@@ -488,11 +492,8 @@
             Number that the hold carried.
         doubts : int
             Number of doubts when the hold was sent.
-        now : Instant
-            Time of the answer.
         """
         self._doubts_at_answer = doubts
-        self._answered_at = now
         self._confirmed_acknowledgement = max(
             acknowledged, self._confirmed_acknowledgement
         )
@@ -500,8 +501,9 @@
     def is_incarnation_known(self, now: Instant) -> bool:
         """Return whether the incarnation that answered the last hold gets the next."""
         return (
-            self._doubts_at_answer == self.doubts
-            and now - self._answered_at <= MAX_ANSWER_AGE_MS
+            self.reported_at is not None
+            and self._doubts_at_answer == self.doubts
+            and now - self.reported_at <= MAX_ANSWER_AGE_MS
         )
 
     def acknowledgement(self, now: Instant) -> int:
@@ -512,8 +514,16 @@
         drops ends of the new one that nobody has read. So a number is sent only while
         the incarnation is known, and only until a hold that carried it is answered.
         """
-        is_new = self.acknowledged > self._confirmed_acknowledgement
-        return self.acknowledged if is_new and self.is_incarnation_known(now) else 0
+        is_sent = self._is_acknowledgement_new and self.is_incarnation_known(now)
+        return self.acknowledged if is_sent else 0
+
+    def owes_acknowledgement(self, now: Instant) -> bool:
+        """Return whether a number is held back until another hold is answered."""
+        return self._is_acknowledgement_new and not self.is_incarnation_known(now)
+
+    @property
+    def _is_acknowledgement_new(self) -> bool:
+        return self.acknowledged > self._confirmed_acknowledgement
 
     def has_clock_gone_back(self, clock_ms: int, now: Instant) -> bool:
         """Return whether a reading belongs to an incarnation that began later."""
@@ -550,6 +560,22 @@
         self.lease_until = max(self.lease_until, lease_expiry_bound(now, term_ms))
         return self._clock_ms + (now - self._clock_at) + term_ms
 
+    def record_restart(self, now: Instant, max_lease_ms: int) -> None:
+        """Extend the bound on the lease of a worker that is found to have restarted.
+
+        Its clock began anew. An expiry derived from the clock of the incarnation before
+        lies far ahead on it, and is shortened only to the longest lease.
+
+        Parameters
+        ----------
+        now : Instant
+            Time at which the restart was found.
+        max_lease_ms : int
+            Longest lease in milliseconds.
+        """
+        bound = lease_expiry_bound(now, max_lease_ms)
+        self.lease_until = max(self.lease_until, bound)
+
     def begin_incarnation(self, incarnation_ms: int) -> None:
         """Reset the state that belongs to the previous incarnation."""
         self.incarnation_ms = incarnation_ms
--- a/pimentomill/platform/tests/soak/_cell.py
+++ b/pimentomill/platform/tests/soak/_cell.py
@@ -223,11 +223,6 @@
         is_reachable = self.network.store_fault is NetworkFault.NONE
         return self.store.is_down or not is_reachable
 
-    def is_store_down(self):
-        """Return whether no entry reaches the store."""
-        is_reachable = self.network.store_fault is NetworkFault.NONE
-        return self.store.is_down or not is_reachable
-
     def leader(self):
         """Return the entry that leads according to the store, or None."""
         for content in reversed(self.store.topic("keyed.work").records):
