control: an expiry by the clock of the incarnation before, failing

Cause: a worker that has restarted under its name has a clock that began anew. A hold with an expiry by the clock before gives it a lease as long as the worker allows (HoldMaxMs, 6 or 10 s), while the leader counts 3.6 s. Acknowledgements wait until the incarnation is known, renewals do not.

Result: the hold after an order without an answer carries an expiry.

--- a/pimentomill/control/tests/test_lease_keeper.py
+++ b/pimentomill/control/tests/test_lease_keeper.py
@@ -136,6 +136,15 @@
             order = self.port.orders[-1]
             self.assertEqual(order.lease_until_ms is not None, is_renewed)
 
+    # Guards against two runs of a task: the clock of a new incarnation began anew, so
+    # that a lease by the clock before outlasts its bound.
+    def test_a_worker_that_may_have_restarted_is_sent_no_expiry_by_its_old_clock(self):
+        self.worker.update_clock(500_000, self.clock.now())
+        self.worker.is_reachable = True
+        self.worker.record_doubt()
+        self.hold((0, TransportError("no answer", sent=True)))
+        self.assertIsNone(self.port.orders[-1].lease_until_ms)
+
     # Guards against a worker that is forgotten, with what it runs, while a later leader
     # renews its lease.
     def test_an_unlisted_worker_is_kept_without_a_later_proof(self):
