--- /dev/null
+++ b/proofs/authority/__init__.py
@@ -0,0 +1,12 @@
+"""Proof that a replaced leader and its successors start no task in two places.
+
+The product's entries run unchanged on one event loop in simulated time: `CellNode` with
+its election, leader, leases and calls. The store, the workers and the network are
+models. Clocks drift, processes pause and end, and cuts separate them.
+"""
+
+from ._cell import Cell, CellShape
+from ._network import NetworkPlan
+from ._run import AuthorityResult, run_seed
+
+__all__ = ["AuthorityResult", "Cell", "CellShape", "NetworkPlan", "run_seed"]
--- /dev/null
+++ b/proofs/authority/__main__.py
@@ -0,0 +1,34 @@
+"""Command line of the proof of authority."""
+
+import argparse
+import sys
+import time
+
+import msgspec
+
+from ._run import run_seed
+
+
+def main() -> int:
+    """Run seeds, print a JSON line for each, and return the exit code."""
+    parser = argparse.ArgumentParser(prog="python -m proofs.authority")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--trace", action="store_true", help="print logs of failures")
+    args = parser.parse_args()
+    code = 0
+    for seed in range(args.seed, args.seed + args.seeds):
+        started = time.perf_counter()
+        result = run_seed(seed, args.seconds)
+        took = time.perf_counter() - started
+        trace, result.trace = result.trace, []
+        print(msgspec.json.encode(result).decode(), f"{took:.2f} s", flush=True)
+        if args.trace and trace:
+            print(*trace, sep="\n", flush=True)
+        code = code or int(bool(result.failure))
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/proofs/authority/_run.py
@@ -0,0 +1,82 @@
+"""Runs of the model with random faults."""
+
+import asyncio
+import gc
+
+import msgspec
+
+from ._cell import Cell, CellShape
+from ._faults import Faults
+
+__all__ = ["AuthorityResult", "run_seed"]
+
+WARM_UP_S = 4.0
+RUN_S = 60.0
+CLEAN_UP_S = 1.0
+SHOWN_TRACE_LINES = 120
+
+
+class AuthorityResult(msgspec.Struct):
+    """Result of a run.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the run.
+    starts, orders, leaders : int
+        Number of checked starts, of checked orders, and of leaderships.
+    faults : dict
+        Injected faults, by kind.
+    failure : str
+        Description of the violation, empty if there is none.
+    trace : list of str
+        Last lines of the logs, empty unless the run failed.
+    """
+
+    seed: int
+    starts: int
+    orders: int
+    leaders: int
+    faults: dict[str, int]
+    failure: str = ""
+    trace: list[str] = []
+
+
+def run_seed(
+    seed: int, duration_s: float = RUN_S, shape: CellShape | None = None
+) -> AuthorityResult:
+    """Run a cell with the faults of a seed and return what was checked."""
+    cell = Cell(seed, shape)
+    faults = Faults(cell)
+
+    async def play() -> None:
+        cell.boot()
+        await asyncio.sleep(WARM_UP_S)
+        await faults.run(duration_s)
+        await close(cell)
+
+    with cell.patched():
+        cell.loop.run_until_complete(play())
+        cell.loop.close()
+    gc.collect()
+    return AuthorityResult(
+        seed,
+        cell.starts_,
+        cell.orders_,
+        cell.leaders_,
+        dict(faults.counts),
+        cell.failure_,
+        list(cell.trace_)[-SHOWN_TRACE_LINES:] if cell.failure_ else [],
+    )
+
+
+async def close(cell: Cell) -> None:
+    """End all processes and let their tasks finish."""
+    for entry in cell.entries.values():
+        if entry.process is not None:
+            entry.kill()
+    for worker in cell.workers.values():
+        if worker.process is not None:
+            worker.crash()
+    cell.store_endpoint.process.kill()
+    await asyncio.sleep(CLEAN_UP_S)
