--- a/proofs/authority/__main__.py
+++ b/proofs/authority/__main__.py
@@ -26,7 +26,7 @@
         print(msgspec.json.encode(result).decode(), f"{took:.2f} s", flush=True)
         if args.trace and trace:
             print(*trace, sep="\n", flush=True)
-        code = code or int(bool(result.failure))
+        code = code or int(bool(result.failures))
     return code
 
 
--- a/proofs/authority/_cell.py
+++ b/proofs/authority/_cell.py
@@ -11,7 +11,6 @@
 
 from pimentomill.catalog import Catalog, Queue, RequestLimits
 from pimentomill.control import WORK_STREAM, ControlSettings, Leader
-from pimentomill.exceptions import InvariantError
 from pimentomill.fleet import Registration, WorkerInfo
 from pimentomill.jobs import (
     Accepted,
@@ -35,7 +34,7 @@
 from ._store import SimulatedStore
 from ._worker import LeaseObserver, SimulatedWorker, WorkerClient
 
-__all__ = ["STORE", "Cell", "CellShape"]
+__all__ = ["NO_LEASE_OUTLASTS", "NO_TASK_TWICE", "STORE", "Cell", "CellShape"]
 
 STORE = "store"
 SERVICE = "orchard"
@@ -45,6 +44,8 @@
 CAPACITY = Resources(5000, 5000, 0)
 QUEUE = Queue("q", "h", "/q/", SERVICE, 1, 10_000, 2.0, 1000, 3000, False)
 MAX_TRACE_LINES = 400
+NO_TASK_TWICE = "no task in two places"
+NO_LEASE_OUTLASTS = "no lease outlasts the successor's bound"
 
 
 class CellShape(NamedTuple):
@@ -151,8 +152,8 @@
 
     Attributes
     ----------
-    failure_ : str
-        Description of the first violation, empty if there is none.
+    failures_ : dict of str to str
+        Description of the first violation of each invariant.
     starts_, orders_ : int
         Number of checked starts, and of checked orders of leaders.
     trace_ : deque of str
@@ -171,7 +172,7 @@
         self.memory = MemoryStore()
         self.entries: dict[str, SimulatedEntry] = {}
         self.workers: dict[str, SimulatedWorker] = {}
-        self.failure_ = ""
+        self.failures_: dict[str, str] = {}
         self.starts_ = 0
         self.orders_ = 0
         self.leaders_ = 0
@@ -210,9 +211,7 @@
             stack.enter_context(
                 mock.patch.object(ComponentLogger, "_write", self._make_write())
             )
-            stack.enter_context(
-                mock.patch.object(Leader, "_inherit", observed_inherit)
-            )
+            stack.enter_context(mock.patch.object(Leader, "_inherit", observed_inherit))
             yield
 
     def _make_write(self):
@@ -315,21 +314,10 @@
     # Invariants
 
     def fail(self, invariant: str, detail: str) -> None:
-        """Record a violation; only the first one is kept."""
-        if not self.failure_:
-            self.failure_ = f"{invariant}: {detail}"
-            self.note("CHECK", self.failure_)
-
-    def check(self) -> None:
-        """Raise the first violation.
-
-        Raises
-        ------
-        InvariantError
-            If an invariant was violated.
-        """
-        if self.failure_:
-            raise InvariantError(self.failure_)
+        """Record a violation; only the first one of an invariant is kept."""
+        if invariant not in self.failures_:
+            self.failures_[invariant] = detail
+            self.note("CHECK", f"{invariant}: {detail}")
 
     def _on_start(self, worker: SimulatedWorker, task: TaskKey, run: int) -> None:
         self.starts_ += 1
@@ -337,7 +325,7 @@
         for other in self.workers.values():
             if other is not worker and task in other.running():
                 self.fail(
-                    "no task in two places",
+                    NO_TASK_TWICE,
                     f"{task} starts as run {run} on {worker.name} beside run "
                     f"{other.running()[task]} on {other.name}",
                 )
@@ -366,7 +354,7 @@
 
     def _fail_bound(self, worker, token: int, lease_end: int, bound: _Bound) -> None:
         self.fail(
-            "no lease outlasts the successor's bound",
+            NO_LEASE_OUTLASTS,
             f"{worker.name} has a lease of epoch {token} until {lease_end}, epoch "
             f"{bound.epoch} ({bound.entry}) waits until {bound.true_ms}",
         )
--- a/proofs/authority/_faults.py
+++ b/proofs/authority/_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import Counter
 
-from ._cell import STORE, Cell, SimulatedEntry
+from ._cell import NO_TASK_TWICE, STORE, Cell, SimulatedEntry
 from ._network import Cut, LinkKind
 
 __all__ = ["Faults"]
@@ -52,7 +52,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + duration_s
         next_chain_at = loop.time()
-        while loop.time() < end and not self.cell.failure_:
+        while loop.time() < end and NO_TASK_TWICE not in self.cell.failures_:
             await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL_S))
             if loop.time() >= next_chain_at:
                 next_chain_at = loop.time() + CHAIN_INTERVAL_S
--- a/proofs/authority/_links.py
+++ b/proofs/authority/_links.py
@@ -64,9 +64,7 @@
     def send(self, item) -> None:
         """Send a chunk; it is lost while a cut separates both sides."""
         if not self.network.is_cut(LinkKind.ENTRY, self.client, self.server):
-            self.network.after(
-                self.network.latency_s(), self.chunks.put_nowait, item
-            )
+            self.network.after(self.network.latency_s(), self.chunks.put_nowait, item)
 
 
 class SimulatedStream:
@@ -113,9 +111,7 @@
         Returns the endpoint of an address.
     """
 
-    def __init__(
-        self, network: Network, find: Callable[[str], EntryEndpoint]
-    ) -> None:
+    def __init__(self, network: Network, find: Callable[[str], EntryEndpoint]) -> None:
         self.network = network
         self.find = find
         self.connect_timeout_s = 0.5
--- a/proofs/authority/_run.py
+++ b/proofs/authority/_run.py
@@ -27,8 +27,8 @@
         Number of checked starts, of checked orders, and of leaderships.
     faults : dict
         Injected faults, by kind.
-    failure : str
-        Description of the violation, empty if there is none.
+    failures : dict
+        First violation of each invariant.
     trace : list of str
         Last lines of the logs, empty unless the run failed.
     """
@@ -38,7 +38,7 @@
     orders: int
     leaders: int
     faults: dict[str, int]
-    failure: str = ""
+    failures: dict[str, str]
     trace: list[str] = []
 
 
@@ -65,8 +65,8 @@
         cell.orders_,
         cell.leaders_,
         dict(faults.counts),
-        cell.failure_,
-        list(cell.trace_)[-SHOWN_TRACE_LINES:] if cell.failure_ else [],
+        cell.failures_,
+        list(cell.trace_)[-SHOWN_TRACE_LINES:] if cell.failures_ else [],
     )
 
 
