--- a/proofs/authority/_links.py
+++ b/proofs/authority/_links.py
@@ -17,6 +17,7 @@
 __all__ = ["EntryEndpoint", "SimulatedHttp", "SimulatedStream", "StreamWeb"]
 
 END_OF_STREAM = None
+MS_PER_S = 1000
 
 
 class EntryEndpoint(Endpoint):
@@ -139,12 +140,51 @@
         except RefusedError as exc:
             raise ProcessEndedError("refused", sent=exc.was_sent) from exc
 
-    def get(self, url: str, timeout=None, headers=None, **_) -> "_StreamedGet":
+    def get(self, url: str, *, params=None, timeout=None) -> "_StreamedGet":
         """Open a streamed response; see `aiohttp.ClientSession.get`."""
-        target = self.find(URL(url).authority)
-        request = SimulatedRequest("GET", url, b"", headers, PROCESS.get().name)
+        address = URL(url).with_query(params or {})
+        target = self.find(address.authority)
+        request = SimulatedRequest("GET", str(address), b"", None, PROCESS.get().name)
         return _StreamedGet(self.network, target, request, timeout)
 
+    def post(self, url: str, *, data: bytes, timeout) -> "_Post":
+        """Send a request; see `aiohttp.ClientSession.post`."""
+        return _Post(self, url, data, timeout.total * MS_PER_S)
+
+
+class _Post:
+    """Context of a response that has been received as a whole."""
+
+    def __init__(
+        self, http: SimulatedHttp, url: str, data: bytes, timeout_ms: float
+    ) -> None:
+        self.http = http
+        self.url = url
+        self.data = data
+        self.timeout_ms = timeout_ms
+        self.status = 0
+        self._body = b""
+
+    async def __aenter__(self) -> "_Post":
+        try:
+            reply = await self.http.call("POST", self.url, self.timeout_ms, self.data)
+        except ProcessEndedError as exc:
+            if exc.sent:
+                raise aiohttp.ServerDisconnectedError from exc
+            refused = ConnectionRefusedError("refused")
+            raise aiohttp.ClientConnectorError(_CONNECTION, refused) from exc
+        except TransportError as exc:
+            raise TimeoutError(str(exc)) from exc
+        self.status, self._body = reply
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        return None
+
+    async def read(self) -> bytes:
+        """Return the body."""
+        return self._body
+
 
 class _StreamedGet:
     """Context of a streamed response on the side of the client."""
--- a/proofs/authority/_network.py
+++ b/proofs/authority/_network.py
@@ -180,7 +180,7 @@
             return
         if self.is_cut(kind, caller, target.name):
             return
-        args = (caller, target, kind, handle, answer)
+        args = (caller, target, target.process, kind, handle, answer)
         self.after(self.latency_s(), self._deliver, *args)
 
     def _deliver_late(self, target: Endpoint, process: Process | None, handle) -> None:
@@ -190,11 +190,14 @@
         if receiver is process or self.plan.is_late_across_lives:
             receiver.spawn(_ignore_errors(handle))
 
-    def _deliver(self, caller: str, target: Endpoint, kind, handle, answer) -> None:
-        if target.process is None:
-            self.after(self.latency_s(), self._refuse, answer, False)
+    def _deliver(self, caller, target, process, kind, handle, answer) -> None:
+        receiver = target.process
+        # A connection ends with the process that it was opened to.
+        if receiver is None or process not in (None, receiver):
+            was_sent = receiver is not None
+            self.after(self.latency_s(), self._refuse, answer, was_sent)
             return
-        self.spawn_serving(target.process, handle, caller, target.name, kind, answer)
+        self.spawn_serving(receiver, handle, caller, target.name, kind, answer)
 
     def spawn_serving(self, process, handle, caller, name, kind, answer) -> None:
         """Carry out a call in a process and send its answer."""
