--- a/proofs/authority/__main__.py
+++ b/proofs/authority/__main__.py
@@ -1,11 +1,13 @@
 """Command line of the proof of authority."""
 
 import argparse
+import contextlib
 import sys
 import time
 
 import msgspec
 
+from ._mutations import MUTATIONS
 from ._run import run_seed
 
 
@@ -16,11 +18,14 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--trace", action="store_true", help="print logs of failures")
+    parser.add_argument("--mutation", choices=sorted(MUTATIONS))
     args = parser.parse_args()
+    mutated = MUTATIONS[args.mutation] if args.mutation else contextlib.nullcontext
     code = 0
     for seed in range(args.seed, args.seed + args.seeds):
         started = time.perf_counter()
-        result = run_seed(seed, args.seconds)
+        with mutated():
+            result = run_seed(seed, args.seconds)
         took = time.perf_counter() - started
         trace, result.trace = result.trace, []
         print(msgspec.json.encode(result).decode(), f"{took:.2f} s", flush=True)
--- a/proofs/authority/_cell.py
+++ b/proofs/authority/_cell.py
@@ -2,7 +2,8 @@
 
 import contextlib
 import random
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import NamedTuple
 from unittest import mock
@@ -156,6 +157,8 @@
         Description of the first violation of each invariant.
     starts_, orders_ : int
         Number of checked starts, and of checked orders of leaders.
+    events_ : Counter
+        Logged changes of the authority of leaders.
     trace_ : deque of str
         Last lines of the logs.
     """
@@ -176,8 +179,10 @@
         self.starts_ = 0
         self.orders_ = 0
         self.leaders_ = 0
+        self.events_: Counter = Counter()
         self.trace_: deque[str] = deque(maxlen=MAX_TRACE_LINES)
         self._bounds: list[_Bound] = []
+        self.on_leader: Callable[[SimulatedEntry], None] = lambda entry: None
         self._jobs = 0
         self._catalog = Catalog(1, [QUEUE], [], {}, [SERVICE], RequestLimits())
 
@@ -219,6 +224,8 @@
             process = PROCESS.get()
             name = process.name if process is not None else "-"
             self.note(name, f"{logger.component}: {text} {fields}")
+            if logger.component == "authority":
+                self.events_[text] += 1
 
         return write
 
@@ -345,6 +352,7 @@
             entry.clock.true_at(leader._max_lease_end()),
         )
         self._bounds.append(bound)
+        self.on_leader(entry)
         for worker in self.workers.values():
             life = worker.life
             if life is not None and life.token < bound.epoch and life.running:
--- a/proofs/authority/_faults.py
+++ b/proofs/authority/_faults.py
@@ -3,22 +3,30 @@
 import asyncio
 from collections import Counter
 
-from ._cell import NO_TASK_TWICE, STORE, Cell, SimulatedEntry
+from ._cell import NO_TASK_TWICE, Cell, SimulatedEntry
 from ._network import Cut, LinkKind
 
 __all__ = ["Faults"]
 
-MAX_CUTS = 3
-FAULT_INTERVAL_S = (0.3, 4.0)
-DURATION_S = (0.4, 14.0)
+GAP_S = (0.5, 3.0)
+"""Pause between two episodes, in seconds."""
+CUT_S = (1.5, 12.0)
+LONG_CUT_S = (20.0, 32.0)
+"""Duration of a cut that outlasts a leader without appends, in seconds."""
+MAX_LEAD_S = 4.0
+"""Longest time in seconds by which workers are cut off before the store."""
 MAX_PAUSE_S = 9.0
 MAX_ENTRIES = 6
-CHAIN_INTERVAL_S = 4.0
+MIN_ENTRIES_UP = 3
 
 
 class Faults:
     """Injects faults into a cell.
 
+    An episode separates a leader and some other machines from the store, some workers
+    from all but that leader, and others from it, one after the other. Meanwhile
+    processes pause, end and start. Episodes overlap.
+
     Parameters
     ----------
     cell : Cell
@@ -35,124 +43,167 @@
         self.rng = cell.rng
         self.counts: Counter = Counter()
         self._tasks: set[asyncio.Task] = set()
-        self._kinds = {
-            self._cut_with_leader: 10,
-            self._take_store_down: 2,
-            self._pause_leader: 2,
-            self._pause_entry: 1,
-            self._kill_leader: 3,
-            self._kill_entry: 2,
-            self._resign: 1,
-            self._add_entry: 1,
-            self._crash_worker: 5,
-        }
+        self._kills_claimants = False
+        cell.on_leader = self._on_leader
 
     async def run(self, duration_s: float) -> None:
         """Inject faults for a time."""
         loop = asyncio.get_running_loop()
         end = loop.time() + duration_s
-        next_chain_at = loop.time()
         while loop.time() < end and NO_TASK_TWICE not in self.cell.failures_:
-            await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL_S))
-            if loop.time() >= next_chain_at:
-                next_chain_at = loop.time() + CHAIN_INTERVAL_S
-                self.cell.submit_chain()
-            [kind] = self.rng.choices(
-                list(self._kinds), weights=list(self._kinds.values())
-            )
-            kind()
+            await asyncio.sleep(self.rng.uniform(*GAP_S))
+            self.cell.submit_chain()
+            episode_s = self._begin_episode()
+            await asyncio.sleep(episode_s * self.rng.uniform(0.3, 1.1))
+
+    def _happens(self, probability: float) -> bool:
+        return self.rng.random() < probability
 
     def _count(self, kind: str, detail: str) -> None:
         self.counts[kind] += 1
         self.cell.note("FAULT", f"{kind} {detail}")
 
     def _later(self, delay_s: float, callback, *args) -> None:
-        self.cell.network.after(delay_s, callback, *args)
+        self.cell.network.after(max(0.0, delay_s), callback, *args)
 
-    def _duration_s(self) -> float:
-        return self.rng.uniform(*DURATION_S)
+    # Episodes
 
-    def _leader(self) -> SimulatedEntry | None:
-        """Return a leader: mostly the latest, at times one that it has replaced."""
+    def _begin_episode(self) -> float:
+        """Plan the faults of an episode and return its duration in seconds."""
         leaders = self.cell.leaders()
         if not leaders:
-            return None
-        return leaders[-1] if self.rng.random() < 0.8 else self.rng.choice(leaders)
-
-    # Kinds
-
-    def _cut_with_leader(self) -> None:
-        leader = self._leader()
-        if leader is None or len(self.cell.network.cuts) >= MAX_CUTS:
-            return
-        ratio = self.rng.choice([0.0, 0.3, 0.6])
-        machines = [*self.cell.entries, *self.cell.workers]
-        side = {name for name in machines if self.rng.random() < ratio}
+            return 1.0
+        leader = leaders[-1]
+        rng = self.rng
+        is_long = self._happens(0.1)
+        duration_s = rng.uniform(*(LONG_CUT_S if is_long else CUT_S))
+        store_cut_s = rng.uniform(0.0, MAX_LEAD_S)
+        episode_s = store_cut_s + duration_s
+        self._kills_claimants = self._happens(0.3)
+        if self._happens(0.12):
+            self._later(store_cut_s, self._take_store_down, duration_s)
+        else:
+            self._plan_cut(leader, store_cut_s, duration_s)
+        self._plan_worker_cuts(leader, episode_s)
+        if self._happens(0.25):
+            pause_s = rng.uniform(0.1, MAX_PAUSE_S)
+            at_s = store_cut_s + rng.uniform(-0.3, 2.0)
+            self._later(at_s, self._pause, leader, pause_s)
+        for _ in range(rng.choice([0, 0, 1, 2, 4])):
+            self._later(rng.uniform(0.0, episode_s), self._crash_worker)
+        for probability, fault in (
+            (0.15, self._kill_leader),
+            (0.3, self._kill_entry),
+            (0.1, self._pause_entry),
+            (0.15, self._resign),
+            (0.2, self._add_entry),
+        ):
+            if self._happens(probability):
+                self._later(rng.uniform(0.0, episode_s), fault)
+        return episode_s
+
+    def _plan_cut(
+        self, leader: SimulatedEntry, after_s: float, duration_s: float
+    ) -> None:
+        """Cut a leader and some entries from the store, and perhaps from the others."""
+        ratio = self.rng.choice([0.0, 0.4, 0.8])
+        side = {name for name in self.cell.entries if self._happens(ratio)}
         side.add(leader.name)
-        kinds = self.rng.choice(
-            [
-                {LinkKind.STORE},
-                {LinkKind.STORE, LinkKind.WORKER},
-                {LinkKind.ENTRY, LinkKind.WORKER},
-                set(LinkKind),
-                set(LinkKind),
-                set(LinkKind),
-            ]
-        )
-        cut = Cut(frozenset(side), frozenset(kinds))
-        self._count("cut", f"{sorted(side)} {sorted(kind.value for kind in kinds)}")
+        kinds = {LinkKind.STORE}
+        if self._happens(0.5):
+            kinds.add(LinkKind.ENTRY)
+        if self._happens(0.4):
+            kinds.add(LinkKind.WORKER)
+            side |= {name for name in self.cell.workers if self._happens(0.5)}
+        self._later(after_s, self._cut, side, kinds, set(), duration_s)
+
+    def _plan_worker_cuts(self, leader: SimulatedEntry, episode_s: float) -> None:
+        """Cut workers from a leader, or from all other entries."""
+        exclusive_ratio = self.rng.choice([0.0, 0.3, 0.6])
+        lost_ratio = self.rng.choice([0.0, 0.3, 0.6])
+        exempt = {leader.name}
+        everyone = set(self.cell.entries) - exempt
+        for name in self.cell.workers:
+            after_s = self.rng.uniform(0.0, 2 * MAX_LEAD_S)
+            duration_s = self.rng.uniform(1.0, episode_s)
+            draw = self.rng.random()
+            if draw < exclusive_ratio:
+                kinds = {LinkKind.WORKER}
+                self._later(after_s, self._cut, {name}, kinds, exempt, duration_s)
+            elif draw < exclusive_ratio + lost_ratio:
+                kinds = {LinkKind.WORKER}
+                self._later(after_s, self._cut, {name}, kinds, everyone, duration_s)
+
+    # Faults
+
+    def _cut(
+        self,
+        side: set[str],
+        kinds: set[LinkKind],
+        exempt: set[str],
+        duration_s: float,
+    ) -> None:
+        cut = Cut(frozenset(side), frozenset(kinds), frozenset(exempt))
+        names = sorted(kind.value for kind in kinds)
+        self._count("cut", f"{sorted(side)} {names} except {sorted(exempt)}")
         self.cell.network.cuts.append(cut)
-        self._later(self._duration_s(), self._heal, cut)
+        self._later(duration_s, self._heal, cut)
 
     def _heal(self, cut: Cut) -> None:
         self.cell.network.cuts.remove(cut)
         self.cell.note("FAULT", f"healed {sorted(cut.side)}")
 
-    def _take_store_down(self) -> None:
-        if self.cell.memory.is_down:
-            return
-        duration_s = self._duration_s()
+    def _take_store_down(self, duration_s: float) -> None:
         self._count("store down", f"{duration_s:.1f}")
         self.cell.memory.is_down = True
         self._later(duration_s, self._bring_store_up)
 
     def _bring_store_up(self) -> None:
         self.cell.memory.is_down = False
-        self.cell.note("FAULT", f"{STORE} up")
+        self.cell.note("FAULT", "store up")
+
+    def _on_leader(self, entry: SimulatedEntry) -> None:
+        if self._kills_claimants and self._happens(0.5):
+            self._later(self.rng.uniform(0.02, 1.5), self._kill, entry, entry.process)
 
-    def _pause_leader(self) -> None:
-        self._pause(self._leader())
+    def _pick_leader(self) -> SimulatedEntry | None:
+        leaders = self.cell.leaders()
+        return self.rng.choice(leaders) if leaders else None
+
+    def _pick_entry(self) -> SimulatedEntry:
+        return self.rng.choice(list(self.cell.entries.values()))
 
     def _pause_entry(self) -> None:
-        self._pause(self.rng.choice(list(self.cell.entries.values())))
+        self._pause(self._pick_entry(), self.rng.uniform(0.1, MAX_PAUSE_S))
 
-    def _pause(self, entry: SimulatedEntry | None) -> None:
-        if entry is None or entry.process is None:
-            return
-        duration_s = self.rng.uniform(0.1, MAX_PAUSE_S)
-        self._count("pause", f"{entry.name} {duration_s:.1f}")
-        entry.process.paused_until = self.cell.loop.time() + duration_s
+    def _pause(self, entry: SimulatedEntry, duration_s: float) -> None:
+        if entry.process is not None:
+            self._count("pause", f"{entry.name} {duration_s:.1f}")
+            entry.process.paused_until = self.cell.loop.time() + duration_s
 
     def _kill_leader(self) -> None:
-        self._kill(self._leader())
+        entry = self._pick_leader()
+        if entry is not None:
+            self._kill(entry, entry.process)
 
     def _kill_entry(self) -> None:
-        self._kill(self.rng.choice(list(self.cell.entries.values())))
+        entry = self._pick_entry()
+        self._kill(entry, entry.process)
 
-    def _kill(self, entry: SimulatedEntry | None) -> None:
-        alive = [other for other in self.cell.entries.values() if other.process]
-        if entry is None or entry.process is None or len(alive) < 3:
+    def _kill(self, entry: SimulatedEntry, process) -> None:
+        up = sum(other.process is not None for other in self.cell.entries.values())
+        if process is None or entry.process is not process or up < MIN_ENTRIES_UP:
             return
         self._count("kill", entry.name)
         entry.kill()
-        self._later(self.rng.uniform(0.3, 8.0), self._boot_entry, entry)
+        self._later(self.rng.uniform(0.1, 8.0), self._boot_entry, entry)
 
     def _boot_entry(self, entry: SimulatedEntry) -> None:
         self.cell.note("FAULT", f"boots {entry.name}")
         entry.boot()
 
     def _resign(self) -> None:
-        entry = self._leader()
+        entry = self._pick_leader()
         if entry is None:
             return
         self._count("resign", entry.name)
@@ -179,7 +230,7 @@
             return
         self._count("worker crash", worker.name)
         worker.crash()
-        self._later(self.rng.uniform(0.1, 3.0), self._boot_worker, worker)
+        self._later(self.rng.uniform(0.1, 2.0), self._boot_worker, worker)
 
     def _boot_worker(self, worker) -> None:
         self.cell.note("FAULT", f"boots {worker.name}")
--- a/proofs/authority/_network.py
+++ b/proofs/authority/_network.py
@@ -75,10 +75,20 @@
         Names of the machines on one side; the store is named ``store``.
     kinds : frozenset of LinkKind
         What can't be called across the cut.
+    exempt : frozenset of str
+        Machines on the other side that are not separated.
     """
 
     side: frozenset[str]
     kinds: frozenset[LinkKind]
+    exempt: frozenset[str] = frozenset()
+
+    def separates(self, kind: LinkKind, first: str, second: str) -> bool:
+        """Return whether the cut separates two machines for one kind of calls."""
+        if kind not in self.kinds or (first in self.side) == (second in self.side):
+            return False
+        outside = second if first in self.side else first
+        return outside not in self.exempt
 
 
 class Endpoint:
@@ -129,10 +139,7 @@
 
     def is_cut(self, kind: LinkKind, first: str, second: str) -> bool:
         """Return whether a cut separates two machines for one kind of calls."""
-        return any(
-            kind in cut.kinds and (first in cut.side) != (second in cut.side)
-            for cut in self.cuts
-        )
+        return any(cut.separates(kind, first, second) for cut in self.cuts)
 
     def latency_s(self) -> float:
         """Return the latency of one message in seconds."""
--- a/proofs/authority/_run.py
+++ b/proofs/authority/_run.py
@@ -27,6 +27,8 @@
         Number of checked starts, of checked orders, and of leaderships.
     faults : dict
         Injected faults, by kind.
+    events : dict
+        Logged changes of the authority of leaders.
     failures : dict
         First violation of each invariant.
     trace : list of str
@@ -38,6 +40,7 @@
     orders: int
     leaders: int
     faults: dict[str, int]
+    events: dict[str, int]
     failures: dict[str, str]
     trace: list[str] = []
 
@@ -65,6 +68,7 @@
         cell.orders_,
         cell.leaders_,
         dict(faults.counts),
+        dict(cell.events_),
         cell.failures_,
         list(cell.trace_)[-SHOWN_TRACE_LINES:] if cell.failures_ else [],
     )
