--- a/proofs/authority/_cell.py
+++ b/proofs/authority/_cell.py
@@ -67,7 +67,7 @@
 
     entries: int = 4
     workers: int = 5
-    standing: int = 8
+    standing: int = 14
     chains: int = 4
     max_drift_ppm: int = 20_000
     plan: NetworkPlan = NetworkPlan()
@@ -166,6 +166,7 @@
     def __init__(self, seed: int, shape: CellShape | None = None) -> None:
         self.shape = shape or CellShape()
         self.rng = random.Random(seed)
+        self.registers_births = self.rng.random() < 0.5
         self.loop = SimulatedLoop()
         self.clock = LoopClock(self.loop)
         self.network = Network(self.loop, self.rng, self.shape.plan)
@@ -264,7 +265,8 @@
     def boot_worker(self, worker: SimulatedWorker) -> None:
         """Start an incarnation of a worker and register it."""
         worker.boot()
-        value = msgspec.msgpack.encode(worker.life.born_ms)
+        born_ms = worker.life.born_ms if self.registers_births else 0
+        value = msgspec.msgpack.encode(born_ms)
         self._append(WORKERS_STREAM, worker.name, value)
 
     def submit_chain(self) -> None:
--- a/proofs/authority/_faults.py
+++ b/proofs/authority/_faults.py
@@ -31,6 +31,8 @@
     ----------
     cell : Cell
         Cell.
+    stops_at_any : bool
+        Whether to stop at a violation of any invariant, not only of the main one.
 
     Attributes
     ----------
@@ -38,8 +40,9 @@
         Injected faults, by kind.
     """
 
-    def __init__(self, cell: Cell) -> None:
+    def __init__(self, cell: Cell, stops_at_any: bool) -> None:
         self.cell = cell
+        self.stops_at_any = stops_at_any
         self.rng = cell.rng
         self.counts: Counter = Counter()
         self._tasks: set[asyncio.Task] = set()
@@ -50,12 +53,16 @@
         """Inject faults for a time."""
         loop = asyncio.get_running_loop()
         end = loop.time() + duration_s
-        while loop.time() < end and NO_TASK_TWICE not in self.cell.failures_:
+        while loop.time() < end and not self._has_failed():
             await asyncio.sleep(self.rng.uniform(*GAP_S))
             self.cell.submit_chain()
             episode_s = self._begin_episode()
             await asyncio.sleep(episode_s * self.rng.uniform(0.3, 1.1))
 
+    def _has_failed(self) -> bool:
+        failures = self.cell.failures_
+        return bool(failures) if self.stops_at_any else NO_TASK_TWICE in failures
+
     def _happens(self, probability: float) -> bool:
         return self.rng.random() < probability
 
@@ -75,16 +82,20 @@
             return 1.0
         leader = leaders[-1]
         rng = self.rng
-        is_long = self._happens(0.1)
-        duration_s = rng.uniform(*(LONG_CUT_S if is_long else CUT_S))
         store_cut_s = rng.uniform(0.0, MAX_LEAD_S)
+        self._kills_claimants = self._happens(0.4)
+        plans = {
+            self._plan_cut: 5,
+            self._plan_staggered_cuts: 4,
+            self._plan_long_cut: 1,
+            self._plan_outage: 1,
+        }
+        [plan] = rng.choices(list(plans), weights=list(plans.values()))
+        duration_s = plan(leader, store_cut_s)
         episode_s = store_cut_s + duration_s
-        self._kills_claimants = self._happens(0.3)
-        if self._happens(0.12):
-            self._later(store_cut_s, self._take_store_down, duration_s)
-        else:
-            self._plan_cut(leader, store_cut_s, duration_s)
-        self._plan_worker_cuts(leader, episode_s)
+        if self._happens(0.25):
+            self._later(store_cut_s - 1.0, self._slow_store, rng.uniform(1.0, 4.0))
+        self._plan_worker_cuts(leader, store_cut_s, episode_s)
         if self._happens(0.25):
             pause_s = rng.uniform(0.1, MAX_PAUSE_S)
             at_s = store_cut_s + rng.uniform(-0.3, 2.0)
@@ -102,36 +113,63 @@
                 self._later(rng.uniform(0.0, episode_s), fault)
         return episode_s
 
-    def _plan_cut(
-        self, leader: SimulatedEntry, after_s: float, duration_s: float
-    ) -> None:
+    def _plan_cut(self, leader: SimulatedEntry, after_s: float) -> float:
         """Cut a leader and some entries from the store, and perhaps from the others."""
+        duration_s = self.rng.uniform(*CUT_S)
         ratio = self.rng.choice([0.0, 0.4, 0.8])
         side = {name for name in self.cell.entries if self._happens(ratio)}
         side.add(leader.name)
         kinds = {LinkKind.STORE}
         if self._happens(0.5):
             kinds.add(LinkKind.ENTRY)
-        if self._happens(0.4):
+        if self._happens(0.3):
             kinds.add(LinkKind.WORKER)
             side |= {name for name in self.cell.workers if self._happens(0.5)}
         self._later(after_s, self._cut, side, kinds, set(), duration_s)
+        return duration_s
+
+    def _plan_staggered_cuts(self, leader: SimulatedEntry, after_s: float) -> float:
+        """Cut entries from the store that reach it again one after the other."""
+        duration_s = self.rng.uniform(*CUT_S)
+        for name in self.cell.entries:
+            share = 1.0 if name == leader.name else self.rng.uniform(0.0, 1.2)
+            args = ({name}, {LinkKind.STORE}, set(), share * duration_s)
+            self._later(after_s, self._cut, *args)
+        return duration_s
+
+    def _plan_long_cut(self, leader: SimulatedEntry, after_s: float) -> float:
+        """Cut all entries from the store and from one that joins."""
+        duration_s = self.rng.uniform(*LONG_CUT_S)
+        kinds = {LinkKind.STORE, LinkKind.ENTRY}
+        side = set(self.cell.entries)
+        self._later(after_s, self._cut, side, kinds, set(), duration_s)
+        self._later(after_s + self.rng.uniform(0.5, 4.0), self._add_entry)
+        return duration_s
 
-    def _plan_worker_cuts(self, leader: SimulatedEntry, episode_s: float) -> None:
+    def _plan_outage(self, leader: SimulatedEntry, after_s: float) -> float:
+        """Take the store down for all."""
+        duration_s = self.rng.uniform(*CUT_S)
+        self._later(after_s, self._take_store_down, duration_s)
+        return duration_s
+
+    def _plan_worker_cuts(
+        self, leader: SimulatedEntry, store_cut_s: float, episode_s: float
+    ) -> None:
         """Cut workers from a leader, or from all other entries."""
-        exclusive_ratio = self.rng.choice([0.0, 0.3, 0.6])
-        lost_ratio = self.rng.choice([0.0, 0.3, 0.6])
+        exclusive_ratio = self.rng.choice([0.0, 0.3, 0.5])
+        lost_ratio = self.rng.choice([0.0, 0.3, 0.5])
         exempt = {leader.name}
         everyone = set(self.cell.entries) - exempt
+        kinds = {LinkKind.WORKER}
         for name in self.cell.workers:
             after_s = self.rng.uniform(0.0, 2 * MAX_LEAD_S)
-            duration_s = self.rng.uniform(1.0, episode_s)
+            if self._happens(0.6):
+                after_s = store_cut_s - self.rng.uniform(0.0, MAX_LEAD_S)
+            duration_s = self.rng.uniform(0.3, 1.0) * episode_s
             draw = self.rng.random()
             if draw < exclusive_ratio:
-                kinds = {LinkKind.WORKER}
                 self._later(after_s, self._cut, {name}, kinds, exempt, duration_s)
             elif draw < exclusive_ratio + lost_ratio:
-                kinds = {LinkKind.WORKER}
                 self._later(after_s, self._cut, {name}, kinds, everyone, duration_s)
 
     # Faults
@@ -153,6 +191,14 @@
         self.cell.network.cuts.remove(cut)
         self.cell.note("FAULT", f"healed {sorted(cut.side)}")
 
+    def _slow_store(self, duration_s: float) -> None:
+        self._count("slow store", f"{duration_s:.1f}")
+        self.cell.network.store_delay_s = self.rng.uniform(0.2, 0.65)
+        self._later(duration_s, self._speed_up_store)
+
+    def _speed_up_store(self) -> None:
+        self.cell.network.store_delay_s = 0.0
+
     def _take_store_down(self, duration_s: float) -> None:
         self._count("store down", f"{duration_s:.1f}")
         self.cell.memory.is_down = True
@@ -164,7 +210,7 @@
 
     def _on_leader(self, entry: SimulatedEntry) -> None:
         if self._kills_claimants and self._happens(0.5):
-            self._later(self.rng.uniform(0.02, 1.5), self._kill, entry, entry.process)
+            self._later(self.rng.uniform(0.02, 0.8), self._kill, entry, entry.process)
 
     def _pick_leader(self) -> SimulatedEntry | None:
         leaders = self.cell.leaders()
--- a/proofs/authority/_network.py
+++ b/proofs/authority/_network.py
@@ -126,6 +126,8 @@
     ----------
     cuts : list of Cut
         Cuts in force.
+    store_delay_s : float
+        Further delay in seconds of the answers of the store.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         self.rng = rng
         self.plan = plan
         self.cuts: list[Cut] = []
+        self.store_delay_s = 0.0
         self._nowhere = contextvars.Context()
 
     def is_cut(self, kind: LinkKind, first: str, second: str) -> bool:
@@ -213,6 +216,10 @@
             is_lost = self.rng.random() < self.plan.lost_answer_ratio
             return is_lost or self.is_cut(kind, caller, name)
 
+        def delay_s() -> float:
+            is_store = kind is LinkKind.STORE
+            return self.latency_s() + (self.store_delay_s if is_store else 0.0)
+
         async def serve() -> None:
             try:
                 result = await handle()
@@ -222,10 +229,10 @@
                 raise
             except Exception as exc:
                 if not is_answer_lost():
-                    self.after(self.latency_s(), _set_exception, answer, exc)
+                    self.after(delay_s(), _set_exception, answer, exc)
                 return
             if not is_answer_lost():
-                self.after(self.latency_s(), _set_result, answer, result)
+                self.after(delay_s(), _set_result, answer, result)
 
         process.spawn(serve())
 
--- a/proofs/authority/_run.py
+++ b/proofs/authority/_run.py
@@ -12,7 +12,8 @@
 
 WARM_UP_S = 4.0
 RUN_S = 60.0
-CLEAN_UP_S = 1.0
+CLEAN_UP_S = 0.3
+CLEAN_UP_ROUNDS = 3
 SHOWN_TRACE_LINES = 120
 
 
@@ -46,11 +47,26 @@
 
 
 def run_seed(
-    seed: int, duration_s: float = RUN_S, shape: CellShape | None = None
+    seed: int,
+    duration_s: float = RUN_S,
+    shape: CellShape | None = None,
+    stops_at_any: bool = True,
 ) -> AuthorityResult:
-    """Run a cell with the faults of a seed and return what was checked."""
+    """Run a cell with the faults of a seed and return what was checked.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all random choices.
+    duration_s : float, default=60.0
+        Simulated time in seconds in which faults begin.
+    shape : CellShape, default=CellShape()
+        Size and timing of the cell.
+    stops_at_any : bool, default=True
+        Whether to stop at a violation of any invariant, not only of the main one.
+    """
     cell = Cell(seed, shape)
-    faults = Faults(cell)
+    faults = Faults(cell, stops_at_any)
 
     async def play() -> None:
         cell.boot()
@@ -83,4 +99,8 @@
         if worker.process is not None:
             worker.crash()
     cell.store_endpoint.process.kill()
+    for _ in range(CLEAN_UP_ROUNDS):
+        await asyncio.sleep(CLEAN_UP_S)
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
     await asyncio.sleep(CLEAN_UP_S)
--- a/proofs/authority/_worker.py
+++ b/proofs/authority/_worker.py
@@ -29,8 +29,8 @@
 MAX_LEASE_MS = 6000
 """Longest lease that a worker grants; a longer one is shortened."""
 MIN_RUN_S = 0.2
-MEAN_RUN_S = 6.0
-FAILURE_RATIO = 0.5
+MEAN_RUN_S = 2.5
+FAILURE_RATIO = 0.1
 HOLD_TIMEOUT_MS = 700
 START_TIMEOUT_MS = 600
 
