--- a/proofs/authority/__init__.py
+++ b/proofs/authority/__init__.py
@@ -7,6 +7,17 @@
 
 from ._cell import Cell, CellShape
 from ._network import NetworkPlan
-from ._run import AuthorityResult, run_seed
+from ._mutations import MUTATIONS
+from ._run import AuthorityResult, run_scenario, run_seed
+from ._scenarios import SCENARIOS
 
-__all__ = ["AuthorityResult", "Cell", "CellShape", "NetworkPlan", "run_seed"]
+__all__ = [
+    "MUTATIONS",
+    "SCENARIOS",
+    "AuthorityResult",
+    "Cell",
+    "CellShape",
+    "NetworkPlan",
+    "run_scenario",
+    "run_seed",
+]
--- a/proofs/authority/_cell.py
+++ b/proofs/authority/_cell.py
@@ -164,6 +164,7 @@
     """
 
     def __init__(self, seed: int, shape: CellShape | None = None) -> None:
+        self.seed = seed
         self.shape = shape or CellShape()
         self.rng = random.Random(seed)
         self.registers_births = self.rng.random() < 0.5
