--- a/proofs/authority/__init__.py
+++ b/proofs/authority/__init__.py
@@ -6,8 +6,8 @@
 """
 
 from ._cell import Cell, CellShape
-from ._network import NetworkPlan
 from ._mutations import MUTATIONS
+from ._network import NetworkPlan
 from ._run import AuthorityResult, run_scenario, run_seed
 from ._scenarios import SCENARIOS
 
--- a/proofs/authority/_cell.py
+++ b/proofs/authority/_cell.py
@@ -61,6 +61,8 @@
         that are kept unfinished.
     max_drift_ppm : int
         Largest drift of a clock in parts per million.
+    mean_run_s : float
+        Mean duration of a run in seconds.
     plan : NetworkPlan
         Faults of single calls.
     """
@@ -70,6 +72,7 @@
     standing: int = 14
     chains: int = 4
     max_drift_ppm: int = 20_000
+    mean_run_s: float = 2.5
     plan: NetworkPlan = NetworkPlan()
 
 
@@ -248,6 +251,7 @@
                 self.rng,
                 observer,
                 self.shape.max_drift_ppm,
+                self.shape.mean_run_s,
             )
             self.workers[name] = worker
             self.boot_worker(worker)
--- a/proofs/authority/_links.py
+++ b/proofs/authority/_links.py
@@ -18,6 +18,8 @@
 
 END_OF_STREAM = None
 MS_PER_S = 1000
+MIN_GAP_S = 1e-6
+"""Seconds between the arrivals of two chunks, which keep their order."""
 
 
 class EntryEndpoint(Endpoint):
@@ -61,11 +63,15 @@
         self.client = client
         self.chunks: asyncio.Queue = asyncio.Queue()
         self.is_closed = False
+        self._last_at = 0.0
 
     def send(self, item) -> None:
-        """Send a chunk; it is lost while a cut separates both sides."""
-        if not self.network.is_cut(LinkKind.ENTRY, self.client, self.server):
-            self.network.after(self.network.latency_s(), self.chunks.put_nowait, item)
+        """Send a chunk, after those before; it is lost while a cut separates both."""
+        if self.network.is_cut(LinkKind.ENTRY, self.client, self.server):
+            return
+        now = self.network.loop.time()
+        self._last_at = max(self._last_at + MIN_GAP_S, now + self.network.latency_s())
+        self.network.after(self._last_at - now, self.chunks.put_nowait, item)
 
 
 class SimulatedStream:
--- a/proofs/authority/_scenarios.py
+++ b/proofs/authority/_scenarios.py
@@ -9,17 +9,20 @@
 __all__ = ["SCENARIOS", "SCENARIO_SHAPE"]
 
 SCENARIO_SHAPE = CellShape(
-    entries=3, workers=5, plan=NetworkPlan(late_ratio=0.0, lost_answer_ratio=0.0)
+    entries=3,
+    chains=0,
+    mean_run_s=100.0,
+    plan=NetworkPlan(late_ratio=0.0, lost_answer_ratio=0.0),
 )
-"""Small cell without random faults."""
+"""Small cell without random faults, whose runs hardly end by themselves."""
 STEP_S = 0.01
 CLAIM_TIMEOUT_S = 40.0
 EXCLUSIVE = ("w1", "w2")
 """Workers that only the replaced leader reaches."""
 JOINING = "e4"
 """Entry that joins."""
-SHARED = ("w3", "w4")
-"""Workers that all entries reach."""
+SHARED = "w3"
+"""Worker that all entries reach."""
 
 
 class _Script:
@@ -73,7 +76,7 @@
 
 
 async def lose_leader_behind_claimant(cell: Cell) -> None:
-    """The entry that replaces a leader ends, and an entry that has joined follows."""
+    """End the entry that replaces a leader; one that has joined follows."""
     script = _Script(cell)
     epoch, first = script.epoch(), script.first
     granting = script.rng.choice(script.others)
@@ -91,7 +94,7 @@
 
 
 async def claim_after_grant(cell: Cell) -> None:
-    """An entry that has granted a lease reaches the store again, claims and ends."""
+    """Let an entry reach the store after a grant, and end it after its claim."""
     script = _Script(cell)
     epoch, first = script.epoch(), script.first
     granting, claimant = script.rng.sample(script.others, 2)
@@ -110,7 +113,7 @@
 
 
 async def join_beside_outage(cell: Cell) -> None:
-    """An entry joins that reaches the store but none of the others."""
+    """Start an entry that reaches the store but none of the others."""
     script = _Script(cell)
     epoch = script.epoch()
     script.keep_workers()
@@ -123,46 +126,62 @@
 
 
 async def lose_worker_before_store(cell: Cell) -> None:
-    """A leader loses a worker, then the store; its successor reaches that worker."""
+    """Cut a leader from workers, then from the store; its successor has them."""
     script = _Script(cell)
     for name in EXCLUSIVE:
         script.cut({name}, LinkKind.WORKER, exempt={script.first.name})
-    for name in (*SHARED, "w5"):
+    for name in sorted(set(cell.workers) - set(EXCLUSIVE)):
         script.lose_worker(name)
-    await asyncio.sleep(script.rng.uniform(1.0, 2.4))
+    await asyncio.sleep(script.rng.uniform(0.9, 1.8))
     script.cut({script.first.name}, LinkKind.STORE, LinkKind.ENTRY)
     await asyncio.sleep(9.0)
 
 
 async def end_runs_beside_claim(cell: Cell) -> None:
-    """Workers report ends to a leader and to its successor."""
+    """Report ends to a leader and to its successor, which miss different workers."""
     script = _Script(cell)
+    epoch = script.epoch()
     for name in EXCLUSIVE:
         script.cut({name}, LinkKind.WORKER, exempt={script.first.name})
-    script.cut({script.first.name}, LinkKind.STORE, LinkKind.ENTRY)
-    await asyncio.sleep(9.0)
+    await _claim_beside(script, epoch)
+    await _end_runs(script)
 
 
-async def restart_workers_beside_claim(cell: Cell) -> None:
-    """Workers restart that have answered a successor; one is cut from it then."""
+async def restart_worker_beside_claim(cell: Cell) -> None:
+    """Restart a worker that has answered a successor, and cut it from that one."""
     script = _Script(cell)
-    epoch = script.epoch()
+    name, epoch = EXCLUSIVE[0], script.epoch()
+    script.lose_worker(EXCLUSIVE[1])
+    await _claim_beside(script, epoch)
+    script.cut({name}, LinkKind.WORKER, exempt={script.first.name})
+    cell.workers[name].crash()
+    await asyncio.sleep(script.rng.uniform(0.01, 0.1))
+    cell.boot_worker(cell.workers[name])
+    await asyncio.sleep(script.rng.uniform(0.2, 0.4))
+    await _end_runs(script)
+
+
+async def _claim_beside(script: _Script, epoch: int) -> None:
+    """Cut a leader from the store and wait until a successor knows the workers.
+
+    The leader shares one worker with it, so that it learns little of the successor.
+    """
+    for name in script.cell.workers:
+        if name not in (*EXCLUSIVE, SHARED):
+            script.lose_worker(name)
     script.cut({script.first.name}, LinkKind.STORE, LinkKind.ENTRY)
-    if await script.successor(epoch) is None:
-        return
-    await asyncio.sleep(script.rng.uniform(0.02, 0.15))
-    script.cut(EXCLUSIVE[:1], LinkKind.WORKER, exempt={script.first.name})
-    names = [EXCLUSIVE[0], *script.rng.sample(SHARED, 1)]
-    for name in names:
-        cell.workers[name].crash()
-    await asyncio.sleep(script.rng.uniform(0.02, 0.3))
-    for name in names:
-        cell.boot_worker(cell.workers[name])
+    await script.successor(epoch)
+    await asyncio.sleep(script.rng.uniform(0.05, 0.2))
+
+
+async def _end_runs(script: _Script) -> None:
+    """End the runs of the worker that both leaders hold."""
+    script.cell.workers[SHARED].end_runs()
     await asyncio.sleep(8.0)
 
 
 async def pause_after_append(cell: Cell) -> None:
-    """A leader is paused between an append and its answer."""
+    """Pause a leader between an append and its answer."""
     script = _Script(cell)
     epoch, first = script.epoch(), script.first
     script.keep_workers()
@@ -198,6 +217,6 @@
     "join beside outage": join_beside_outage,
     "worker lost first": lose_worker_before_store,
     "ends beside claim": end_runs_beside_claim,
-    "restarts beside claim": restart_workers_beside_claim,
+    "restart beside claim": restart_worker_beside_claim,
     "pause after append": pause_after_append,
 }
--- a/proofs/authority/_worker.py
+++ b/proofs/authority/_worker.py
@@ -29,7 +29,6 @@
 MAX_LEASE_MS = 6000
 """Longest lease that a worker grants; a longer one is shortened."""
 MIN_RUN_S = 0.2
-MEAN_RUN_S = 2.5
 FAILURE_RATIO = 0.02
 HOLD_TIMEOUT_MS = 700
 START_TIMEOUT_MS = 600
@@ -84,6 +83,8 @@
         Checks of the invariants.
     max_drift_ppm : int
         Largest drift of the clock in parts per million.
+    mean_run_s : float
+        Mean duration of a run in seconds.
     """
 
     def __init__(
@@ -94,12 +95,14 @@
         rng: random.Random,
         observer: LeaseObserver,
         max_drift_ppm: int,
+        mean_run_s: float,
     ) -> None:
         super().__init__(name)
         self.network = network
         self.clock = clock
         self.rng = rng
         self.observer = observer
+        self.mean_run_s = mean_run_s
         self.drift_ppm = rng.choice([-max_drift_ppm, 0, max_drift_ppm])
         self.life: _Life | None = None
 
@@ -125,6 +128,11 @@
         self._expire(self.life)
         return self.life.running
 
+    def end_runs(self) -> None:
+        """Complete all runs now."""
+        for task, run in list(self.running().items()):
+            self._end(self.life, task, run, EndKind.DONE)
+
     # Orders
 
     async def hold(self, order: HoldOrder) -> WorkerReport:
@@ -161,7 +169,7 @@
         self.observer.on_start(self, order.task, order.run)
         life.running[order.task] = order.run
         life.highest[order.task] = order.run
-        run_s = MIN_RUN_S + self.rng.expovariate(1 / MEAN_RUN_S)
+        run_s = MIN_RUN_S + self.rng.expovariate(1 / self.mean_run_s)
         kind = EndKind.FAILED if self.rng.random() < FAILURE_RATIO else EndKind.DONE
         args = (life, order.task, order.run, kind)
         self.network.after(run_s, self._end, *args)
