--- a/proofs/authority/_scenarios.py
+++ b/proofs/authority/_scenarios.py
@@ -175,8 +175,10 @@
 
 
 async def _end_runs(script: _Script) -> None:
-    """End the runs of the worker that both leaders hold."""
-    script.cell.workers[SHARED].end_runs()
+    """End the runs of the worker that both leaders hold; they restart elsewhere."""
+    shared = script.cell.workers[SHARED]
+    shared.is_unhealthy = True
+    shared.end_runs()
     await asyncio.sleep(8.0)
 
 
--- a/proofs/authority/_worker.py
+++ b/proofs/authority/_worker.py
@@ -59,6 +59,7 @@
         self.token = 0
         self.lease_end = clock.now()
         self.running: dict[TaskKey, int] = {}
+        self.started: dict[TaskKey, tuple[int, float]] = {}
         self.highest: dict[TaskKey, int] = {}
         self.ended: list[RunEnd] = []
         self.end_count = 0
@@ -85,6 +86,11 @@
         Largest drift of the clock in parts per million.
     mean_run_s : float
         Mean duration of a run in seconds.
+
+    Attributes
+    ----------
+    is_unhealthy : bool
+        Whether starts are rejected.
     """
 
     def __init__(
@@ -105,6 +111,7 @@
         self.mean_run_s = mean_run_s
         self.drift_ppm = rng.choice([-max_drift_ppm, 0, max_drift_ppm])
         self.life: _Life | None = None
+        self.is_unhealthy = False
 
     def boot(self) -> None:
         """Start a new incarnation, which has seen no token."""
@@ -146,7 +153,8 @@
             await wait_for_event(life.end_recorded, order.wait_ms)
         self._expire(life)
         running = [
-            RunStatus(task, run, "", 50, 0) for task, run in life.running.items()
+            RunStatus(task, run, "", self._percent(life, task), 0)
+            for task, run in life.running.items()
         ]
         return WorkerReport(
             life.born_ms, life.clock.now(), running, list(life.ended), True
@@ -154,6 +162,8 @@
 
     async def start(self, order: StartOrder) -> StartAnswer:
         """Start a run."""
+        if self.is_unhealthy:
+            return StartAnswer(StartOutcome.UNHEALTHY, None)
         try:
             life = self._accept_token(order.token)
         except FencedError:
@@ -170,6 +180,7 @@
         life.running[order.task] = order.run
         life.highest[order.task] = order.run
         run_s = MIN_RUN_S + self.rng.expovariate(1 / self.mean_run_s)
+        life.started[order.task] = (self.clock.now(), run_s)
         kind = EndKind.FAILED if self.rng.random() < FAILURE_RATIO else EndKind.DONE
         args = (life, order.task, order.run, kind)
         self.network.after(run_s, self._end, *args)
@@ -181,6 +192,11 @@
         life.highest[task] = max(run, life.highest.get(task, 0))
         self._end(life, task, run, EndKind.STOPPED)
 
+    def _percent(self, life: _Life, task: TaskKey) -> int:
+        """Return the progress of a run; one that has none would be stopped."""
+        started_at, run_s = life.started[task]
+        return min(99, int((self.clock.now() - started_at) / (10 * run_s)))
+
     def _accept_token(self, token: int) -> _Life:
         life = self.life
         self._expire(life)
