--- a/proofs/authority/__init__.py
+++ b/proofs/authority/__init__.py
@@ -5,7 +5,7 @@
 models. Clocks drift, processes pause and end, and cuts separate them.
 """
 
-from ._cell import Cell, CellShape
+from ._cell import NO_LEASE_OUTLASTS, NO_TASK_TWICE, Cell, CellShape
 from ._mutations import MUTATIONS
 from ._network import NetworkPlan
 from ._run import AuthorityResult, run_scenario, run_seed
@@ -13,6 +13,8 @@
 
 __all__ = [
     "MUTATIONS",
+    "NO_LEASE_OUTLASTS",
+    "NO_TASK_TWICE",
     "SCENARIOS",
     "AuthorityResult",
     "Cell",
--- a/proofs/authority/_scenarios.py
+++ b/proofs/authority/_scenarios.py
@@ -75,6 +75,23 @@
         return self.first.leader.record.epoch
 
 
+async def cut_leader_off(cell: Cell) -> None:
+    """Leave a leader alone with some workers."""
+    script = _Script(cell)
+    script.keep_workers()
+    script.cut({script.first.name}, LinkKind.STORE, LinkKind.ENTRY)
+    await asyncio.sleep(10.0)
+
+
+async def cut_store_off(cell: Cell) -> None:
+    """Cut a leader and another entry from the store, but not from its successor."""
+    script = _Script(cell)
+    script.keep_workers()
+    granting = script.rng.choice(script.others)
+    script.cut({script.first.name, granting.name}, LinkKind.STORE)
+    await asyncio.sleep(10.0)
+
+
 async def lose_leader_behind_claimant(cell: Cell) -> None:
     """End the entry that replaces a leader; one that has joined follows."""
     script = _Script(cell)
@@ -214,6 +231,8 @@
 
 
 SCENARIOS: dict[str, Callable[[Cell], Awaitable[None]]] = {
+    "leader alone": cut_leader_off,
+    "store lost": cut_store_off,
     "claimant ends": lose_leader_behind_claimant,
     "claim after grant": claim_after_grant,
     "join beside outage": join_beside_outage,
