--- a/proofs/authority/_cell.py
+++ b/proofs/authority/_cell.py
@@ -284,6 +284,11 @@
             ]
         )
 
+    def standing_tasks(self) -> list[TaskKey]:
+        """Return the tasks that are restarted however they end."""
+        jobs = (f"{number + 1:016x}" for number in range(self.shape.standing))
+        return [TaskKey(job, 0, 0, 0) for job in jobs]
+
     def submit(self, steps: list[StepSpec]) -> None:
         """Store an accepted job."""
         self._jobs += 1
