control: a worker that may have restarted gets no expiry by its clock before

Callers could see a task run twice: a worker that starts again under its name has a clock that began anew, so that an expiry by the clock before made its lease last for as long as the worker allows (6 s), longer than the leader waits. Cause: the leader derives expiries from a clock that may be gone. Change: after a failed call, a hold renews nothing until one has been answered, which takes milliseconds.

--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -86,9 +86,10 @@
         now = self.context.clock.now()
         is_authorized = self.context.authority.is_valid(now)
         # An unreachable worker gets no renewal: each one would postpone the time
-        # at which its lease is certain to have expired.
+        # at which its lease is certain to have expired. Nor does one that may have
+        # restarted: by the clock before, its lease would last too long.
         lease_end = None
-        if worker.is_reachable and is_authorized:
+        if worker.is_reachable and is_authorized and not worker.may_have_restarted:
             lease_end = worker.extend_lease(now, self.context.cfg.lease_ms)
         is_first_report = is_authorized and lease_end is None
         wait_ms = (
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -483,6 +483,11 @@
         """Record that another incarnation may have begun."""
         self.doubts += 1
 
+    @property
+    def may_have_restarted(self) -> bool:
+        """Whether another incarnation may have begun since the latest answer."""
+        return self.doubts > (self._doubts_at_answer or 0)
+
     def record_hold_answer(self, acknowledged: int, doubts: int) -> None:
         """Record the answer to a hold, before the report is applied.
 
