--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -141,6 +141,29 @@
         self.report(self.silent)
         self.assertEqual(self.ready(), [0])
 
+    # Guards against two runs of a task: the previous leader has been told the end as
+    # well, and starts the task on the silent worker.
+    def test_a_task_whose_run_is_missing_waits_for_the_silent_worker(self):
+        self.inherit([step()])
+        self.report(self.prompt, [RunStatus(FIRST_TASK, 1, "", 40, 0)])
+        self.end_survey()
+        self.report(self.prompt)
+        self.assertFalse(self.prompt.attempts)
+        self.assertEqual(self.ready(), [])
+        self.report(self.silent)
+        self.assertEqual(self.ready(), [0])
+
+    # Guards against the same after the end of a worker, which both leaders notice.
+    def test_a_task_lost_with_its_worker_waits_for_the_silent_worker(self):
+        for has_ended in (True, False):
+            self.setUp()
+            self.inherit([step()])
+            self.report_first_run()
+            self.state.release_lost(self.prompt, "worker is gone", has_ended)
+            self.assertEqual(self.ready(), [])
+            self.report(self.silent)
+            self.assertEqual(self.ready(), [0])
+
     # Guards against two runs of a task: a later leader reaches the silent worker and
     # renews its lease, which this leader takes for expired.
     def test_a_silent_worker_is_waited_for_until_no_later_leader_can_have_renewed(self):
