control: cancelled tasks on a silent worker and the limit of their team, failing

Cause: what may run on silent workers is summed up over the open steps. A job that is cancelled or has failed has none, but no stop reaches its tasks on a silent worker until its lease has expired.

Result: two tasks are placed beside two that may run, with a limit of two.

--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -8,7 +8,14 @@
 from pimentomill.dispatch import Planner
 from pimentomill.dispatch.tests.samples import SERVICE, accepted, info, step
 from pimentomill.fleet import EndKind, RunEnd, RunStatus, WorkerReport
-from pimentomill.jobs import JobTable, TaskKey, accepted_key, encode_record
+from pimentomill.jobs import (
+    Cancelled,
+    JobTable,
+    TaskKey,
+    accepted_key,
+    cancelled_key,
+    encode_record,
+)
 from pimentomill.utils import ManualClock, Resources
 
 JOB = "a" * 16
@@ -229,6 +236,26 @@
         self.report(self.silent)
         self.assertEqual(len(self.plan()), 2)
 
+    # Guards against the same beside a job that is cancelled meanwhile: no stop reaches
+    # its tasks on the silent worker.
+    def test_cancelled_tasks_that_may_run_on_a_silent_worker_count_as_well(self):
+        limit = Resources(cpu_milli=2000)
+        self.state.quotas.teams = {"t": Team("t", 1.0, limit)}
+        self.inherit([step(count=2, cpu=1000)])
+        self.report(self.prompt)
+        self.end_survey()
+        record = Cancelled(JOB, 0)
+        self.table.apply(cancelled_key(JOB), encode_record(record))
+        self.state.sync_job(JOB, self.table.find(JOB), inherited=False)
+        later = "b" * 16
+        record = accepted(later, [step(count=2, cpu=1000)])
+        self.table.apply(accepted_key(later), encode_record(record))
+        self.state.sync_job(later, self.table.find(later), inherited=False)
+        self.prompt.confirm(lambda at: True)
+        self.assertEqual(self.plan(), [])
+        self.report(self.silent)
+        self.assertEqual(len(self.plan()), 2)
+
     def plan(self):
         planner = Planner(self.state.quotas)
         steps = list(self.state.ready_steps())
