control: cancelled tasks that may run on a silent worker count for the limit of their team

Callers could see a team beyond its limit (QUOTA) after a change of the leader beside a silent worker, once a job that the leader before had started there was cancelled: no stop reaches the worker. Cause: only open steps were counted. Change: the steps are kept until no silent worker is waited for.

--- a/pimentomill/control/_inheritance.py
+++ b/pimentomill/control/_inheritance.py
@@ -47,6 +47,7 @@
         self.silent_: dict[WorkerId, Worker] = {}
         self._jobs: set[JobId] = set()
         self._unseen: dict[StepKey, set[int]] = {}
+        self._steps: dict[StepKey, StepRun] = {}
 
     def add_job(self, job: JobId) -> None:
         """Add a job of which a previous leader may have started tasks."""
@@ -57,6 +58,7 @@
         for step in steps:
             if step.key.job in self._jobs and step.waiting:
                 self._unseen[step.key] = set(step.waiting)
+                self._steps[step.key] = step
 
     def end_survey(self, silent: Iterable[Worker]) -> None:
         """Wait only for the given workers from now on."""
@@ -96,20 +98,16 @@
             return True
         return any(_could_run(worker, step) for worker in self._awaited())
 
-    def withheld_by_team(
-        self, step_of: Callable[[StepKey], StepRun | None]
-    ) -> dict[str, Resources]:
+    def withheld_by_team(self) -> dict[str, Resources]:
         """Return what the tasks that may run on silent workers use at most, by team.
 
-        Parameters
-        ----------
-        step_of : callable
-            Returns an unfinished step, None if there is none.
+        Those of jobs that have been cancelled or have failed are included, as no stop
+        reaches a silent worker.
         """
         withheld: dict[str, Resources] = {}
         for key, unseen in list(self._unseen.items()):
-            step = step_of(key)
-            if step is None or not self.is_withheld(step):
+            step = self._steps[key]
+            if not self.is_withheld(step):
                 continue
             team = step.job.accepted.team
             for _ in unseen.intersection(step.waiting):
@@ -145,6 +143,7 @@
         if not self.is_surveying_ and not self.silent_:
             self._jobs.clear()
             self._unseen.clear()
+            self._steps.clear()
 
 
 def _could_run(worker: Worker, step: StepRun) -> bool:
