node: member records that no entry writes

Cause: any member record that can be decoded was believed. One with countless cores made the leader hand over to an entry that does not exist, up to twice until it counted as gone. One that names another entry than its key replaced that entry's port for policy queries.

Change: such records are ignored, and named in the log with the reason, like those that can't be decoded.

--- a/pimentomill/node/_members.py
+++ b/pimentomill/node/_members.py
@@ -50,10 +50,9 @@
             return
         try:
             member = msgspec.msgpack.decode(record.value, type=MemberRecord)
-        except msgspec.DecodeError as exc:
-            _log.warning(
-                "Ignoring undecodable member record", key=record.key, why=str(exc)
-            )
+            member.check(name)
+        except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+            _log.warning("Ignoring member record", key=record.key, why=str(exc))
             return
         self.heartbeats_[name] = (member, self.clock.now())
 
--- a/pimentomill/node/tests/test_node.py
+++ b/pimentomill/node/tests/test_node.py
@@ -1,4 +1,5 @@
 import asyncio
+import math
 import unittest
 from unittest import mock
 
@@ -132,6 +133,27 @@
             async with asyncio.timeout(30):
                 await resigned.wait()
 
+    # Guards against a leader that hands over to an entry that does not exist, and
+    # against an entry that calls another one in place of itself.
+    def test_a_member_record_that_no_entry_writes_is_ignored(self):
+        self.apply_member_record("n2", 1.0)
+        for record in (
+            MemberRecord("n2", "a", "odd", math.inf),
+            MemberRecord("n2", "a", "odd", math.nan),
+            MemberRecord("n2", "a", "odd", 1e300),
+            MemberRecord("n2", "a", "odd", -1.0),
+            MemberRecord("n1", "a", "odd", 1.0),
+            MemberRecord("", "a", "odd", 1.0),
+        ):
+            value = msgspec.msgpack.encode(record)
+            self.node._apply_work(KeyedRecord("m:n2", value))
+        for part in (b"\x91", b"\x81\xa1a"):
+            nested = b"\x81\xa1x" + part * 200_000 + b"\x01"
+            self.node._apply_work(KeyedRecord("m:n2", nested))
+        self.assertEqual(
+            [rival.incarnation for rival in self.node.members.rivals()], ["life-n2"]
+        )
+
     def test_step_down_reason_distinguishes_resignation_from_a_later_leader(self):
         reasons = []
 
