orders: a stop that another worker rejects is sent again while its run is held

A stop that was rejected by another worker at the address was given up, so if the worker had moved without a call that shows it as ended, its capacity and task were never given back.

Change: the stop is sent again as long as the run holds capacity; if the worker has ended, the next hold releases the run and the stop ends.

Result: the new test fails before (the task never becomes ready) and passes after.

--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -214,9 +214,10 @@
             except FencedError as exc:
                 self.context.on_fenced(f"{exc} ({stop.worker.info.worker})")
                 return
-            except ConflictError:
-                return
-            except TransportError as exc:
+            except (ConflictError, TransportError) as exc:
+                has_ended = isinstance(exc, ConflictError)
+                if has_ended and self._held_attempt(stop) is None:
+                    return
                 _log.warning(
                     "Stop order got no answer; retrying",
                     task=stop.task,
--- a/pimentomill/control/tests/test_late_starts.py
+++ b/pimentomill/control/tests/test_late_starts.py
@@ -3,11 +3,11 @@
 import asyncio
 from unittest import mock
 
-from pimentomill.control import ControlSettings
+from pimentomill.control import ControlSettings, _orders
 from pimentomill.control._context import ControlContext
 from pimentomill.control._orders import OrderSender
 from pimentomill.dispatch.tests.samples import step
-from pimentomill.exceptions import TransportError
+from pimentomill.exceptions import ConflictError, TransportError
 from pimentomill.fleet import AttemptPhase, EndKind, StartAnswer, StartOutcome
 from pimentomill.jobs import Cancelled, TaskKey, cancelled_key, encode_record
 from pimentomill.replica import Authority
@@ -34,8 +34,9 @@
         report = self.report(incarnation_ms=incarnation_ms)
         self.state.apply_report(attempt.worker, report, self.clock.now())
 
-    def answer_stop(self, attempt):
+    def answer_stop(self, attempt, *answers_before):
         port = mock.AsyncMock()
+        port.stop.side_effect = [*answers_before, None]
         context = ControlContext(
             self.state,
             port,
@@ -45,8 +46,10 @@
             mock.Mock(),
             mock.Mock(),
         )
+        sleep = mock.patch.object(_orders.asyncio, "sleep")
         for stop in self.state.pop_stop_orders():
-            asyncio.run(OrderSender(context)._stop(stop))
+            with sleep:
+                asyncio.run(OrderSender(context)._stop(stop))
 
     def assert_reserved(self, attempt):
         self.assertEqual(attempt.worker.used.cpu_milli, 12000)
@@ -87,6 +90,15 @@
         self.assert_reserved(attempt)
         self.assertEqual(len(self.state.stop_orders), 1)
 
+    # Guards against LOST: another worker at the former address of one that has moved
+    # rejects the stop, and the task waits forever for an answer.
+    def test_a_stop_that_another_worker_rejects_is_sent_again(self):
+        attempt = self.order()
+        self.state.order_stop(attempt, "test")
+        self.answer_stop(attempt, ConflictError("another incarnation"))
+        self.report_without_runs(attempt)
+        self.assertEqual(len(self.ready()), 1)
+
 
 class LateStartCase(LeaderCase):
     """The first run of the first job is carried out only once an event is set."""
