--- a/pimentomill/control/_inheritance.py
+++ b/pimentomill/control/_inheritance.py
@@ -96,7 +96,7 @@
             return False
         if self.is_surveying_:
             return True
-        return any(_could_run(worker, step) for worker in self._awaited())
+        return _any_could_run(self._awaited(), step)
 
     def withheld_by_team(self) -> dict[str, Resources]:
         """Return what the tasks that may run on silent workers use at most, by team.
@@ -104,10 +104,11 @@
         Those of jobs that have been cancelled or have failed are included, as no stop
         reaches a silent worker.
         """
+        silent = self._awaited()
         withheld: dict[str, Resources] = {}
-        for key, unseen in list(self._unseen.items()):
+        for key, unseen in self._unseen.items():
             step = self._steps[key]
-            if not self.is_withheld(step):
+            if not self.is_surveying_ and not _any_could_run(silent, step):
                 continue
             team = step.job.accepted.team
             for _ in unseen.intersection(step.waiting):
@@ -115,7 +116,7 @@
         if self.is_surveying_:
             return withheld
         capacity = ZERO
-        for worker in self._awaited():
+        for worker in silent:
             capacity = capacity + worker.largest_capacity
         return {team: need.minimum(capacity) for team, need in withheld.items()}
 
@@ -146,6 +147,10 @@
             self._steps.clear()
 
 
+def _any_could_run(workers: Iterable[Worker], step: StepRun) -> bool:
+    return any(_could_run(worker, step) for worker in workers)
+
+
 def _could_run(worker: Worker, step: StepRun) -> bool:
     """Return whether a previous leader could have started the step on the worker.
 
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -222,10 +222,11 @@
             except FencedError as exc:
                 self.context.on_fenced(f"{exc} ({stop.worker.info.worker})")
                 return
-            except ConflictError:
-                return
-            except TransportError as exc:
-                stop.worker.record_doubt()
+            except (ConflictError, TransportError) as exc:
+                if isinstance(exc, TransportError):
+                    stop.worker.record_doubt()
+                elif self._held_attempt(stop) is None:
+                    return
                 _log.warning(
                     "Stop order got no answer; retrying",
                     task=stop.task,
