proofs: authority of a leader among the ten points

Cause: the point 'no task in two places' rested on the soak alone, which does not run the platform's leader.

--- a/proofs/points.py
+++ b/proofs/points.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from pimentomill.exceptions import InvariantError
+from proofs.authority import MUTATIONS as AUTHORITY_MUTATIONS
+from proofs.authority import SCENARIOS, AuthorityResult, run_scenario, run_seed
 from proofs.histories import (
     HistoryStats,
     check_answers,
@@ -28,6 +30,8 @@
 HISTORY_STEPS = 400
 ANSWER_SEEDS = range(1, 6)
 ANSWER_STEPS = 80
+AUTHORITY_SEEDS = range(1, 21)
+SCENARIO_SEEDS = range(1, 6)
 
 
 class Evidence(msgspec.Struct):
@@ -85,6 +89,25 @@
     return Evidence(steps, dict(faults), "; ".join(failures))
 
 
+def prove_by_authority() -> Evidence:
+    """Return the combined evidence of the runs of the model of authority."""
+    results = [run_seed(seed) for seed in AUTHORITY_SEEDS]
+    results += [
+        run_scenario(name, seed) for name in SCENARIOS for seed in SCENARIO_SEEDS
+    ]
+    faults: Counter = Counter()
+    for result in results:
+        faults.update(result.faults)
+    failures = [_describe(result) for result in results if result.failures]
+    checks = sum(result.starts + result.orders for result in results)
+    return Evidence(checks, dict(faults), "; ".join(failures))
+
+
+def _describe(result: AuthorityResult) -> str:
+    violations = ", ".join(result.failures)
+    return f"{'/'.join(result.faults)} seed {result.seed}: {violations}"
+
+
 def prove_by_histories(
     check: Callable[[int, int], HistoryStats],
     seeds: range = HISTORY_SEEDS,
@@ -142,12 +165,14 @@
     ),
     Point(
         "No task ever runs in two places at once.",
-        "soak: all workers at each start, one holder a group at each step",
-        prove_by_soak,
+        "soak: all workers at each start, one holder a group at each step; entries of "
+        "the platform beside cuts: all workers at each start, leases at each order",
+        prove_by_both(prove_by_soak, prove_by_authority),
         [
             "lost tasks are not waited for",
             "guard is always valid",
             "claims do not wait",
+            *AUTHORITY_MUTATIONS,
         ],
     ),
     Point(
--- a/proofs/tests/test_mutations.py
+++ b/proofs/tests/test_mutations.py
@@ -3,6 +3,7 @@
 import unittest
 
 from pimentomill.exceptions import InvariantError
+from proofs.authority import MUTATIONS as AUTHORITY_MUTATIONS
 from proofs.histories import check_answers, check_backends, check_keys, check_requests
 from proofs.mutations import MUTATIONS
 from proofs.points import POINTS
@@ -46,7 +47,12 @@
         return invariant in Soak(seed).run(STEPS).failure
 
     def test_each_point_has_a_proof_and_a_mutation(self):
-        known = {*HISTORY_CHECKS, *SOAK_INVARIANTS, *PROCESS_MUTATIONS}
+        known = {
+            *HISTORY_CHECKS,
+            *SOAK_INVARIANTS,
+            *PROCESS_MUTATIONS,
+            *AUTHORITY_MUTATIONS,
+        }
         for point in POINTS:
             self.assertTrue(point.mutations, point.point)
             self.assertLessEqual(set(point.mutations), known)
