--- a/pimentomill/node/tests/test_election.py
+++ b/pimentomill/node/tests/test_election.py
@@ -163,6 +163,17 @@
         lines = [call.args[0] for call in log.info.call_args_list]
         self.assertEqual(lines, ["Claim is held back", "Claim is allowed again"])
 
+    async def test_a_claim_that_is_held_back_is_not_sent(self):
+        entry = self.entries[0]
+        entry.candidate.grantor = Grantor(SystemClock())
+        entry.watch.apply(msgspec.msgpack.encode(LeaderRecord(1, "b", "life-b")))
+        entry.watch.should_claim = lambda current_as_of, rivals=(): True
+        self.tasks += entry.run()
+        await self.until(lambda: entry.candidate._is_held_back)
+        self.assertEqual(self.store.records("work"), [])
+        entry.candidate.grantor.enrol("life-b", entry.candidate.clock.now())
+        await self.until(lambda: self.store.records("work"))
+
     async def test_a_leader_that_has_ended_or_resigned_is_replaced_by_any_entry(self):
         for end in ("ended", "resigned"):
             candidate = self.entries[0].candidate
