--- a/pimentomill/links/_server.py
+++ b/pimentomill/links/_server.py
@@ -192,11 +192,11 @@
         if watcher:
             self.services.enrol(watcher, req.query.get(ADDRESS_PARAMETER, ""))
         resp = web.StreamResponse()
-        await resp.prepare(req)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + WATCH_DURATION_S
         number = 0
         try:
+            await resp.prepare(req)
             while loop.time() < deadline and not self.services.has_resigned_:
                 heartbeat = (
                     HEARTBEAT if self.services.is_writing() else FAILING_HEARTBEAT
