control: a first answer is confirmed although nothing else is stored

The test passed without the request of a proof, as the record of the fleet was appended. It now confirms once more when there is nothing to store.

Result: passes; fails without the request.

--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -238,6 +238,9 @@
         leader = self.start_leader(1)
         leader.cfg = leader.progress_writer.cfg = settings
         await self.wait_until(lambda: self.accept_runs(leader))
+        leader.state.workers["w1"].require_confirmation(self.clock.now())
+        leader.request_plan()
+        await self.wait_until(lambda: self.accept_runs(leader))
 
     async def test_accepted_work_starts_while_the_store_is_down(self):
         leader = self.start_leader(1)
