fleet: an expiry is derived from a reading of the clock that is at most 1.8 s old

Found by review: with the clocks of an entry and of a worker off by 2 % in opposite directions, readings of 3 s exceed the margin of a lease of 3.6 s.

--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -51,9 +51,10 @@
 as that of a new incarnation. Answers to orders may overtake those to holds."""
 
 
-MAX_CLOCK_AGE_MS = 3000
+MAX_CLOCK_AGE_MS = 1800
 """Age in milliseconds of a reading of a worker's clock above which no expiry is derived
-from it: the drift would exceed the margin of the lease."""
+from it: the drift of both clocks would exceed the margin of the lease. A hold that
+waits for an end is answered sooner."""
 
 
 def lease_expiry_bound(now: Instant, term_ms: int) -> Instant:
