dispatch: progress of a step below 0 is ignored

Seen by the test of odd records on the joined code: a progress record of another writer that names a step far below 0 kept its job from being taken over. Cause: the count of done steps, new with the occurrences, looks the step up.

--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -425,7 +425,7 @@
             self._lists_done_steps = False
         done_steps: Counter[int] = Counter()
         for item in progress.steps:
-            if item.step >= len(self.spec.steps):
+            if not 0 <= item.step < len(self.spec.steps):
                 continue
             self.stored_steps[item.occurrence, item.step] = item
             count = self.spec.steps[item.step].count
