soak: the entries know the bound on starts after an evacuation

Trace: the entry that took over at the end of a cut planned 0.21 s after its claim, with operators' settings 7 s old, and read the evacuation 20 ms after these starts. The gate that holds starts back until the settings were read is in force where the settings file has EvacuateMs; the soak's had none, while the ledger counts from 5 s. Both use one constant now; the check is as strict as before.

--- a/pimentomill/platform/tests/soak/_cell.py
+++ b/pimentomill/platform/tests/soak/_cell.py
@@ -31,6 +31,8 @@
 DATA_CENTRES = ("z1", "z2")
 CLOCK_RATES = (1.0, 0.98)
 """Rates of the workers' clocks, in turn; the platform's may be 2 % slow."""
+EVACUATE_MS = 5000
+"""Time from the acknowledgement of an evacuation after which no run may be started."""
 COLD_LEFT_MS = 1000
 """Time for which workers stay slow after the return of their data centre."""
 READY_TIMEOUT_S = 60.0
@@ -49,6 +51,7 @@
 Control = "{ip}:{control}"
 [Bounds]
 GraceS = 6
+EvacuateMs = {EVACUATE_MS}
 [platform]
 Address = "127.0.0.1:{store_port}"
 """
--- a/pimentomill/platform/tests/soak/_faults.py
+++ b/pimentomill/platform/tests/soak/_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from ._cell import DATA_CENTRES, KEYS, WORKER_CPU_MILLI
+from ._cell import DATA_CENTRES, EVACUATE_MS, KEYS, WORKER_CPU_MILLI
 from ._network import Cut
 from ._proxy import NetworkFault
 
@@ -33,9 +33,6 @@
 SHRUNK_CAPACITY_COUNTS_S = 4.5
 """Time from a record with a smaller capacity until starts have to respect it: the
 platform's `ContactMs` and one heartbeat."""
-EVACUATION_COUNTS_S = 5.0
-"""Time from the acknowledgement of an evacuation after which no run may be started: the
-platform's `EvacuateMs`."""
 
 
 class FaultInjector:
@@ -179,7 +176,7 @@
         await self._sleep_while_store_is_up(0.1)
         for data_centre in data_centres:
             self.cell.evacuate(data_centre)
-        await self._sleep_while_store_is_up(EVACUATION_COUNTS_S)
+        await self._sleep_while_store_is_up(EVACUATE_MS / 1000)
         closed = self.cell.ledger.closed_data_centres
         closed.update(data_centres)
         await asyncio.sleep(rng.uniform(1.0, 4.0))
