--- a/pimentomill/replica/_grants.py
+++ b/pimentomill/replica/_grants.py
@@ -27,8 +27,8 @@
 """Milliseconds from the check of an entry's enrolment until the store carries out its
 claim at the latest: the entry may pause, and the store may answer late."""
 GRANT_MS = to_other_clock(AUTHORITY_MS)
-"""Milliseconds for which an entry that grants a lease makes no claim. So one that ends
-meanwhile needs not to be asked again."""
+"""Milliseconds for which an entry that grants a lease makes no claim. One that ends
+meanwhile does not have to be asked again."""
 UNENROLLED_SILENCE_MS = to_other_clock(MAX_APPEND_SILENCE_MS)
 """Milliseconds without a heartbeat after which an entry may replace a leader at which
 it is not enrolled, as that leader has stepped down."""
