holder: a start counts as a lease of its task

Cause: a worker takes the lease of a start as it is, but the holder counted the leases of a silent worker from its last report only. Three intervals may pass between the two before a worker is suspected, and answers to starts put that off further.

Change: sending a start extends the time for which a silent worker is waited for, by the same rule as a reply to a report. It can only grow.

--- a/pimentomill/holder/_holder.py
+++ b/pimentomill/holder/_holder.py
@@ -22,7 +22,6 @@
     Epoch,
     GroupName,
     InstanceId,
-    Instant,
     JobId,
     MemberId,
     Offset,
@@ -460,9 +459,7 @@
         self._outbox.flush()
         if not self.guard.is_valid():
             return ReportReply(self.epoch, None, forget)
-        view.lease_expires_at_ = Instant(
-            now + self.leases.task_ms + self.leases.margin_ms
-        )
+        view.extend_lease(self.leases.task_lease_end(now))
         lease_until = WorkerClock(report.clock + self.leases.task_ms)
         return ReportReply(self.epoch, lease_until, forget)
 
--- a/pimentomill/holder/_monitor.py
+++ b/pimentomill/holder/_monitor.py
@@ -53,9 +53,7 @@
         self.outbox = outbox
         self.ports = ports
         # Earlier holders may have renewed leases until the group was claimed.
-        self._inherited_lease_ends_at = Instant(
-            clock.now() + leases.task_ms + leases.margin_ms
-        )
+        self._inherited_lease_ends_at = leases.task_lease_end(clock.now())
 
     def update(self, instances: list[Instance]) -> None:
         """Apply the platform's list of workers.
--- a/pimentomill/holder/_outbox.py
+++ b/pimentomill/holder/_outbox.py
@@ -86,6 +86,8 @@
             if isinstance(command, StartTask):
                 ref = TaskRef(command.job, command.index, command.attempt)
                 self.attempts.by_ref_[ref].valid_until = valid_until
+                # A start is a lease that no report has to confirm.
+                view.extend_lease(self.leases.task_lease_end(now))
         batch = CommandBatch(
             self.epoch, view.incarnation_, self.report_to, valid_until, commands
         )
--- a/pimentomill/settings/_schema.py
+++ b/pimentomill/settings/_schema.py
@@ -6,6 +6,7 @@
 from msgspec import Meta
 
 from ..exceptions import SettingsError
+from ..utils import Instant
 
 __all__ = [
     "AddressSettings",
@@ -146,6 +147,16 @@
                 f"task_ms must be at least twice ownership_ms, got {self.task_ms}"
             )
 
+    def task_lease_end(self, sent_at: Instant) -> Instant:
+        """Return when a task lease that is sent now has ended, by the sender's clock.
+
+        Parameters
+        ----------
+        sent_at : Instant
+            Time at which the start or the renewal is sent.
+        """
+        return Instant(sent_at + self.task_ms + self.margin_ms)
+
 
 class SnapshotSettings(_Settings, kw_only=True, frozen=True):
     """Schedule of the snapshots written to the log.
--- a/pimentomill/workers/_view.py
+++ b/pimentomill/workers/_view.py
@@ -156,6 +156,17 @@
         for status in report.running:
             self._reserve_usage(status)
 
+    def extend_lease(self, expires_at: Instant) -> None:
+        """Record that tasks on the worker may run until a time.
+
+        Parameters
+        ----------
+        expires_at : Instant
+            Expiry of the lease of a start or a renewal that is about to be sent, by
+            the clock of this process.
+        """
+        self.lease_expires_at_ = max(self.lease_expires_at_, expires_at)
+
     def _reserve_usage(self, status: TaskStatus) -> None:
         """Reserve the larger of a task's declared and used resources."""
         ref = TaskRef(status.job, status.index, status.attempt)
