work, entry: a job that is cancelled before its acceptance never runs

What callers saw: in the product's own interface, submit, get "unknown" (504), cancel, get 404, and the job runs all the same when its append is carried out afterwards.

Cause: the fold rejected a cancellation of a job that it did not know, and the entry answered 404 without a record. The caller knows the id earlier than the cell: it follows from the idempotency key, and the answer to an unknown append names it.

Change: such a cancellation is stored before it is answered with 404, with the caller's team. Ids that no submission can have are answered without a record, and 5,000 records a team are kept at most. The record shares the tag of a cancellation, so entries of earlier builds read it as one and reject it as before. A cancellation that the fold rejects no longer stops the job's tasks.

--- a/pimentomill/admission/_limits.py
+++ b/pimentomill/admission/_limits.py
@@ -5,9 +5,11 @@
 from ..utils import GroupName, TeamName
 from ..work import GangSpec, JobSpec, count_tasks
 
-__all__ = ["check_fits_any_group", "check_waiting_limit"]
+__all__ = ["check_fits_any_group", "check_waiting_limit", "check_withdrawal_limit"]
 
 RETRY_AFTER_MS = 5_000
+MAX_WITHDRAWN_JOBS = 5_000
+"""Stored cancellations of unknown jobs per team, which would otherwise fill the log."""
 
 
 def check_waiting_limit(
@@ -42,6 +44,32 @@
         )
 
 
+def check_withdrawal_limit(
+    summaries: dict[GroupName, GroupSummary], team: TeamName
+) -> None:
+    """Reject a cancellation of an unknown job beyond the number that is stored.
+
+    Parameters
+    ----------
+    summaries : dict
+        Latest summaries of all groups.
+    team : TeamName
+        Team of the caller.
+
+    Raises
+    ------
+    AdmissionError
+        If the limit is reached; nothing is stored then.
+    """
+    count = sum((s.withdrawn or {}).get(team, 0) for s in summaries.values())
+    if count >= MAX_WITHDRAWN_JOBS:
+        raise AdmissionError(
+            f"team {team} has cancelled {count} unknown jobs, at most "
+            f"{MAX_WITHDRAWN_JOBS} are stored",
+            RETRY_AFTER_MS,
+        )
+
+
 def check_fits_any_group(
     summaries: dict[GroupName, GroupSummary], groups: list[GroupName], spec: JobSpec
 ) -> None:
--- a/pimentomill/entry/_caller_api.py
+++ b/pimentomill/entry/_caller_api.py
@@ -12,7 +12,6 @@
     UnauthorizedError,
     ValidationError,
 )
-from ..holder import JobAnswer
 from ..http import HttpRequest, HttpResponse, Router
 from ..query import parse_statement
 from ..requests import RequestResult
@@ -130,19 +129,12 @@
         return HttpResponse.json(ticket, HTTPStatus.ACCEPTED)
 
     def _find_job(self, req: HttpRequest, job: str) -> HttpResponse:
-        return HttpResponse.json(self._find_visible_job(req, job))
+        return HttpResponse.json(self.jobs.find(JobId(job), self._viewer(req)))
 
     def _cancel_job(self, req: HttpRequest, job: str) -> HttpResponse:
-        self._find_visible_job(req, job)
-        self.jobs.cancel(JobId(job))
+        self.jobs.cancel(JobId(job), self._viewer(req))
         return HttpResponse.json({"id": job}, HTTPStatus.ACCEPTED)
 
-    def _find_visible_job(self, req: HttpRequest, job: str) -> JobAnswer:
-        viewer = self._viewer(req)
-        answer = self.jobs.find(JobId(job))
-        _check_visible(viewer, answer.team, f"there is no job {job}")
-        return answer
-
     def _viewer(self, req: HttpRequest) -> TeamName | None:
         """Return the team of the caller's key, or None for an operator key."""
         header = req.headers.get("authorization", "")
--- a/pimentomill/entry/_jobs.py
+++ b/pimentomill/entry/_jobs.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from ..admission import check_fits_any_group, check_waiting_limit, team_of_queue
+from ..admission import (
+    check_fits_any_group,
+    check_waiting_limit,
+    check_withdrawal_limit,
+    team_of_queue,
+)
 from ..exceptions import (
     AppendUnknownError,
     CapacityError,
@@ -16,16 +21,20 @@
 from ..holder import GroupSummary, JobAnswer, describe_job
 from ..journal import PlatformClient, ReadRequest, decode_envelope
 from ..settings import EntrySettings
+from ..telemetry import ComponentLogger
 from ..utils import Clock, GroupName, JobId, Offset, TeamName
 from ..work import (
+    OPERATORS,
     JobAccepted,
     JobCancelled,
     JobSpec,
+    JobWithdrawn,
     Submission,
     WorkFold,
     check_submission,
     choose_home_group,
     count_tasks,
+    is_job_id,
     make_job_id,
     parse_home_group,
 )
@@ -39,6 +48,8 @@
 READ_LIMIT = 2_000
 MAX_FOLLOWED_MOVES = 10
 
+_log = ComponentLogger("jobs")
+
 
 class SubmissionReceipt(msgspec.Struct):
     """Answer to a job submission.
@@ -185,25 +196,42 @@
                 f"the log has not answered; the job id is {job_id}"
             ) from exc
 
-    def find(self, job_id: JobId) -> JobAnswer:
+    def find(self, job_id: JobId, viewer: TeamName | None = None) -> JobAnswer:
         """Return a job, whichever entry holds its group.
 
+        Parameters
+        ----------
+        job_id : JobId
+            The job.
+        viewer : TeamName or None, default=None
+            Team that may see the job, None for any team.
+
         Raises
         ------
         NotFoundError
-            If there is no such job.
+            If there is no such job, or it belongs to another team: callers can't probe
+            for the ids of other teams.
         LogUnavailableError
             If neither the holder nor the log can be reached.
         """
+        _, answer = self._locate(job_id)
+        return _check_visible(answer, job_id, viewer)
+
+    def _locate(self, job_id: JobId) -> tuple[GroupName, JobAnswer | None]:
+        """Return the group that has a job or would accept it, and the job if known."""
         group = parse_home_group(job_id)
+        answer = None
         for _ in range(MAX_FOLLOWED_MOVES):
             if group not in self._groups:
-                raise NotFoundError(f"there is no job {job_id}")
-            answer = self._find_in_group(group, job_id)
+                return group, None
+            try:
+                answer = self._find_in_group(group, job_id)
+            except NotFoundError:
+                return group, None
             if not answer.moved_to:
-                return answer
+                break
             group = answer.moved_to
-        return answer
+        return group, answer
 
     def _find_in_group(self, group: GroupName, job_id: JobId) -> JobAnswer:
         try:
@@ -235,14 +263,51 @@
             raise NotFoundError(f"there is no job {job_id}")
         return describe_job(job, group, None, set())
 
-    def cancel(self, job_id: JobId) -> None:
-        """Cancel a job; the cancellation is durable when this returns.
+    def cancel(self, job_id: JobId, viewer: TeamName | None = None) -> None:
+        """Cancel a job; the cancellation is durable when this returns or finds none.
+
+        Parameters
+        ----------
+        job_id : JobId
+            The job. If it is unknown, its submission may still be on its way; it is
+            accepted as a cancelled job then.
+        viewer : TeamName or None, default=None
+            Team of the caller, None for an operator.
 
         Raises
         ------
         NotFoundError
-            If there is no such job.
+            If the caller's team has no such job; one of that id never runs.
+        AdmissionError
+            If the team has cancelled too many unknown jobs.
+        LogUnavailableError
+            If the cancellation was certainly not stored.
+        AppendUnknownError
+            If the cancellation may have been stored.
         """
-        answer = self.find(job_id)
+        group, answer = self._locate(job_id)
+        if answer is None:
+            self._withdraw(group, job_id, viewer)
+        answer = _check_visible(answer, job_id, viewer)
         record = JobCancelled(self.clock.wall_ms(), job_id)
         self._append_durably(answer.group, record, job_id)
+
+    def _withdraw(
+        self, group: GroupName, job_id: JobId, viewer: TeamName | None
+    ) -> None:
+        """Store a cancellation for an acceptance that may follow."""
+        if group not in self._groups or not is_job_id(job_id):
+            return
+        team = OPERATORS if viewer is None else viewer
+        check_withdrawal_limit(self.core.ask(lambda core: dict(core.summaries_)), team)
+        record = JobWithdrawn(self.clock.wall_ms(), job_id, team)
+        self._append_durably(group, record, job_id)
+        _log.info("Unknown job cancelled", job=job_id, group=group, team=team)
+
+
+def _check_visible(
+    answer: JobAnswer | None, job_id: JobId, viewer: TeamName | None
+) -> JobAnswer:
+    if answer is None or viewer not in (None, answer.team):
+        raise NotFoundError(f"there is no job {job_id}")
+    return answer
--- a/pimentomill/holder/_answers.py
+++ b/pimentomill/holder/_answers.py
@@ -131,6 +131,9 @@
     is_complete : bool
         Whether the group has workers and all of them have reported, so that
         it can't run anything larger than `largest` and `capacity`.
+    withdrawn : dict
+        Number of jobs by team that were cancelled before their acceptance; unset if
+        there are none.
     """
 
     group: GroupName
@@ -143,6 +146,7 @@
     capacity: Resources
     services: dict[ServiceName, int] = {}
     is_complete: bool = False
+    withdrawn: dict[TeamName, int] | msgspec.UnsetType = msgspec.UNSET
 
 
 def describe_job(
--- a/pimentomill/holder/_holder.py
+++ b/pimentomill/holder/_holder.py
@@ -321,7 +321,7 @@
     @_on_record.register
     def _(self, record: JobCancelled, refusal: str) -> None:
         job = self.fold_.state_.jobs.get(record.job)
-        if job is None:
+        if job is None or not job.cancelled:
             return
         self._scheduler.remove(job.id)
         if job.moved_to:
@@ -765,4 +765,4 @@
 
     def summary(self) -> GroupSummary:
         """Return what other entries need to know about this group."""
-        return self._inspector.summary()
+        return self._inspector.summary(self.fold_.state_)
--- a/pimentomill/holder/_inspector.py
+++ b/pimentomill/holder/_inspector.py
@@ -1,5 +1,7 @@
 """Read access to the jobs and workers of a group."""
 
+import msgspec
+
 from ..exceptions import NotFoundError
 from ..placement import Scheduler, WaitCode, WaitReason
 from ..utils import ZERO, Clock, Epoch, GroupName, JobId, MemberId, TeamName
@@ -90,7 +92,7 @@
         views = self.attempts.views.values()
         return [describe_worker(view, self.group, now) for view in views]
 
-    def summary(self) -> GroupSummary:
+    def summary(self, state: WorkState) -> GroupSummary:
         """Return what other entries need to know about the group."""
         now = self.clock.now()
         views = list(self.attempts.views.values())
@@ -111,6 +113,7 @@
             running={team: amount for team, amount in used if not amount.is_zero()},
             capacity=capacity,
             is_complete=bool(views) and len(reported) == len(views),
+            withdrawn=state.count_withdrawn() or msgspec.UNSET,
         )
 
     def _waiting_by_team(self) -> dict[TeamName, int]:
--- a/pimentomill/work/__init__.py
+++ b/pimentomill/work/__init__.py
@@ -2,11 +2,13 @@
 
 from ._fold import WorkFold
 from ._records import (
+    OPERATORS,
     EpochStarted,
     JobAccepted,
     JobCancelled,
     JobMoveConfirmed,
     JobMoved,
+    JobWithdrawn,
     RequestClaimed,
     RequestEnded,
     TaskAssigned,
@@ -33,11 +35,13 @@
     TaskState,
     WorkState,
     choose_home_group,
+    is_job_id,
     make_job_id,
     parse_home_group,
 )
 
 __all__ = [
+    "OPERATORS",
     "BatchSpec",
     "EpochStarted",
     "GangSpec",
@@ -47,6 +51,7 @@
     "JobMoveConfirmed",
     "JobMoved",
     "JobSpec",
+    "JobWithdrawn",
     "RequestClaimed",
     "RequestEnded",
     "RequestOutcome",
@@ -66,6 +71,7 @@
     "check_submission",
     "choose_home_group",
     "count_tasks",
+    "is_job_id",
     "make_job_id",
     "parse_home_group",
 ]
--- a/pimentomill/work/_fold.py
+++ b/pimentomill/work/_fold.py
@@ -7,11 +7,12 @@
 from ..journal import AppliedRecord, Envelope, advance_state
 from ..utils import Offset
 from ._records import (
+    OPERATORS,
     EpochStarted,
     JobAccepted,
-    JobCancelled,
     JobMoveConfirmed,
     JobMoved,
+    JobWithdrawn,
     RequestClaimed,
     RequestEnded,
     TaskAssigned,
@@ -35,7 +36,7 @@
 _decoder = msgspec.msgpack.Decoder(
     EpochStarted
     | JobAccepted
-    | JobCancelled
+    | JobWithdrawn
     | JobMoved
     | JobMoveConfirmed
     | TaskAssigned
@@ -93,7 +94,7 @@
         return AppliedRecord(offset, envelope.writer, envelope.seq, record, refusal)
 
     def _check_epoch(self, record: WorkRecord) -> str:
-        if isinstance(record, JobAccepted | JobCancelled | EpochStarted):
+        if isinstance(record, JobAccepted | JobWithdrawn | EpochStarted):
             return ""
         if record.epoch != self.state_.epoch:
             return f"epoch {record.epoch} is over"
@@ -128,23 +129,40 @@
             tasks=_create_tasks(record),
             move_count=record.move_count,
         )
+        if self._is_withdrawn(record):
+            self._cancel_job(self.state_.jobs[record.job], record.at)
         return ""
 
+    def _is_withdrawn(self, record: JobAccepted) -> bool:
+        teams = self.state_.withdrawing_teams(record.job)
+        return record.team in teams or OPERATORS in teams
+
     @_apply.register
-    def _(self, record: JobCancelled) -> str:
+    def _(self, record: JobWithdrawn) -> str:
         job = self.state_.jobs.get(record.job)
         if job is None:
-            return f"there is no job {record.job}"
+            return self._withdraw(record)
+        if record.team not in (None, OPERATORS, job.team):
+            return f"job {record.job} belongs to another team"
         if job.ended_at:
             return f"job {record.job} has already ended"
         if job.cancelled:
             return f"job {record.job} has already been cancelled"
+        self._cancel_job(job, record.at)
+        return ""
+
+    def _withdraw(self, record: JobWithdrawn) -> str:
+        if record.team is None:
+            return f"there is no job {record.job}"
+        self.state_.withdraw(record.job, record.team, record.at)
+        return ""
+
+    def _cancel_job(self, job: Job, at: int) -> None:
         job.cancelled = True
         for task in job.tasks:
             if task.state is TaskState.WAITING:
-                _end_task(task, TaskOutcome.CANCELLED, record.at)
-        self._end_job_if_done(job, record.at)
-        return ""
+                _end_task(task, TaskOutcome.CANCELLED, at)
+        self._end_job_if_done(job, at)
 
     @_apply.register
     def _(self, record: JobMoved) -> str:
@@ -243,6 +261,12 @@
             self.state_.jobs.pop(job_id, None)
         for request in _pop_older(self.state_.claimed_requests, cutoff):
             self.state_.requests.pop(request, None)
+        withdrawn = self.state_.withdrawn or {}
+        while withdrawn:
+            oldest = next(iter(withdrawn))
+            if max(withdrawn[oldest].values()) >= cutoff:
+                break
+            del withdrawn[oldest]
 
 
 def _pop_older(entries: list[tuple[int, str]], cutoff: int) -> list[str]:
--- a/pimentomill/work/_records.py
+++ b/pimentomill/work/_records.py
@@ -20,11 +20,13 @@
 from ._state import RequestOutcome, TaskOutcome
 
 __all__ = [
+    "OPERATORS",
     "EpochStarted",
     "JobAccepted",
     "JobCancelled",
     "JobMoveConfirmed",
     "JobMoved",
+    "JobWithdrawn",
     "RequestClaimed",
     "RequestEnded",
     "TaskAssigned",
@@ -33,6 +35,10 @@
 ]
 
 
+OPERATORS = TeamName("")
+"""Stands for all teams in a withdrawal by an operator."""
+
+
 class WorkRecord(msgspec.Struct, frozen=True, array_like=True, tag_field="t"):
     """Base class of the records.
 
@@ -83,6 +89,23 @@
     job: JobId
 
 
+class JobWithdrawn(JobCancelled, frozen=True, tag="jc"):
+    """A job is cancelled that the group may not have accepted yet.
+
+    Shares the tag of `JobCancelled`, so that earlier builds read it as one, and is the
+    type that both are read as.
+
+    Parameters
+    ----------
+    team : TeamName or None, default=None
+        Team of the caller, `OPERATORS` for any team. An acceptance that follows is
+        cancelled if the job belongs to that team. None if the record concerns only a
+        job that the group has accepted.
+    """
+
+    team: TeamName | None = None
+
+
 class JobMoved(WorkRecord, frozen=True, tag="jm"):
     """A job without assigned or ended tasks moves to another group."""
 
--- a/pimentomill/work/_state.py
+++ b/pimentomill/work/_state.py
@@ -1,5 +1,7 @@
 """State of a group, as replayed from its stream."""
 
+import re
+from collections import Counter
 from enum import Enum
 from typing import NamedTuple
 
@@ -30,10 +32,13 @@
     "TaskState",
     "WorkState",
     "choose_home_group",
+    "is_job_id",
     "make_job_id",
     "parse_home_group",
 ]
 
+JOB_ID_PATTERN = re.compile(r"[0-9a-f]{24}@[^@]+")
+
 
 class TaskState(Enum):
     """State of a task according to the log."""
@@ -215,6 +220,9 @@
         Sequence number of the latest record of each writer.
     next_offset : Offset
         Offset of the next record to apply.
+    withdrawn : dict
+        Wall-clock time in milliseconds at which each team cancelled a job that had
+        not been accepted, by job and team; unset before the first.
     """
 
     epoch: Epoch = Epoch(-1)
@@ -228,6 +236,23 @@
     )
     last_seq: dict[MemberId, int] = {}
     next_offset: Offset = Offset(0)
+    withdrawn: dict[JobId, dict[TeamName, int]] | msgspec.UnsetType = msgspec.UNSET
+
+    def withdraw(self, job: JobId, team: TeamName, at: int) -> None:
+        """Record that a team has cancelled a job before its acceptance."""
+        if self.withdrawn is msgspec.UNSET:
+            self.withdrawn = {}
+        self.withdrawn.setdefault(job, {}).setdefault(team, at)
+
+    def withdrawing_teams(self, job: JobId) -> dict[TeamName, int]:
+        """Return the teams that have withdrawn a job, each with the time."""
+        return (self.withdrawn or {}).get(job, {})
+
+    def count_withdrawn(self) -> dict[TeamName, int]:
+        """Return the number of withdrawn jobs by team."""
+        return Counter(
+            team for teams in (self.withdrawn or {}).values() for team in teams
+        )
 
 
 def choose_home_group(groups: list[GroupName], team: TeamName, key: str) -> GroupName:
@@ -256,6 +281,11 @@
     return JobId(f"{digest_id(team, key)}@{group}")
 
 
+def is_job_id(identifier: str) -> bool:
+    """Return whether `make_job_id` can have made an identifier."""
+    return JOB_ID_PATTERN.fullmatch(identifier) is not None
+
+
 def parse_home_group(identifier: str) -> GroupName:
     """Return the home group from the id of a job or request."""
     return GroupName(identifier.rpartition("@")[2])
--- a/pimentomill/work/tests/test_fold.py
+++ b/pimentomill/work/tests/test_fold.py
@@ -5,12 +5,14 @@
 from pimentomill.journal import decode_envelope, encode_envelope
 from pimentomill.utils import Resources
 from pimentomill.work import (
+    OPERATORS,
     BatchSpec,
     EpochStarted,
     GangSpec,
     JobAccepted,
     JobCancelled,
     JobMoved,
+    JobWithdrawn,
     RequestClaimed,
     RequestEnded,
     RequestOutcome,
@@ -119,6 +121,36 @@
         self.end(TaskOutcome.CANCELLED, 0)
         self.assertTrue(self.state.jobs["j"].ended_at)
 
+    # Guards against UNASKED: a submission that was on its way while its job was
+    # cancelled, and answered as unknown, ran after all.
+    def test_a_job_that_is_cancelled_before_its_acceptance_never_runs(self):
+        self.assertEqual(self.apply(JobWithdrawn(3, "j", "kiln")), "")
+        self.assertEqual(self.accept(BatchSpec(resources=NEED, tasks=2)), "")
+        job = self.state.jobs["j"]
+        self.assertTrue(job.cancelled)
+        self.assertTrue(job.ended_at)
+        self.assertNotEqual(self.assign(), "")
+
+    def test_an_operator_cancels_unknown_jobs_of_any_team(self):
+        self.apply(JobWithdrawn(3, "j", OPERATORS))
+        self.accept(BatchSpec(resources=NEED))
+        self.assertTrue(self.state.jobs["j"].cancelled)
+
+    def test_another_team_cannot_cancel_a_job_by_its_id(self):
+        self.apply(JobWithdrawn(3, "j", "planting"))
+        self.accept(BatchSpec(resources=NEED))
+        self.assertNotEqual(self.apply(JobWithdrawn(3, "j", "planting")), "")
+        self.assertFalse(self.state.jobs["j"].cancelled)
+        self.assertEqual(self.apply(JobWithdrawn(3, "j", "kiln")), "")
+        self.assertTrue(self.state.jobs["j"].cancelled)
+
+    def test_cancellations_of_unknown_jobs_are_removed_after_a_day(self):
+        self.apply(JobWithdrawn(3, "j", "kiln"))
+        self.apply(JobWithdrawn(3, "k", "kiln"))
+        self.assertEqual(self.state.count_withdrawn(), {"kiln": 2})
+        self.apply(JobCancelled(DAY_MS + 4, "none"))
+        self.assertEqual(self.state.count_withdrawn(), {})
+
     def test_job_with_a_running_task_cannot_move(self):
         self.accept(BatchSpec(resources=NEED))
         self.assign()
@@ -160,6 +192,7 @@
     def test_state_round_trips_through_msgpack(self):
         self.accept(GangSpec(resources=NEED, tasks=2))
         self.assign(0)
+        self.apply(JobWithdrawn(3, "k", "kiln"))
         encoded = msgspec.msgpack.encode(self.state)
         decoded = msgspec.msgpack.decode(encoded, type=type(self.state))
         self.assertEqual(decoded, self.state)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from pimentomill.work import choose_home_group, make_job_id
 from scripts.cell import OPERATOR_KEY, CellShape, LocalCell
 
 SHAPE = CellShape(entries=2, workers=2, backends=2, groups=2)
@@ -104,6 +105,18 @@
         )
         self.assertEqual(self.cell.call("GET", path, OPERATOR_KEY).status, 200)
 
+    # Guards against UNASKED: a job ran although its cancellation had been answered
+    # with 404, as its submission was still on its way.
+    def test_a_job_that_is_cancelled_before_its_submission_never_runs(self):
+        groups = [f"g{i + 1}" for i in range(SHAPE.groups)]
+        group = choose_home_group(groups, "planting", "withdrawn")
+        job = make_job_id(group, "planting", "withdrawn")
+        response = self.cell.call("DELETE", f"/v1/jobs/{job}", self.key)
+        self.assert_rejected(response, 404, "not_found")
+        self.assertEqual(self.submit_accepted(BATCH, "withdrawn"), job)
+        shown = self.cell.wait_for_state(self.key, job, "cancelled")
+        self.assertEqual([task["attempt"] for task in shown["tasks"]], [0])
+
     def test_wrong_key_cannot_probe_jobs_and_requests(self):
         for path in ("/v1/jobs/none@g1", "/v1/requests/none@g1"):
             response = self.cell.call("GET", path, self.key + "x")
--- a/tests/test_old_records.py
+++ b/tests/test_old_records.py
@@ -82,6 +82,8 @@
 from pimentomill.snapshots import SnapshotPart, snapshot_stream
 from pimentomill.standins import LogFaults
 from pimentomill.work import (
+    JobCancelled,
+    JobWithdrawn,
     RequestOutcome,
     Spread,
     Submission,
@@ -198,6 +200,7 @@
 ADDED_FIELDS = {
     ("job record", "progress"): ["crashes", "done_occurrences"],
     ("state of the cell", None): ["data_centres"],
+    ("state of a group", None): ["withdrawn"],
     ("workers as shown", None): ["is_evacuated"],
     ("registered worker", None): ["ColdLeftMs"],
     ("answer to a caller", None): ["retry_after_s"],
@@ -277,6 +280,13 @@
                 self.assertIs(type(value), kind)
                 self.assertEqual(msgspec.msgpack.encode(value), raw)
 
+    def test_earlier_builds_read_a_withdrawal_as_a_cancellation(self):
+        raw = msgspec.msgpack.encode(JobWithdrawn(7, "j", "kiln"))
+        self.assertEqual(raw.hex(), "94a26a6307a16aa46b696c6e")
+        earlier = union_of(WorkRecord)
+        read = msgspec.msgpack.decode(raw, type=earlier)
+        self.assertEqual(read, JobCancelled(7, "j"))
+
     def test_values_and_names_stay(self):
         values = {name: [item.value for item in enum] for name, enum in ENUMS.items()}
         self.assertEqual(values, DATA["values"])
