holder: a later holder passes on the cancellation of a moved job

What callers saw: a job went on in the group that it had moved to although its cancellation had been acknowledged with 202.

Cause: a cancellation that reaches a group after its job has moved is passed on by the holder. If that holder ended first, a later one took up the move, but not the cancellation, once the move was confirmed.

Change: a later holder passes the cancellation of each moved job on, which is without effect the second time. It is passed on as one that holds for an acceptance that follows, too.

Evidence: test_a_later_holder_passes_on_the_cancellation_of_a_moved_job failed before ("False is not true"), and passes.

Result: the tests of holder and proofs.tests.test_soak pass.

--- a/pimentomill/holder/_moves.py
+++ b/pimentomill/holder/_moves.py
@@ -8,9 +8,9 @@
 from ..work import (
     Job,
     JobAccepted,
-    JobCancelled,
     JobMoveConfirmed,
     JobMoved,
+    JobWithdrawn,
     TaskState,
     count_tasks,
 )
@@ -143,15 +143,22 @@
         self._pending_moves.pop(job_id, None)
 
     def resume_move(self, job: Job) -> None:
-        """Append a moved job to the stream of its new group.
+        """Append a moved job, and its cancellation, to the stream of its new group.
 
         Parameters
         ----------
         job : Job
             A job with `moved_to` set.
         """
-        if job.move_confirmed or job.id in self._pending_acceptances:
+        if job.id in self._pending_acceptances:
             return
+        if not job.move_confirmed:
+            self._append_acceptance(job)
+        # An earlier holder may have ended before it passed the cancellation on.
+        if job.cancelled:
+            self.forward_cancel(job)
+
+    def _append_acceptance(self, job: Job) -> None:
         record = JobAccepted(
             self.clock.wall_ms(),
             job.id,
@@ -164,12 +171,10 @@
         )
         item = self.ports.append_work(job.moved_to, record, 0)
         self._pending_acceptances[job.id] = (job, item)
-        if job.cancelled:
-            self.forward_cancel(job)
 
     def forward_cancel(self, job: Job) -> None:
         """Send a cancellation to the group that the job was moved to."""
-        record = JobCancelled(self.clock.wall_ms(), job.id)
+        record = JobWithdrawn(self.clock.wall_ms(), job.id, job.team)
         self.appends.append(job.moved_to, record, 0)
 
     def _check_appends(self) -> None:
--- a/pimentomill/holder/tests/holding.py
+++ b/pimentomill/holder/tests/holding.py
@@ -41,8 +41,8 @@
             teams={"kiln": Team("kiln", 1, LIMIT, 0)},
             allotments={"kiln": {"g1": LIMIT}},
         )
-        guard = LeaseGuard(self.clock, 10**9, 0)
-        guard.renew(self.clock.now())
+        self.guard = LeaseGuard(self.clock, 10**9, 0)
+        self.guard.renew(self.clock.now())
         self.workers = {
             name: WorkerModel(name, CAPACITY, self.clock) for name in worker_names
         }
@@ -53,17 +53,31 @@
         """Highest number of runs of each task at one time."""
         self._seqs = {}
         self._batches = []
+        self._epoch = 0
+        self.take_over()
+        self.run(2 * leases.report_ms)
+
+    def take_over(self):
+        """Replace the holder by a later one, which begins with the log."""
+        self._epoch += 1
         self.holder = GroupHolder(
-            "g1", ["dc1/r1"], 1, HOLDER, "e1:1", leases, guard, self.clock, self
+            "g1",
+            ["dc1/r1"],
+            self._epoch,
+            HOLDER,
+            "e1:1",
+            self.leases,
+            self.guard,
+            self.clock,
+            self,
         )
         self.holder.on_instances(
             [
                 Instance(name, InstanceKind.WORKER, InstanceState.LIVE, name, "dc1/r1")
-                for name in worker_names
+                for name in self.workers
             ]
         )
         self.holder.open()
-        self.run(2 * leases.report_ms)
 
     # Ports of the holder
 
