entry: a job on its way to another group is known

What callers saw: an accepted job was answered with 404, on GET and on DELETE, from the record of its move until the other group had read its acceptance; and DELETE told 404 for a job that went on to run.

Cause: the lookup followed the move to a group that did not have the job yet, and took that for absence.

Change: the job is shown as waiting, as the group that it leaves describes it. Its cancellation goes to the group that it moves to, where it holds for the acceptance that follows.

Evidence: test_a_job_on_its_way_to_another_group_is_known_and_can_be_cancelled failed before (NotFoundError), and passes.

--- a/pimentomill/entry/_jobs.py
+++ b/pimentomill/entry/_jobs.py
@@ -18,7 +18,7 @@
     NotHolderError,
     TransportError,
 )
-from ..holder import GroupSummary, JobAnswer, describe_job
+from ..holder import GroupSummary, JobAnswer, JobState, describe_job
 from ..journal import PlatformClient, ReadRequest, decode_envelope
 from ..settings import EntrySettings
 from ..telemetry import ComponentLogger
@@ -214,11 +214,20 @@
         LogUnavailableError
             If neither the holder nor the log can be reached.
         """
-        _, answer = self._locate(job_id)
-        return _check_visible(answer, job_id, viewer)
+        group, answer = self._locate(job_id)
+        answer = _check_visible(answer, job_id, viewer)
+        if answer.moved_to:
+            return msgspec.structs.replace(
+                answer, group=group, state=JobState.WAITING, moved_to=GroupName("")
+            )
+        return answer
 
     def _locate(self, job_id: JobId) -> tuple[GroupName, JobAnswer | None]:
-        """Return the group that has a job or would accept it, and the job if known."""
+        """Return the group that has a job or is to accept it, and what is known of it.
+
+        A job that has not reached the group yet is described by the group that it
+        leaves.
+        """
         group = parse_home_group(job_id)
         answer = None
         for _ in range(MAX_FOLLOWED_MOVES):
@@ -227,9 +236,9 @@
             try:
                 answer = self._find_in_group(group, job_id)
             except NotFoundError:
-                return group, None
+                return group, answer
             if not answer.moved_to:
-                break
+                return group, answer
             group = answer.moved_to
         return group, answer
 
@@ -290,7 +299,9 @@
             self._withdraw(group, job_id, viewer)
         answer = _check_visible(answer, job_id, viewer)
         record = JobCancelled(self.clock.wall_ms(), job_id)
-        self._append_durably(answer.group, record, job_id)
+        if answer.moved_to:
+            record = JobWithdrawn(self.clock.wall_ms(), job_id, answer.team)
+        self._append_durably(group, record, job_id)
 
     def _withdraw(
         self, group: GroupName, job_id: JobId, viewer: TeamName | None
--- a/pimentomill/entry/tests/test_jobs.py
+++ b/pimentomill/entry/tests/test_jobs.py
@@ -1,9 +1,12 @@
 import unittest
 from concurrent.futures import Future
 
+import msgspec
+
 from pimentomill.entry._jobs import JobService
 from pimentomill.exceptions import AdmissionError, AppendUnknownError, NotFoundError
-from pimentomill.holder import GroupSummary, describe_job
+from pimentomill.holder import GroupSummary, JobState, describe_job
+from pimentomill.settings import GroupSettings
 from pimentomill.utils import ZERO, ManualClock, Resources
 from pimentomill.work import (
     OPERATORS,
@@ -17,6 +20,11 @@
 
 from .test_core import SETTINGS
 
+GROUPS = [
+    GroupSettings(name="g1", racks=["dc1/r1"]),
+    GroupSettings(name="g2", racks=["dc1/r2"]),
+]
+
 SPEC = BatchSpec(resources=Resources(1_000, 100, 0))
 JOB = make_job_id("g1", "kiln", "key")
 
@@ -30,7 +38,8 @@
         self.jobs = {}
         self.summaries_ = {}
         clock = ManualClock(start=5)
-        self.service = JobService(SETTINGS, clock, self, self, log=None)
+        cfg = msgspec.structs.replace(SETTINGS, groups=GROUPS)
+        self.service = JobService(cfg, clock, self, self, log=None)
 
     def ask(self, query):
         return query(self)
@@ -85,6 +94,15 @@
         self.service.cancel(JOB, "kiln")
         self.assertEqual(self.cell.appended, [("g1", JobCancelled(5, JOB))])
 
+    # Guards against UNASKED: an accepted job was reported as unknown until it had
+    # reached the group that it moves to.
+    def test_a_job_on_its_way_to_another_group_is_known_and_can_be_cancelled(self):
+        self.cell.add_job(moved_to="g2")
+        shown = self.service.find(JOB, "kiln")
+        self.assertEqual((shown.state, shown.group), (JobState.WAITING, "g2"))
+        self.service.cancel(JOB, "kiln")
+        self.assertEqual(self.cell.appended, [("g2", JobWithdrawn(5, JOB, "kiln"))])
+
     def test_a_job_of_another_team_is_left_alone(self):
         self.cell.add_job()
         with self.assertRaises(NotFoundError):
