holder: a job is running once a worker has accepted a start

What callers saw: in the product's own interface a job of which no task had started was shown as running, on and off, while a worker rejected its starts.

Cause: the state was taken from the assignment in the log, which comes before the start is sent.

Change: a task whose start the holder has sent, and no worker has accepted or reported, does not make its job running. What an earlier holder has assigned counts as running until a report says otherwise.

--- a/pimentomill/holder/_answers.py
+++ b/pimentomill/holder/_answers.py
@@ -150,7 +150,11 @@
 
 
 def describe_job(
-    job: Job, group: GroupName, reason: WaitReason | None, running: set[int]
+    job: Job,
+    group: GroupName,
+    reason: WaitReason | None,
+    running: set[int],
+    unconfirmed: frozenset[int] = frozenset(),
 ) -> JobAnswer:
     """Return a job as shown to callers.
 
@@ -164,6 +168,8 @@
         Reason for which its waiting tasks wait.
     running : set of int
         Indices of the tasks that a worker is known to run.
+    unconfirmed : frozenset of int, default=frozenset()
+        Indices of the tasks whose start no worker has accepted yet.
     """
     tasks = [_describe_task(i, task, i in running) for i, task in enumerate(job.tasks)]
     return JobAnswer(
@@ -172,7 +178,7 @@
         kind=type(job.spec).__struct_config__.tag,
         urgent=job.urgent,
         spec=job.spec,
-        state=_job_state(job),
+        state=_job_state(job, unconfirmed),
         waits_for=reason.describe() if reason else "",
         group=group,
         submitted_at=job.submitted_at,
@@ -198,12 +204,15 @@
     )
 
 
-def _job_state(job: Job) -> JobState:
+def _job_state(job: Job, unconfirmed: frozenset[int]) -> JobState:
     if job.moved_to:
         return JobState.MOVED
     if job.cancelled:
         return JobState.CANCELLED
-    if any(task.state is TaskState.ASSIGNED for task in job.tasks):
+    if any(
+        task.state is TaskState.ASSIGNED and index not in unconfirmed
+        for index, task in enumerate(job.tasks)
+    ):
         return JobState.RUNNING
     if not job.ended_at:
         return JobState.WAITING
--- a/pimentomill/holder/_inspector.py
+++ b/pimentomill/holder/_inspector.py
@@ -67,12 +67,13 @@
         job = state.jobs.get(job_id)
         if job is None:
             raise NotFoundError(f"there is no job {job_id}")
-        running = {
-            attempt.ref.index
-            for attempt in self.attempts.of_job(job)
-            if attempt.stage is AttemptStage.RUNNING
-        }
-        return describe_job(job, self.group, self._wait_reason(job), running)
+        attempts = self.attempts.of_job(job)
+        running = {a.ref.index for a in attempts if a.stage is AttemptStage.RUNNING}
+        unconfirmed = frozenset(
+            a.ref.index for a in attempts if a.stage is AttemptStage.COMMANDED
+        )
+        reason = self._wait_reason(job)
+        return describe_job(job, self.group, reason, running, unconfirmed)
 
     def _wait_reason(self, job: Job) -> WaitReason | None:
         if job.id not in self.scheduler.queue_:
--- a/pimentomill/holder/tests/holding.py
+++ b/pimentomill/holder/tests/holding.py
@@ -17,6 +17,7 @@
 from pimentomill.standins import WorkerModel
 from pimentomill.utils import ManualClock, Resources
 from pimentomill.work import JobAccepted
+from pimentomill.workers import CommandAnswer
 
 LIMIT = Resources(100_000, 100_000, 10)
 CAPACITY = Resources(8_000, 16_000, 2)
@@ -48,6 +49,11 @@
         }
         self.silent = set()
         """Workers whose answers and reports do not arrive."""
+        self.on_read = lambda: None
+        """Called after the holder has read new records."""
+        self.rejecting = set()
+        """Workers that reject all batches with commands."""
+        self.rejected_starts_ = 0
         self.logs = {"g1": [], "g2": []}
         self.simultaneous_runs_ = {}
         """Highest number of runs of each task at one time."""
@@ -133,18 +139,27 @@
         self.read()
         batches, self._batches = self._batches, []
         for worker, batch in batches:
-            answer = self.workers[worker].execute(batch)
+            answer = self._execute(worker, batch)
             if worker in self.silent:
                 answer = TransportError("no answer", sent=True)
             self.holder.on_answer(worker, batch, answer)
         self.read()
         self._count_runs()
 
+    def _execute(self, worker, batch):
+        model = self.workers[worker]
+        if worker in self.rejecting and batch.commands:
+            self.rejected_starts_ += len(batch.commands)
+            clock = self.clock.now()
+            return CommandAnswer("overloaded", [], model.incarnation_, clock, None)
+        return model.execute(batch)
+
     def read(self):
         """Let the holder read its stream to the end."""
         while self.holder.next_offset < len(self.logs["g1"]):
             start = self.holder.next_offset
             self.holder.on_records(start, self.logs["g1"][start:])
+            self.on_read()
 
     def _report(self):
         for name, model in self.workers.items():
