settings, holder: the wait for a task lease allows for the drift of both clocks

A task could run twice for up to 11 s in the product's own interface.

Cause: a worker counts a lease of 300 s by its clock, and the holder waited for 300 s and twice the margin by its own. The margin of 0.5 s bears a drift of 0.33 %; elsewhere 2 % for each clock are allowed for.

Change: the holder waits for the lease as the slowest worker's clock counts it, by the rule that already bounds the authority of a leader; it moves to utils for that.

Evidence: test_a_task_on_a_silent_worker_with_a_slow_clock_is_not_run_twice (worker 2 % slow, holder 2 % fast, default terms) failed before ("2 != 1" runs at one time), and passes.

Result: tests of holder, replica, node, settings, utils, proofs.tests.test_soak and test_mutations pass. A task of a silent worker runs elsewhere after 313 s instead of 301 s by the default terms.

--- a/pimentomill/holder/tests/holding.py
+++ b/pimentomill/holder/tests/holding.py
@@ -24,6 +24,22 @@
 HOLDER = "e1-a"
 
 
+class RatedClock:
+    """Clock that runs faster or slower than another one."""
+
+    def __init__(self, base, rate):
+        self.base = base
+        self.rate = rate
+
+    def now(self):
+        """Return the reading in milliseconds."""
+        return int(self.base.now() * self.rate)
+
+    def wall_ms(self):
+        """Return the time of day, which the rate does not concern."""
+        return self.base.wall_ms()
+
+
 class Holding:
     """One holder, its log and its workers.
 
@@ -33,10 +49,13 @@
         Workers of the group.
     leases : LeaseSettings
         Lease terms.
+    worker_rate : float, default=1.0
+        Speed of the workers' clocks relative to that of the holder.
     """
 
-    def __init__(self, worker_names, leases):
+    def __init__(self, worker_names, leases, worker_rate=1.0):
         self.clock = ManualClock(start=1_000)
+        worker_clock = RatedClock(self.clock, worker_rate)
         self.leases = leases
         self.state = CellState(
             teams={"kiln": Team("kiln", 1, LIMIT, 0)},
@@ -45,7 +64,7 @@
         self.guard = LeaseGuard(self.clock, 10**9, 0)
         self.guard.renew(self.clock.now())
         self.workers = {
-            name: WorkerModel(name, CAPACITY, self.clock) for name in worker_names
+            name: WorkerModel(name, CAPACITY, worker_clock) for name in worker_names
         }
         self.silent = set()
         """Workers whose answers and reports do not arrive."""
@@ -150,7 +169,7 @@
         model = self.workers[worker]
         if worker in self.rejecting and batch.commands:
             self.rejected_starts_ += len(batch.commands)
-            clock = self.clock.now()
+            clock = model.clock.now()
             return CommandAnswer("overloaded", [], model.incarnation_, clock, None)
         return model.execute(batch)
 
--- a/pimentomill/holder/tests/test_leases.py
+++ b/pimentomill/holder/tests/test_leases.py
@@ -31,3 +31,16 @@
         cell.run(2 * LEASES.task_ms)
         self.assertNotEqual(cell.runs_of("j"), [worker])
         self.assertEqual(cell.simultaneous_runs_["j", 0], 1)
+
+    # Guards against TWICE: a worker whose clock runs slow lets tasks run for longer
+    # than the holder, whose clock runs fast, waits for it.
+    def test_a_task_on_a_silent_worker_with_a_slow_clock_is_not_run_twice(self):
+        leases = LeaseSettings()
+        cell = Holding(["w1", "w2"], leases, worker_rate=0.98 / 1.02)
+        cell.accept(BatchSpec(resources=NEED, command=["serve"]))
+        cell.run(4_000)
+        (worker,) = cell.runs_of("j")
+        cell.silent = {worker}
+        cell.run(330_000)
+        self.assertNotEqual(cell.runs_of("j"), [worker])
+        self.assertEqual(cell.simultaneous_runs_["j", 0], 1)
--- a/pimentomill/replica/_authority.py
+++ b/pimentomill/replica/_authority.py
@@ -5,49 +5,26 @@
 out the same bound for all workers that may still obey the leader before.
 """
 
-import math
 from collections.abc import Callable
 
-from ..utils import Instant
+from ..utils import Instant, to_other_clock
 
 __all__ = [
     "AUTHORITY_MS",
     "MAX_APPEND_SILENCE_MS",
     "Authority",
     "authority_end_bound",
-    "to_other_clock",
 ]
 
 AUTHORITY_MS = 2500
 """Milliseconds for which a leader acts after the last proof of its authority. Proofs
 are 0.4 s apart, or 1.5 s where the store is slow. A successor adds it to the wait for
 a silent worker."""
-CLOCK_DRIFT = 0.02
-"""Fraction by which the clock of an entry may run fast or slow."""
-BOUND_MARGIN_MS = 50
-"""Milliseconds added to a bound on another clock, for rounding."""
 MAX_APPEND_SILENCE_MS = 25_000
 """Milliseconds after its last acknowledged append in which a leader may act on other
 proofs, so that accepted work goes on while the store is down."""
 
 
-def to_other_clock(duration_ms: int) -> int:
-    """Return the time on any clock that lasts as long as a time on another clock.
-
-    Parameters
-    ----------
-    duration_ms : int
-        Milliseconds on the other clock, which may run slow while this one runs fast.
-
-    Examples
-    --------
-    >>> to_other_clock(1000)
-    1091
-    """
-    ratio = (1 + CLOCK_DRIFT) / (1 - CLOCK_DRIFT)
-    return math.ceil(duration_ms * ratio) + BOUND_MARGIN_MS
-
-
 def authority_end_bound(now: Instant) -> Instant:
     """Return the time by which no earlier leader acts any more.
 
--- a/pimentomill/replica/_grants.py
+++ b/pimentomill/replica/_grants.py
@@ -7,8 +7,8 @@
 import enum
 from typing import NamedTuple
 
-from ..utils import Clock, Epoch, Instant
-from ._authority import AUTHORITY_MS, MAX_APPEND_SILENCE_MS, to_other_clock
+from ..utils import Clock, Epoch, Instant, to_other_clock
+from ._authority import AUTHORITY_MS, MAX_APPEND_SILENCE_MS
 
 __all__ = [
     "ENROLMENT_MS",
--- a/pimentomill/settings/_schema.py
+++ b/pimentomill/settings/_schema.py
@@ -6,7 +6,7 @@
 from msgspec import Meta
 
 from ..exceptions import SettingsError
-from ..utils import Instant
+from ..utils import Instant, to_other_clock
 
 __all__ = [
     "AddressSettings",
@@ -155,7 +155,7 @@
         sent_at : Instant
             Time at which the start or the renewal is sent.
         """
-        return Instant(sent_at + self.task_ms + self.margin_ms)
+        return Instant(sent_at + to_other_clock(self.task_ms) + self.margin_ms)
 
 
 class SnapshotSettings(_Settings, kw_only=True, frozen=True):
--- a/pimentomill/utils/__init__.py
+++ b/pimentomill/utils/__init__.py
@@ -1,7 +1,7 @@
 """Utilities shared by all packages."""
 
 from ._body import read_body
-from ._clock import Clock, Instant, ManualClock, SystemClock
+from ._clock import Clock, Instant, ManualClock, SystemClock, to_other_clock
 from ._ids import (
     Epoch,
     GroupName,
@@ -52,5 +52,6 @@
     "read_body",
     "stable_hash",
     "supervise",
+    "to_other_clock",
     "wait_for_event",
 ]
--- a/pimentomill/utils/_clock.py
+++ b/pimentomill/utils/_clock.py
@@ -1,14 +1,19 @@
 """Clocks that are injected, so that decisions can be replayed."""
 
+import math
 import time
 from typing import NewType, Protocol
 
-__all__ = ["Clock", "Instant", "ManualClock", "SystemClock"]
+__all__ = ["Clock", "Instant", "ManualClock", "SystemClock", "to_other_clock"]
 
 Instant = NewType("Instant", int)
 """Reading of the monotonic clock of one process, in milliseconds."""
 
 NANOSECONDS_PER_MS = 1_000_000
+CLOCK_DRIFT = 0.02
+"""Fraction by which the clock of a machine may run fast or slow."""
+BOUND_MARGIN_MS = 50
+"""Milliseconds added to a bound on another clock, for rounding."""
 
 
 class Clock(Protocol):
@@ -76,3 +81,20 @@
             Milliseconds to add.
         """
         self.elapsed_ += duration_ms
+
+
+def to_other_clock(duration_ms: int) -> int:
+    """Return the time on any clock that lasts as long as a time on another clock.
+
+    Parameters
+    ----------
+    duration_ms : int
+        Milliseconds on the other clock, which may run slow while this one runs fast.
+
+    Examples
+    --------
+    >>> to_other_clock(1000)
+    1091
+    """
+    ratio = (1 + CLOCK_DRIFT) / (1 - CLOCK_DRIFT)
+    return math.ceil(duration_ms * ratio) + BOUND_MARGIN_MS
