proofs: the simulation cancels jobs whose submission is still on its way

Change: an action cancels a job that no entry knows and submits it within 5 s; a start of such a job breaks an invariant of its own, unless the acceptance was in the log before.

--- a/proofs/invariants.py
+++ b/proofs/invariants.py
@@ -71,12 +71,15 @@
     ----------
     checked_ : Counter
         Number of checks, by invariant.
+    withdrawn_ : set of JobId
+        Jobs whose cancellation was stored before their acceptance.
     """
 
     def __init__(self, world) -> None:
         self.world = world
         self.oracle = LogOracle(world)
         self.checked_: Counter = Counter()
+        self.withdrawn_: set[JobId] = set()
         self._limits: dict[TeamName, Resources] = {}
         self._past_limits: list[tuple[int, TeamName, Resources]] = []
         self._seen_versions: dict[str, dict[str, int]] = {}
@@ -86,6 +89,7 @@
     def _on_start(self, worker, ref: TaskRef) -> None:
         self._refresh()
         self._check_start_was_recorded(worker, ref)
+        self._check_not_withdrawn(ref)
         self._check_runs_in_one_place(ref)
         self._check_not_rerun(ref)
         self._check_capacity(worker)
@@ -135,6 +139,12 @@
         if task is None or task.attempt < ref.attempt:
             self._fail("a start was recorded before", f"{ref} on {worker.model.id}")
 
+    def _check_not_withdrawn(self, ref: TaskRef) -> None:
+        name = "a job cancelled before its acceptance never runs"
+        self.checked_[name] += 1
+        if ref.job in self.withdrawn_:
+            self._fail(name, f"{ref} is started")
+
     def _check_runs_in_one_place(self, ref: TaskRef) -> None:
         self.checked_["no task in two places"] += 1
         places = [
--- a/proofs/soak.py
+++ b/proofs/soak.py
@@ -14,6 +14,7 @@
     GangSpec,
     JobAccepted,
     JobCancelled,
+    JobWithdrawn,
     ServiceSpec,
     TaskOutcome,
     TaskState,
@@ -33,6 +34,7 @@
     Resources(20_000, 64_000, 6),
 ]
 ACTION_INTERVAL_MS = 200
+MAX_SUBMISSION_DELAY_MS = 5_000
 COMPLETION_TIMEOUT_MS = 1_800_000
 WARM_UP_MS = 5_000
 CONVERGENCE_TIME_MS = 4_000
@@ -144,6 +146,7 @@
         actions: list[tuple[int, Callable[[], None]]] = [
             (300, self._submit_job),
             (60, self._cancel_job),
+            (20, self._cancel_job_on_its_way),
             (20, self._change_limit),
             (30, self._race_changes),
             (12, self._disconnect_entry),
@@ -224,6 +227,29 @@
         self._choose_entry().core.append_durably(group, record)
         self.cancelled_.add(job_id)
 
+    def _cancel_job_on_its_way(self) -> None:
+        """Cancel a job of which no entry knows, and submit it meanwhile or later."""
+        team = self.rng.choice(TEAMS)
+        key = f"late-{self.rng.randrange(10_000)}"
+        group = choose_home_group(self.world.groups, team, key)
+        job_id = make_job_id(group, team, key)
+        record = JobWithdrawn(self.world.clock_.now(), job_id, team)
+        fut = self._choose_entry().core.append_durably(group, record)
+
+        def on_done(completed) -> None:
+            oracle = self.invariants.oracle
+            oracle.refresh()
+            if completed.exception() is None and oracle.find_job(job_id) is None:
+                self.invariants.withdrawn_.add(job_id)
+
+        fut.add_done_callback(on_done)
+
+        def submit() -> None:
+            if self.world.entries_:
+                self._submit_once(group, job_id, team)
+
+        self.world.schedule(self.rng.randrange(MAX_SUBMISSION_DELAY_MS), submit)
+
     def _change_limit(self) -> None:
         oracle = self.invariants.oracle
         oracle.refresh()
