--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -116,6 +116,13 @@
         yield
 
 
+@contextmanager
+def forget_withdrawals():
+    """Accept jobs whatever was cancelled before their acceptance."""
+    with mock.patch.object(WorkFold, "_is_withdrawn", lambda self, record: False):
+        yield
+
+
 @contextmanager
 def ignore_leaving_state():
     """Treat a leaving backend server as live."""
@@ -169,6 +176,7 @@
     "answers are not matched": accept_any_answer,
     "lost answers count as not run": report_lost_answers_as_not_run,
     "claims of requests are forgotten": forget_request_claims,
+    "withdrawals are forgotten": forget_withdrawals,
     "leaving is not noticed": ignore_leaving_state,
     "older snapshots are taken": accept_older_snapshots,
 }
--- a/proofs/tests/test_mutations.py
+++ b/proofs/tests/test_mutations.py
@@ -25,6 +25,7 @@
     "claims do not wait": "one holder at a time",
     "limits are not split": "limit is not exceeded",
     "older snapshots are taken": "configuration never reverts",
+    "withdrawals are forgotten": "a job cancelled before its acceptance never runs",
 }
 PROCESS_MUTATIONS = {"killed instead of stopped"}
 
