fleet, control: one rule for a lease that has expired

Cause: the rule "the bound has passed, and a later proof covers it" stood in the lease keeper and in the inheritance, and what is withheld for a team was added once a task in each pass.

Change: the rule is a method of the worker; what is withheld is added once a step. Nothing else changes.

--- a/pimentomill/control/_inheritance.py
+++ b/pimentomill/control/_inheritance.py
@@ -111,8 +111,9 @@
             if not self.is_surveying_ and not _any_could_run(silent, step):
                 continue
             team = step.job.accepted.team
-            for _ in unseen.intersection(step.waiting):
-                withheld[team] = withheld.get(team, ZERO) + step.spec.need
+            count = len(unseen.intersection(step.waiting))
+            if count:
+                withheld[team] = withheld.get(team, ZERO) + step.spec.need * count
         if self.is_surveying_:
             return withheld
         capacity = ZERO
@@ -130,11 +131,9 @@
         return waits
 
     def _awaited(self) -> list[Worker]:
-        now: Instant = self.clock.now()
+        now = self.clock.now()
         for name, worker in list(self.silent_.items()):
-            has_expired = now >= worker.lease_until and self.is_covered(
-                worker.lease_until
-            )
+            has_expired = worker.has_lease_expired(now, self.is_covered)
             if worker.has_answered or has_expired:
                 del self.silent_[name]
         self._forget_if_complete()
--- a/pimentomill/control/_lease_keeper.py
+++ b/pimentomill/control/_lease_keeper.py
@@ -162,12 +162,8 @@
             self.context.on_change()
 
     def _has_lease_expired(self, worker: Worker) -> bool:
-        """Return whether the lease of a worker has certainly expired.
-
-        A successor may reach a worker that this leader can't, and renew its lease.
-        """
-        has_passed = self.context.clock.now() >= worker.lease_until
-        return has_passed and self.context.authority.covers(worker.lease_until)
+        now = self.context.clock.now()
+        return worker.has_lease_expired(now, self.context.authority.covers)
 
     def _record_silence(
         self, worker: Worker, order: HoldOrder, sent_at: Instant
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -566,6 +566,22 @@
         self.lease_until = max(self.lease_until, lease_expiry_bound(now, term_ms))
         return self._clock_ms + (now - self._clock_at) + term_ms
 
+    def has_lease_expired(
+        self, now: Instant, is_covered: Callable[[Instant], bool]
+    ) -> bool:
+        """Return whether the lease of this worker has certainly expired.
+
+        A successor may reach a worker that this leader can't, and renew its lease.
+
+        Parameters
+        ----------
+        now : Instant
+            Current time.
+        is_covered : callable
+            Returns whether no later leader acted up to a time.
+        """
+        return now >= self.lease_until and is_covered(self.lease_until)
+
     def record_restart(self, now: Instant, max_lease_ms: int) -> None:
         """Extend the bound on the lease of a worker that is found to have restarted.
 
