node, replica: a leader is found although the last epoch cannot be read

If another writer's value is the newest under the leader's key, and all entries start anew, nobody leads for good.

Cause: the entries know of no epoch and claim the first, which the store rejects each time.

Change: while the newest value is unreadable, the epochs that are tried double with each rejection.

Evidence: test_a_leader_is_found_although_the_last_epoch_cannot_be_read fails without the change (no leader in 30 s) and passes.

--- a/pimentomill/node/_election.py
+++ b/pimentomill/node/_election.py
@@ -19,6 +19,7 @@
 from ..overload import LoadReport
 from ..replica import (
     LEADER_KEY,
+    MAX_EPOCH,
     Follower,
     Grantor,
     LeaderRecord,
@@ -134,6 +135,7 @@
         self._claims: dict[Epoch, Claim] = {}
         self._is_held_back = False
         self._led_epoch = 0
+        self._rejected_epoch = 0
 
     async def run(self) -> None:
         """Watch the leader and take part in elections until cancelled."""
@@ -202,7 +204,19 @@
                 self.watch.should_claim(self.work.current_as_of_, self.members.rivals())
                 and self._may_claim()
             ):
-                await self._claim(Epoch(epoch + 1))
+                await self._claim(self._next_epoch())
+
+    def _next_epoch(self) -> Epoch:
+        """Return the epoch to claim.
+
+        If another writer has left an unreadable value under the leader's key, the epoch
+        of the last leader can't be read, so the epochs that are tried grow until the
+        store accepts one.
+        """
+        epoch = self.watch.epoch + 1
+        if not self.watch.is_newest_readable_:
+            epoch = max(epoch, min(2 * self._rejected_epoch, MAX_EPOCH))
+        return Epoch(epoch)
 
     def _may_claim(self) -> bool:
         """Return whether the leader on record may be replaced; log a change."""
@@ -285,5 +299,12 @@
         again meanwhile would only delay it.
         """
         deadline = Instant(self.clock.now() + CLAIM_TIMEOUT_MS)
-        while self.watch.epoch < epoch and self.clock.now() < deadline:
+        if not self.watch.is_newest_readable_:
+            await self.work.wait_current(deadline)
+            self._rejected_epoch = epoch
+        while (
+            self.watch.epoch < epoch
+            and self.watch.is_newest_readable_
+            and self.clock.now() < deadline
+        ):
             await self._wait_for_change()
--- a/pimentomill/node/tests/test_election.py
+++ b/pimentomill/node/tests/test_election.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from pimentomill.exceptions import AppendUnknownError, OutOfSequenceError
+from pimentomill.jobs import KeyedRecord
 from pimentomill.links import Watcher, WatchOutcome
 from pimentomill.node import Members
 from pimentomill.node import _election as election
@@ -16,6 +17,7 @@
     Grantor,
     LeaderRecord,
     LeaderWatch,
+    Writer,
 )
 from pimentomill.standins import MemoryStore
 from pimentomill.utils import ManualClock, SystemClock
@@ -113,6 +115,19 @@
         await self.until(lambda: any(entry.led for entry in others))
         self.assertEqual([entry.led for entry in others if entry.led], [[2]])
 
+    # Guards against a cell that nobody leads: the newest value of the leader's key is
+    # another writer's, and the store rejects all claims of epochs from 1.
+    async def test_a_leader_is_found_although_the_last_epoch_cannot_be_read(self):
+        odd = KeyedRecord(LEADER_KEY, b"odd")
+        await self.store.append("work", [odd], Writer(election.LEADER_WRITER, 100, 0))
+        self.store.compact("work")
+        for entry in self.entries:
+            self.tasks += entry.run()
+        await self.until(lambda: self.leaders())
+        await self.until(lambda: all(entry.watch.epoch for entry in self.entries))
+        ((epoch,),) = (entry.led for entry in self.leaders())
+        self.assertGreater(epoch, 100)
+
     async def test_a_rejected_claim_is_not_repeated_before_the_winner_is_read(self):
         """The store is slow: it has accepted another claim that can't be read yet."""
         entry = self.entries[0]
--- a/pimentomill/replica/__init__.py
+++ b/pimentomill/replica/__init__.py
@@ -25,6 +25,7 @@
 from ._hedge import Hedge
 from ._leadership import (
     LEADER_KEY,
+    MAX_EPOCH,
     ElectionTiming,
     LeaderRecord,
     LeaderWatch,
@@ -38,6 +39,7 @@
     "ENROLMENT_MS",
     "GRANT_MS",
     "LEADER_KEY",
+    "MAX_EPOCH",
     "MAX_APPEND_SILENCE_MS",
     "MAX_BATCH_BYTES",
     "AppendPosition",
--- a/pimentomill/replica/_leadership.py
+++ b/pimentomill/replica/_leadership.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "LEADER_KEY",
+    "MAX_EPOCH",
     "ElectionTiming",
     "LeaderRecord",
     "LeaderWatch",
@@ -152,6 +153,8 @@
         outage, if that is later.
     heartbeat_at_ : Instant
         Time at which it was read.
+    is_newest_readable_ : bool
+        Whether the newest value of the leader's key is a leader record.
     changed : asyncio.Event
         Set when the leader, its end or its state on the direct link has changed.
     """
@@ -168,6 +171,7 @@
         self.clock = clock
         self.timing = timing
         self.record_: LeaderRecord | None = None
+        self.is_newest_readable_ = True
         self.seen_at_ = clock.now()
         self.heartbeat_at_ = clock.now()
         self._ended = ("", clock.now())
@@ -182,6 +186,7 @@
 
     def apply(self, value: bytes) -> None:
         """Apply a record of the leader's key."""
+        self.is_newest_readable_ = False
         try:
             record = msgspec.msgpack.decode(value, type=LeaderRecord)
         except (msgspec.DecodeError, RecursionError) as exc:
@@ -196,6 +201,7 @@
                 why=f"epoch {record.epoch} is above {MAX_EPOCH}",
             )
             return
+        self.is_newest_readable_ = True
         if record.epoch < self.epoch:
             return
         known = self.record_
