node, work: an epoch counts as unreadable by a current read only; withdrawals are forgotten by the state

Cause: found when the diff was read. A claim that was rejected doubled the next epoch also if the store had not answered a read since, which may show the winner's record. And the fold reached into the state to remove old withdrawals.

Change: the epochs double only after a read that was requested after the rejection; the state removes its withdrawals itself.

--- a/pimentomill/entry/_jobs.py
+++ b/pimentomill/entry/_jobs.py
@@ -286,7 +286,7 @@
         Raises
         ------
         NotFoundError
-            If the caller's team has no such job; one of that id never runs.
+            If the caller's team has no such job; none of that id and team runs then.
         AdmissionError
             If the team has cancelled too many unknown jobs.
         LogUnavailableError
--- a/pimentomill/node/_election.py
+++ b/pimentomill/node/_election.py
@@ -299,12 +299,16 @@
         again meanwhile would only delay it.
         """
         deadline = Instant(self.clock.now() + CLAIM_TIMEOUT_MS)
-        if not self.watch.is_newest_readable_:
-            await self.work.wait_current(deadline)
+        if await self._is_last_epoch_hidden(deadline):
             self._rejected_epoch = epoch
-        while (
-            self.watch.epoch < epoch
-            and self.watch.is_newest_readable_
-            and self.clock.now() < deadline
-        ):
+            return
+        while self.watch.epoch < epoch and self.clock.now() < deadline:
             await self._wait_for_change()
+
+    async def _is_last_epoch_hidden(self, deadline: Instant) -> bool:
+        """Return whether an unreadable value hides the epoch of the last leader."""
+        if self.watch.is_newest_readable_:
+            return False
+        # A claim that has won by now is included in what is read from now on.
+        is_current = await self.work.wait_current(deadline)
+        return is_current and not self.watch.is_newest_readable_
--- a/pimentomill/work/_fold.py
+++ b/pimentomill/work/_fold.py
@@ -255,18 +255,13 @@
         self.state_.ended_jobs.append((job.ended_at, job.id))
 
     def _remove_expired(self, at: int) -> None:
-        """Remove jobs and requests that are older than the retention time."""
+        """Remove jobs, requests and withdrawals older than the retention time."""
         cutoff = at - OUTCOME_RETENTION_MS
         for job_id in _pop_older(self.state_.ended_jobs, cutoff):
             self.state_.jobs.pop(job_id, None)
         for request in _pop_older(self.state_.claimed_requests, cutoff):
             self.state_.requests.pop(request, None)
-        withdrawn = self.state_.withdrawn or {}
-        while withdrawn:
-            oldest = next(iter(withdrawn))
-            if max(withdrawn[oldest].values()) >= cutoff:
-                break
-            del withdrawn[oldest]
+        self.state_.forget_withdrawn(cutoff)
 
 
 def _pop_older(entries: list[tuple[int, str]], cutoff: int) -> list[str]:
--- a/pimentomill/work/_records.py
+++ b/pimentomill/work/_records.py
@@ -34,7 +34,6 @@
     "WorkRecord",
 ]
 
-
 OPERATORS = TeamName("")
 """Stands for all teams in a withdrawal by an operator."""
 
--- a/pimentomill/work/_state.py
+++ b/pimentomill/work/_state.py
@@ -244,6 +244,15 @@
             self.withdrawn = {}
         self.withdrawn.setdefault(job, {}).setdefault(team, at)
 
+    def forget_withdrawn(self, cutoff: int) -> None:
+        """Forget the withdrawals before a wall-clock time, from the oldest on."""
+        withdrawn = self.withdrawn or {}
+        while withdrawn:
+            job, times = next(iter(withdrawn.items()))
+            if max(times.values()) >= cutoff:
+                return
+            del withdrawn[job]
+
     def withdrawing_teams(self, job: JobId) -> dict[TeamName, int]:
         """Return the teams that have withdrawn a job, each with the time."""
         return (self.withdrawn or {}).get(job, {})
