--- a/pimentomill/holder/tests/holding.py
+++ b/pimentomill/holder/tests/fixtures.py
@@ -14,6 +14,7 @@
     encode_envelope,
 )
 from pimentomill.ownership import LeaseGuard
+from pimentomill.settings import LeaseSettings
 from pimentomill.standins import WorkerModel
 from pimentomill.utils import ManualClock, Resources
 from pimentomill.work import JobAccepted
@@ -22,6 +23,14 @@
 LIMIT = Resources(100_000, 100_000, 10)
 CAPACITY = Resources(8_000, 16_000, 2)
 HOLDER = "e1-a"
+LEASES = LeaseSettings(
+    ownership_ms=4_000,
+    renew_ms=1_000,
+    margin_ms=300,
+    task_ms=20_000,
+    command_ms=1_000,
+    report_ms=2_000,
+)
 
 
 class RatedClock:
@@ -40,20 +49,34 @@
         return self.base.wall_ms()
 
 
-class Holding:
+class HolderFixture:
     """One holder, its log and its workers.
 
     Parameters
     ----------
     worker_names : list of str
         Workers of the group.
-    leases : LeaseSettings
+    leases : LeaseSettings, default=LEASES
         Lease terms.
     worker_rate : float, default=1.0
         Speed of the workers' clocks relative to that of the holder.
+
+    Attributes
+    ----------
+    silent, rejecting : set of str
+        Workers whose answers and reports do not arrive, and workers that reject all
+        batches with commands.
+    on_read : callable
+        Called after the holder has read new records.
+    logs : dict
+        Streams of this group and of another one.
+    rejected_starts_ : int
+        Number of rejected commands.
+    simultaneous_runs_ : dict
+        Highest number of runs at one time, by job and index of the task.
     """
 
-    def __init__(self, worker_names, leases, worker_rate=1.0):
+    def __init__(self, worker_names, leases=LEASES, worker_rate=1.0):
         self.clock = ManualClock(start=1_000)
         worker_clock = RatedClock(self.clock, worker_rate)
         self.leases = leases
@@ -67,15 +90,11 @@
             name: WorkerModel(name, CAPACITY, worker_clock) for name in worker_names
         }
         self.silent = set()
-        """Workers whose answers and reports do not arrive."""
         self.on_read = lambda: None
-        """Called after the holder has read new records."""
         self.rejecting = set()
-        """Workers that reject all batches with commands."""
         self.rejected_starts_ = 0
         self.logs = {"g1": [], "g2": []}
         self.simultaneous_runs_ = {}
-        """Highest number of runs of each task at one time."""
         self._seqs = {}
         self._batches = []
         self._epoch = 0
