--- a/review/6/harness.py
+++ b/review/6/harness.py
@@ -347,6 +347,7 @@
         self.lease_until = 0.0
         self.sequence = 0
         self.changed = asyncio.Event()
+        self.life_over = asyncio.Event()
         self.is_up = True
         await self.start()
         self._beats = asyncio.ensure_future(self._beat())
@@ -355,6 +356,7 @@
     async def crash(self):
         """End at once, with all that runs; nothing is reported."""
         self.is_up = False
+        self.life_over.set()
         self._beats.cancel()
         for run in list(self.running.values()):
             self._drop(run, "crash")
@@ -435,7 +437,7 @@
 
     async def _lose(self):
         """Give no answer: the packet is lost on the path that is cut."""
-        await self.cell.closing.wait()
+        await self.life_over.wait()
         return web.Response(status=503)
 
     def _start(self, order):
@@ -686,7 +688,6 @@
         self.entries = [Entry(self, number) for number in range(entries)]
         self.executors = []
         self.session = None
-        self.closing = asyncio.Event()
         self.jobs = {}
         self.runs = set()
         self.started = Counter()
@@ -748,7 +749,6 @@
 
     async def stop(self):
         """End all processes and servers."""
-        self.closing.set()
         for entry in self.entries:
             if entry.is_alive:
                 entry.process.send_signal(signal.SIGCONT)
