--- a/review/6/harness.py
+++ b/review/6/harness.py
@@ -398,6 +398,7 @@
         if self.running.get(run.task) is not run or not self.is_up:
             return
         self._drop(run, how)
+        self.highest[run.task] = max(run.number, self.highest.get(run.task, 0))
         self.end_count += 1
         self.ends.append([self.end_count, run.task, run.number, how, ""])
         self.changed.set()
@@ -412,6 +413,8 @@
         if until_ms is not None:
             longest = self.clock_ms() + HOLD_MAX_MS
             self.lease_until = max(self.lease_until, min(until_ms, longest))
+            delay_s = max(0, self.lease_until - self.clock_ms() + 1) / 1000
+            asyncio.get_running_loop().call_later(delay_s, self._check_lease)
 
     def _answer(self, status=200, **fields):
         message = {"ClockMs": self.clock_ms(), "born": self.born, **fields}
