Leader: a run counts for the limit of its team wherever it counts on its worker

Cause: the room of a worker was counted by run, the limit and the share of a team by the steps of unfinished jobs. A successor knows no steps of a job that has ended, so a run that it only stops used room on its worker and nothing of its team.

Change: an attempt names its team and what counts for the limit, and one pair of methods counts it on the worker, for the limit and for the share. Where a run takes the place of another one of its task on a worker, the other one is given back.

Evidence: test_a_run_of_a_cancelled_job_counts_for_its_team_until_it_ends (two changes of the leader) and test_a_run_beside_another_one_of_its_task_is_given_back fail without the change (0 of 2000 counted, 1000 of 2000) and pass with it.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -16,11 +16,19 @@
     WorkerInfo,
     WorkerReport,
 )
-from ..jobs import JobEntry, JobState, Progress, StepKey, TaskKey, WorkerId
+from ..jobs import (
+    Accepted,
+    JobEntry,
+    JobState,
+    Progress,
+    StepKey,
+    TaskKey,
+    WorkerId,
+)
 from ..overload import ShareLedger
 from ..telemetry import CellMetrics, ComponentLogger
 from ..usage import UsageLedger
-from ..utils import ZERO, Clock, Epoch, Instant, JobId, Resources
+from ..utils import ZERO, Clock, Epoch, Instant, JobId
 from ._crashes import CrashTracker
 from ._inheritance import Inheritance
 from ._occurrences import OccurrenceOpener
@@ -372,7 +380,7 @@
         """Reserve resources for a run that is about to be ordered."""
         key = step.key
         task = TaskKey(key.job, key.occurrence, key.step, index)
-        attempt = Attempt(task, run, worker, step.spec.reserved, self.clock.now())
+        attempt = self._make_attempt(task, run, worker, step.job.accepted)
         attempt.is_resumed = bool(self.checkpoint_of(step, index))
         if step.is_suspect(index):
             worker.close(self.clock.now())
@@ -385,10 +393,39 @@
         attempt.is_long_running = step.spec.long_running
         step.active[attempt.task.index] = attempt
         step.last_workers[attempt.task.index] = attempt.worker.info.worker
-        attempt.worker.add_attempt(attempt)
-        self.quotas.add(step.job.accepted.team, step.spec.need)
         step.job.moved_at = self.clock.now()
-        self.usage.add(step.job.accepted.team, step.spec.reserved, self.clock.now())
+        self._count(attempt)
+
+    def _make_attempt(
+        self, task: TaskKey, run: int, worker: Worker, accepted: Accepted | None
+    ) -> Attempt:
+        """Return an attempt, of unknown size if its job has no such step."""
+        now = self.clock.now()
+        steps = accepted.spec.steps if accepted is not None else ()
+        if not 0 <= task.step < len(steps):
+            attempt = Attempt(task, run, worker, ZERO, now)
+            attempt.is_size_unknown = True
+            return attempt
+        spec = steps[task.step]
+        return Attempt(task, run, worker, spec.reserved, now, accepted.team, spec.need)
+
+    def _count(self, attempt: Attempt) -> None:
+        """Count a run on its worker, and for the limit and the share of its team."""
+        replaced = attempt.worker.attempts.get(attempt.task)
+        if replaced is not None:
+            self._discount(replaced)
+        attempt.worker.add_attempt(attempt)
+        self.quotas.add(attempt.team, attempt.need)
+        if not attempt.is_size_unknown:
+            self.usage.add(attempt.team, attempt.reserved, self.clock.now())
+
+    def _discount(self, attempt: Attempt) -> None:
+        """Count a run no longer; ignored if it is not counted."""
+        if not attempt.worker.remove_attempt(attempt):
+            return
+        self.quotas.remove(attempt.team, attempt.need)
+        if not attempt.is_size_unknown:
+            self.usage.remove(attempt.team, attempt.reserved, self.clock.now())
 
     def record_begun(self, step: StepRun | None) -> None:
         """Record that a worker has accepted, or reported, a run of a step.
@@ -409,7 +446,7 @@
         requeue : bool
             Whether the task has to run again.
         """
-        attempt.worker.remove_attempt(attempt)
+        self._discount(attempt)
         step = self.step_of(attempt.task)
         index = attempt.task.index
         if step is None or step.active.get(index) is not attempt:
@@ -419,8 +456,6 @@
         step.released_at[index] = now
         if attempt.phase is not AttemptPhase.STARTING:
             step.ended_at[index] = now
-        self.quotas.remove(step.job.accepted.team, step.spec.need)
-        self.usage.remove(step.job.accepted.team, step.spec.reserved, now)
         if attempt.checkpoint:
             self._record_checkpoint(step, index, attempt.checkpoint)
         if step.job.state.is_final:
@@ -750,9 +785,7 @@
         if not is_needed:
             self._stop_orphan(worker, status, step)
             return None
-        attempt = Attempt(
-            task, status.run, worker, step.spec.reserved, self.clock.now()
-        )
+        attempt = self._make_attempt(task, status.run, worker, step.job.accepted)
         attempt.phase = AttemptPhase.RUNNING
         attempt.is_resumed = True
         attempt.is_pace_known = False
@@ -773,21 +806,11 @@
         )
         if task in worker.attempts:
             return
-        reserved = self._reserved_by(task, step)
-        orphan = Attempt(task, status.run, worker, reserved or ZERO, self.clock.now())
-        orphan.is_size_unknown = reserved is None
+        entry = self.find_job(task.job) if step is None else None
+        accepted = step.job.accepted if step is not None else entry and entry.accepted_
+        orphan = self._make_attempt(task, status.run, worker, accepted)
         orphan.phase = AttemptPhase.STOPPING
-        worker.add_attempt(orphan)
-
-    def _reserved_by(self, task: TaskKey, step: StepRun | None) -> Resources | None:
-        """Return what a run of a task reserves, None if its job is unknown."""
-        if step is not None:
-            return step.spec.reserved
-        entry = self.find_job(task.job)
-        if entry is None or entry.accepted_ is None:
-            return None
-        steps = entry.accepted_.spec.steps
-        return steps[task.step].reserved if task.step < len(steps) else None
+        self._count(orphan)
 
     def evacuate(self) -> None:
         """Stop runs on draining workers that must move to another worker."""
--- a/pimentomill/control/tests/test_leader_state.py
+++ b/pimentomill/control/tests/test_leader_state.py
@@ -27,7 +27,7 @@
     encode_record,
     progress_key,
 )
-from pimentomill.utils import ManualClock
+from pimentomill.utils import ZERO, ManualClock
 
 JOB = "a" * 16
 
@@ -296,6 +296,46 @@
         self.assertEqual(worker.used.cpu_milli, 9000)
         self.assertEqual([o.task for o in self.state.pop_stop_orders()], [attempt.task])
 
+    # Guards against a team beyond its limit: after a change of the leader, runs of a
+    # cancelled job that were being stopped did not count for it.
+    def test_a_run_of_a_cancelled_job_counts_for_its_team_until_it_ends(self):
+        job = self.submit([step(count=2, cpu=1000)])
+        attempts = [self.start(job, index) for index in range(2)]
+        self.table.apply(cancelled_key(JOB), encode_record(Cancelled(JOB, 5)))
+        self.store_progress()
+        running = [RunStatus(item.task, item.run, "", 40, 0) for item in attempts]
+        for epoch in (2, 3):
+            self.state = self.new_state(epoch)
+            self.state.sync_job(JOB, self.table.find(JOB), inherited=True)
+            self.state.inheritance.end_survey([])
+            worker = self.state.workers["w1"]
+            self.state.apply_report(worker, self.report(running), self.clock.now())
+            self.assertEqual(self.used_cpu(), 2000)
+        self.clock.advance(10)
+        end = RunEnd(1, attempts[0].task, attempts[0].run, EndKind.STOPPED, "")
+        report = self.report(running[1:], [end])
+        self.state.apply_report(worker, report, self.clock.now())
+        self.assertEqual(self.used_cpu(), 1000)
+        self.state.release_lost(worker, "worker lease has expired")
+        self.assertEqual(self.used_cpu(), 0)
+
+    def used_cpu(self):
+        return self.state.quotas.used.get("t", ZERO).cpu_milli
+
+    # Guards against a team whose limit stays used up: a run on a worker that still
+    # stops another one of the same task took its place without giving it back.
+    def test_a_run_beside_another_one_of_its_task_is_given_back(self):
+        job = self.submit([step(count=1, cpu=1000)])
+        elsewhere = self.start(job, worker="w2")
+        other = RunStatus(elsewhere.task, elsewhere.run + 7, "", 40, 0)
+        worker = self.state.workers["w1"]
+        self.state.apply_report(worker, self.report([other]), self.clock.now())
+        self.assertEqual(self.used_cpu(), 2000)
+        self.state.release(elsewhere)
+        self.end(self.start(job), EndKind.DONE)
+        self.assertEqual(self.used_cpu(), 0)
+        self.assertEqual(worker.used, ZERO)
+
 
 class TestWorkers(LeaderStateCase):
     def test_a_worker_restart_releases_its_runs(self):
--- a/pimentomill/fleet/_worker.py
+++ b/pimentomill/fleet/_worker.py
@@ -93,6 +93,10 @@
         Resources reserved from the worker's capacity.
     now : Instant
         Time at which the placement was decided.
+    team : str, default=""
+        Team whose limit the run counts for, empty if it is unknown.
+    need : Resources, default=ZERO
+        Resources that count for that limit.
 
     Attributes
     ----------
@@ -150,6 +154,7 @@
         "last_answer_at",
         "last_progress_at",
         "load",
+        "need",
         "pace",
         "percent",
         "phase",
@@ -158,16 +163,26 @@
         "run",
         "started_at",
         "task",
+        "team",
         "worker",
     )
 
     def __init__(
-        self, task: TaskKey, run: int, worker: "Worker", reserved: Resources, now
+        self,
+        task: TaskKey,
+        run: int,
+        worker: "Worker",
+        reserved: Resources,
+        now: Instant,
+        team: str = "",
+        need: Resources = ZERO,
     ) -> None:
         self.task = task
         self.run = run
         self.worker = worker
         self.reserved = reserved
+        self.team = team
+        self.need = need
         self.phase = AttemptPhase.STARTING
         self.started_at = now
         self.last_answer_at: Instant = now
