Leader: what a cancelled job may still run on a silent worker counts for its team

Callers saw: a machine that leads is stopped while a worker is cut off.

Cause: a successor withholds from a limit what unfinished jobs may run on workers that have not answered it. Jobs whose records were final at the takeover were left out, although a cancellation is final before the first stop has been sent.

Change: a successor also accounts for jobs that were cancelled or have failed, until each worker that could run them has answered or its lease has expired. A run that an answering worker reports counts by itself; it leaves with its end. The end of a cancelled job is now stored after that of its last run, so that a successor leaves out what is known to have ended; callers see the cancellation by its own record as before. Ends older than a leader may act without the store are left out.

--- a/pimentomill/control/_expiry.py
+++ b/pimentomill/control/_expiry.py
@@ -34,14 +34,7 @@
             break
         if entry.accepted_ is not None and not entry.state.is_final:
             continue
-        records = (
-            entry.accepted_,
-            entry.progress_,
-            entry.cancelled_,
-            *entry.withdrawn_,
-        )
-        last = max(record.at_ms for record in records if record is not None)
-        if last >= oldest_ms:
+        if entry.changed_ms >= oldest_ms:
             continue
         keys += [accepted_key(job_id), progress_key(job_id), cancelled_key(job_id)]
         # Last, as the job must not count as accepted without them.
--- a/pimentomill/control/_inheritance.py
+++ b/pimentomill/control/_inheritance.py
@@ -4,7 +4,7 @@
 
 from ..dispatch import JobRun, StepRun
 from ..fleet import Worker
-from ..jobs import StepKey, WorkerId
+from ..jobs import StepKey, TaskKey, WorkerId
 from ..utils import ZERO, Clock, Instant, JobId, Resources
 
 __all__ = ["Inheritance"]
@@ -60,6 +60,19 @@
                 self._unseen[step.key] = set(step.waiting)
                 self._steps[step.key] = step
 
+    def tracks(self, job: JobId) -> bool:
+        """Return whether runs of an inherited job may be unknown to this leader."""
+        return job in self._jobs
+
+    def add_ended_job(self, job: JobRun) -> None:
+        """Add a job that was cancelled or failed, and of which runs may be left.
+
+        Its tasks do not start again, so no other one has to wait for them. What they
+        may use on silent workers counts for the limit of their team.
+        """
+        self.add_job(job.accepted.job)
+        self.add_steps(job.steps.values())
+
     def end_survey(self, silent: Iterable[Worker]) -> None:
         """Wait only for the given workers from now on."""
         self.is_surveying_ = False
@@ -82,6 +95,16 @@
                 unstarted.add(number)
                 self._unseen.pop(StepKey(key.job, key.occurrence, number), None)
 
+    def observe_run_of_ended_job(self, task: TaskKey) -> None:
+        """Record that a worker reports a run of a job that ended early, or its end.
+
+        The run counts by itself until it has ended, and none follows it. Runs of other
+        jobs are ignored.
+        """
+        step = self._steps.get(task.step_key)
+        if step is not None and step.job.state.is_final:
+            step.dequeue(task.index)
+
     def observe_end(self, job: JobRun) -> None:
         """Record an end of which a previous leader that still acts may know as well.
 
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -1,6 +1,7 @@
 """In-memory state of the leader: unfinished jobs, their attempts, workers."""
 
 import statistics
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
@@ -26,6 +27,7 @@
     WorkerId,
 )
 from ..overload import ShareLedger
+from ..replica import MAX_APPEND_SILENCE_MS
 from ..telemetry import CellMetrics, ComponentLogger
 from ..usage import UsageLedger
 from ..utils import ZERO, Clock, Epoch, Instant, JobId
@@ -54,6 +56,10 @@
 """Backoff of a worker on which a run was slow; other workers are tried meanwhile."""
 MAX_LOGGED_RUNS = 20
 """Runs named in one log line; bounds its length."""
+MAX_REMNANT_AGE_MS = MAX_APPEND_SILENCE_MS + 10_000
+"""Age in milliseconds of the end of a job above which no run of it is left. A leader
+may renew leases without knowing of the end for as long as it acts without the store;
+then the run is stopped, or its lease expires."""
 
 _log = ComponentLogger("cell")
 
@@ -116,6 +122,10 @@
         Crashes of workers and the tasks that may have caused them.
     dirty : set of JobId
         Jobs whose progress has to be stored soon.
+    stopping : set of JobId
+        Cancelled jobs of which runs may be left. Their end is stored after that of the
+        last run, which shows a successor that nothing of them is left. Callers see the
+        cancellation by its own record.
     newly_started : set of JobId
         Jobs that have just begun to run; stored with the next batch.
     pending_acks : list of PendingAck
@@ -156,6 +166,8 @@
         )
         self.stop_orders: list[StopOrder] = []
         self.dirty: set[JobId] = set()
+        self.stopping: set[JobId] = set()
+        self._run_counts: Counter[JobId] = Counter()
         self.newly_started: set[JobId] = set()
         self.pending_acks: list[PendingAck] = []
         self.finished: set[JobId] = set()
@@ -211,11 +223,37 @@
         job = self.jobs.get(job_id)
         if job is None:
             if entry.state.is_final:
+                if inherited:
+                    self._inherit_ended_job(entry)
                 return
             job = self._add_job(entry, inherited)
         if entry.state is JobState.CANCELLED and not job.state.is_final:
             self._finish(job, JobState.CANCELLED, "cancelled by a caller")
 
+    def _inherit_ended_job(self, entry: JobEntry) -> None:
+        """Account for what may be left of a job that was cancelled or has failed.
+
+        Of a job that is completed, each task has ended. So has each run of a cancelled
+        job of which a leader has stored the end.
+        """
+        stored = entry.progress_
+        may_run = entry.state is JobState.FAILED or (
+            entry.state is JobState.CANCELLED
+            and not (stored is not None and stored.state.is_final)
+        )
+        age_ms = self.clock.wall_ms() - entry.changed_ms
+        if not may_run or age_ms > MAX_REMNANT_AGE_MS:
+            return
+        job = JobRun(entry.accepted_, 1, self.clock.now())
+        if self.catalog is not None:
+            job.queue = self.catalog.queues.get(job.queue.name, job.queue)
+        if stored is not None:
+            job.restore(stored)
+        job.state = entry.state
+        for occurrence in self.occurrences.latest_due(job):
+            job.open_occurrence(self.clock.now(), occurrence)
+        self.inheritance.add_ended_job(job)
+
     def _add_job(self, entry: JobEntry, inherited: bool) -> JobRun:
         now = self.clock.now()
         accepted = entry.accepted_
@@ -310,6 +348,8 @@
             took_ms,
         )
         self.dirty.add(job_id)
+        if state is JobState.CANCELLED:
+            self.stopping.add(job_id)
         self.occurrences.discard(job_id)
         for step in job.steps.values():
             self.open_steps.pop(step.key, None)
@@ -319,7 +359,8 @@
 
     def _drop_if_idle(self, job: JobRun) -> None:
         """Remove a finished job that is stored and has no attempts left."""
-        if not job.state.is_final or job.accepted.job in self.dirty:
+        job_id = job.accepted.job
+        if not job.state.is_final or job_id in self.dirty or job_id in self.stopping:
             return
         if any(step.active for step in job.steps.values()):
             return
@@ -415,6 +456,7 @@
         if replaced is not None:
             self._discount(replaced)
         attempt.worker.add_attempt(attempt)
+        self._run_counts[attempt.task.job] += 1
         self.quotas.add(attempt.team, attempt.need)
         if not attempt.is_size_unknown:
             self.usage.add(attempt.team, attempt.reserved, self.clock.now())
@@ -423,6 +465,10 @@
         """Count a run no longer; ignored if it is not counted."""
         if not attempt.worker.remove_attempt(attempt):
             return
+        job_id = attempt.task.job
+        self._run_counts[job_id] -= 1
+        if not self._run_counts[job_id]:
+            del self._run_counts[job_id]
         self.quotas.remove(attempt.team, attempt.need)
         if not attempt.is_size_unknown:
             self.usage.remove(attempt.team, attempt.reserved, self.clock.now())
@@ -804,6 +850,7 @@
         self.stop_orders.append(
             StopOrder(worker, task, status.run, "run is not needed")
         )
+        self.inheritance.observe_run_of_ended_job(task)
         if task in worker.attempts:
             return
         entry = self.find_job(task.job) if step is None else None
@@ -850,6 +897,9 @@
         elif attempt is not None:
             attempt.checkpoint = end.checkpoint or attempt.checkpoint
             self.release(attempt)
+        if end.kind in (EndKind.DONE, EndKind.STOPPED):
+            # After another end, a previous leader may have started the task again.
+            self.inheritance.observe_run_of_ended_job(end.task)
         if self._may_predecessor_know(worker):
             self._observe_inherited_end(end.task)
 
@@ -948,8 +998,11 @@
     def pop_changes(self) -> tuple[list[Progress], list[PendingAck]]:
         """Return the progress to store and the ends that it makes durable."""
         wall_ms = self.clock.wall_ms()
+        stopped = {job for job in self.stopping if not self._may_run(job)}
+        self.stopping -= stopped
+        changed = (self.dirty | self.newly_started | stopped) - self.stopping
         records = []
-        for job_id in self.dirty | self.newly_started:
+        for job_id in changed:
             job = self.jobs.get(job_id)
             if job is not None:
                 records.append(job.progress(wall_ms))
@@ -961,6 +1014,10 @@
             self._drop_if_idle(job)
         return records, acks
 
+    def _may_run(self, job: JobId) -> bool:
+        """Return whether a run of a job may be left on any worker."""
+        return job in self._run_counts or self.inheritance.tracks(job)
+
     def pop_stop_orders(self) -> list[StopOrder]:
         """Return and clear the stop orders to send."""
         stops, self.stop_orders = self.stop_orders, []
--- a/pimentomill/control/_occurrences.py
+++ b/pimentomill/control/_occurrences.py
@@ -1,5 +1,6 @@
 """Opens the due occurrences of scheduled jobs."""
 
+from bisect import bisect_right
 from collections.abc import Callable
 
 from ..dispatch import JobRun
@@ -71,6 +72,19 @@
         now = self.clock.now()
         return min(now, max(now - (self.clock.wall_ms() - due_ms), job.led_since))
 
+    def latest_due(self, job: JobRun) -> list[int]:
+        """Return the latest due occurrences that are neither open nor done.
+
+        Of a job that is not scheduled, the only occurrence is due. A bounded number of
+        occurrences is considered.
+        """
+        due_count = job.spec.occurrence_count
+        if job.spec.is_scheduled:
+            latest_ms = self.clock.wall_ms() - DUE_MARGIN_MS
+            due_count = bisect_right(range(due_count), latest_ms, key=job.spec.due_ms)
+        first = max(0, due_count - MAX_WAITING_OCCURRENCES)
+        return [n for n in range(first, due_count) if not job.is_settled(n)]
+
     def open_due(self) -> Instant | None:
         """Open due occurrences.
 
--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -4,17 +4,20 @@
 
 from pimentomill.catalog import Team
 from pimentomill.control import LeaderState
-from pimentomill.control._leader_state import WAITING_HOLD_MS
+from pimentomill.control._leader_state import MAX_REMNANT_AGE_MS, WAITING_HOLD_MS
 from pimentomill.dispatch import Planner
 from pimentomill.dispatch.tests.samples import SERVICE, accepted, info, step
 from pimentomill.fleet import EndKind, RunEnd, RunStatus, WorkerReport
 from pimentomill.jobs import (
     Cancelled,
+    JobState,
     JobTable,
+    Progress,
     TaskKey,
     accepted_key,
     cancelled_key,
     encode_record,
+    progress_key,
 )
 from pimentomill.utils import ManualClock, Resources
 
@@ -27,6 +30,9 @@
     def setUp(self):
         self.clock = ManualClock(1000)
         self.table = JobTable()
+        self.set_up_state()
+
+    def set_up_state(self):
         self.state = LeaderState(2, self.clock, self.table.find)
         self.prompt = self.state.sync_worker(info("w1"))
         self.silent = self.state.sync_worker(info("w2", cpu=8000))
@@ -256,6 +262,99 @@
         self.report(self.silent)
         self.assertEqual(len(self.plan()), 2)
 
+    def store_cancelled(self, count, **fields):
+        """Store a cancelled job with tasks of one core, which no leader has ended."""
+        record = accepted(JOB, [step(count=count, cpu=1000)], **fields)
+        self.table.apply(accepted_key(JOB), encode_record(record))
+        cancelled = Cancelled(JOB, self.clock.wall_ms())
+        self.table.apply(cancelled_key(JOB), encode_record(cancelled))
+
+    def take_over(self, limit_cpu):
+        """Let a successor inherit the job and a new one of its team, at its limit."""
+        self.set_up_state()
+        limit = Resources(cpu_milli=limit_cpu)
+        self.state.quotas.teams = {"t": Team("t", 1.0, limit)}
+        self.state.sync_job(JOB, self.table.find(JOB), inherited=True)
+        later = "b" * 16
+        record = accepted(later, [step(count=limit_cpu // 1000, cpu=1000)])
+        self.table.apply(accepted_key(later), encode_record(record))
+        self.state.sync_job(later, self.table.find(later), inherited=False)
+
+    # Guards against a team beyond its limit: after a change of the leader, runs of a
+    # job that was cancelled before it counted nowhere on a worker that is cut off.
+    def test_runs_of_a_job_that_was_cancelled_before_the_takeover_count_as_well(self):
+        self.store_cancelled(2)
+        for _ in range(2):
+            self.take_over(2000)
+            self.report(self.prompt)
+            self.end_survey()
+            self.prompt.confirm(lambda at: True)
+            self.assertEqual(self.plan(), [])
+        self.clock.advance(LEASE_MS)
+        self.assertEqual(len(self.plan()), 2)
+
+    # Guards against a limit that stays blocked for a lease: the runs of the cancelled
+    # job have ended on workers that answer, beside one that does not.
+    def test_the_limit_is_free_once_the_runs_of_a_cancelled_job_have_ended(self):
+        self.store_cancelled(2)
+        self.take_over(2000)
+        first, second = FIRST_TASK, FIRST_TASK._replace(index=1)
+        ends = [RunEnd(1, first, 1, EndKind.STOPPED, "")]
+        self.report(self.prompt, [RunStatus(second, 1, "", 40, 0)], ends)
+        self.end_survey()
+        self.prompt.confirm(lambda at: True)
+        self.assertEqual(len(self.plan()), 1)
+        ends = [RunEnd(2, second, 1, EndKind.STOPPED, "")]
+        self.report(self.prompt, ended=ends)
+        self.assertEqual(len(self.plan()), 2)
+
+    def test_a_job_of_which_no_run_can_be_left_blocks_no_limit(self):
+        final = Progress(JOB, JobState.CANCELLED, self.clock.wall_ms())
+        completed = Progress(JOB, JobState.COMPLETED, self.clock.wall_ms())
+        for record, age_ms in ((final, 0), (completed, 0), (None, MAX_REMNANT_AGE_MS)):
+            with self.subTest(record=record, age_ms=age_ms):
+                self.setUp()
+                self.store_cancelled(2)
+                if record is not None:
+                    self.table.apply(progress_key(JOB), encode_record(record))
+                self.clock.advance(age_ms + 1)
+                self.take_over(2000)
+                self.report(self.prompt)
+                self.end_survey()
+                self.prompt.confirm(lambda at: True)
+                self.assertEqual(len(self.plan()), 2)
+
+    def test_occurrences_of_a_cancelled_job_count_once_they_are_due(self):
+        due_ms = self.clock.wall_ms() - 1500
+        self.store_cancelled(1, occurrences=3, first_due_ms=due_ms, interval_ms=1000)
+        self.take_over(3000)
+        self.report(self.prompt)
+        self.end_survey()
+        self.prompt.confirm(lambda at: True)
+        self.assertEqual(len(self.plan()), 1)
+
+    # Guards against a successor that takes the end of a job for that of its runs.
+    def test_the_end_of_a_cancelled_job_is_stored_after_that_of_its_runs(self):
+        self.inherit([step(count=2)])
+        running = [RunStatus(FIRST_TASK, 1, "", 40, 0)]
+        self.report(self.prompt, running)
+        self.state.pop_changes()
+        cancelled = Cancelled(JOB, self.clock.wall_ms())
+        self.table.apply(cancelled_key(JOB), encode_record(cancelled))
+        self.state.sync_job(JOB, self.table.find(JOB), inherited=False)
+        self.assertEqual(self.state.pop_changes()[0], [])
+        end = RunEnd(1, FIRST_TASK, 1, EndKind.STOPPED, "")
+        self.report(self.prompt, ended=[end])
+        self.end_survey()
+        self.ready()
+        # The other task may run on the silent worker.
+        self.assertEqual(self.state.pop_changes()[0], [])
+        self.report(self.silent)
+        self.ready()
+        records, _ = self.state.pop_changes()
+        self.assertEqual([item.state for item in records], [JobState.CANCELLED])
+        self.assertEqual(self.state.jobs, {})
+
     def plan(self):
         planner = Planner(self.state.quotas)
         steps = list(self.state.ready_steps())
--- a/pimentomill/jobs/_table.py
+++ b/pimentomill/jobs/_table.py
@@ -69,6 +69,12 @@
             return JobState.CANCELLED
         return progress.state if progress is not None else JobState.QUEUED
 
+    @property
+    def changed_ms(self) -> int:
+        """Wall-clock time of the latest record, in milliseconds since 1970."""
+        records = (self.accepted_, self.progress_, self.cancelled_, *self.withdrawn_)
+        return max(record.at_ms for record in records if record is not None)
+
     @property
     def is_empty(self) -> bool:
         """Whether the job has no records."""
