Election: entries that have all restarted replace a leader that never returns

Cause: a leader without the store acts on leases of the entries that have enrolled with it, and an entry that started after the loss of the leader has not. The leader may not ask it, so it waits until that leader must have stepped down by itself, 26.1 s. Where all entries have restarted, nobody may claim before; and the end of a process can't be observed at an address that does not answer.

Change: a leader stores the addresses of the entries that it asks, and goes on to ask an address after the process there has ended. A process that is refused a connection, or another one that grants, proves that none there has claimed, as long as answers come without a gap of 2.5 s; after a gap, only the store does. In turn, the start of a process counts as a grant. An entry at a listed address may claim once that grant has expired (2.6 s after its start), since the leader can't act without it any more. An address that is left out of the list is asked until no claim by an earlier list can show. An entry that has read nothing of the store grants, so that a restart does not end the work while the store is down.

Tests: two mutations also forget the list, as it is a second guard for what they forget.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -58,7 +58,7 @@
 from ._query_scheduler import QueryScheduler
 from ._selective_queries import SelectiveQueryScheduler
 from ._settings import ControlSettings
-from ._speeds_record import SPEEDS_KEY, SpeedsRecorder
+from ._speeds_record import SpeedsRecorder
 from ._start_gate import RulesCopy, StartGate
 from ._stragglers import StragglerPolicy
 
@@ -472,12 +472,7 @@
             return
         self._recorded_fleet = fleet
         value = msgspec.msgpack.encode(infos)
-        self.progress_writer.extra_records = [
-            record
-            for record in self.progress_writer.extra_records
-            if record.key != FLEET_KEY
-        ]
-        self.progress_writer.extra_records.append(KeyedRecord(FLEET_KEY, value))
+        self.progress_writer.replace_extra_record(KeyedRecord(FLEET_KEY, value))
 
     def _record_speeds(self, now: Instant) -> None:
         """Store the learned speeds for a successor if that is due."""
@@ -485,11 +480,7 @@
             return
         record = self._speeds_recorder.due_record(now)
         if record is not None:
-            unsent = self.progress_writer.extra_records
-            self.progress_writer.extra_records = [
-                *(other for other in unsent if other.key != SPEEDS_KEY),
-                record,
-            ]
+            self.progress_writer.replace_extra_record(record)
 
     def _check_survey(self) -> None:
         """End the survey of workers once all have answered or its time is up.
--- a/pimentomill/control/_past_use.py
+++ b/pimentomill/control/_past_use.py
@@ -93,11 +93,7 @@
         if not self.ledger.is_enabled or not self.ledger.known_teams():
             return
         value = self.ledger.encode(self.clock.now(), self.clock.wall_ms())
-        writer = self.progress_writer
-        writer.extra_records = [
-            record for record in writer.extra_records if record.key != USAGE_KEY
-        ]
-        writer.extra_records.append(KeyedRecord(USAGE_KEY, value))
+        self.progress_writer.replace_extra_record(KeyedRecord(USAGE_KEY, value))
 
     def close(self) -> None:
         """Withdraw the metrics, which hold for the leader only."""
--- a/pimentomill/control/_progress_writer.py
+++ b/pimentomill/control/_progress_writer.py
@@ -106,6 +106,13 @@
         if self.state.dirty or self.state.pending_acks or self.extra_records:
             self._wake.set()
 
+    def replace_extra_record(self, record: KeyedRecord) -> None:
+        """Write a record with the next batch, in place of an unsent one of its key."""
+        self.extra_records = [
+            *(other for other in self.extra_records if other.key != record.key),
+            record,
+        ]
+
     def request_proof(self) -> None:
         """Request an append, as a proof of the leader's authority."""
         self._is_proof_wanted = True
--- a/pimentomill/control/tests/test_past_use.py
+++ b/pimentomill/control/tests/test_past_use.py
@@ -6,6 +6,7 @@
 from pimentomill.control import Features, _past_use
 from pimentomill.control._leader_state import LeaderState
 from pimentomill.control._past_use import RECORD_INTERVAL_MS, UsageTracker
+from pimentomill.control._progress_writer import ProgressWriter
 from pimentomill.control.tests.test_leader import JOB, WAIT_S, LeaderCase
 from pimentomill.dispatch import order_steps
 from pimentomill.dispatch.tests.samples import first_step, info, step
@@ -19,6 +20,8 @@
 class FakeWriter:
     """Keeps the records that a progress writer would append."""
 
+    replace_extra_record = ProgressWriter.replace_extra_record
+
     def __init__(self):
         self.extra_records = []
 
--- a/pimentomill/links/_messages.py
+++ b/pimentomill/links/_messages.py
@@ -105,7 +105,7 @@
     leader : str
         Incarnation of the leader.
     grantor : str
-        Incarnation of the entry that is asked.
+        Incarnation of the entry that is asked, empty for any at the address.
     """
 
     epoch: Epoch
--- a/pimentomill/links/_server.py
+++ b/pimentomill/links/_server.py
@@ -16,7 +16,7 @@
 )
 from ..jobs import JobState, KeyedRecord
 from ..overload import LoadReport
-from ..replica import GrantRefusal, LeaseRequest
+from ..replica import ANY_GRANTOR, GrantRefusal, LeaseRequest
 from ..telemetry import ComponentLogger
 from ..utils import JobId
 from ._messages import (
@@ -179,7 +179,7 @@
 
     async def _grant_lease(self, body: bytes) -> web.Response:
         query = msgspec.msgpack.decode(body, type=LeaseQuery)
-        if query.grantor != self.incarnation:
+        if query.grantor not in (self.incarnation, ANY_GRANTOR):
             return web.Response(status=410)
         refusal = self.services.grant_lease(LeaseRequest(query.epoch, query.leader))
         return _encode(LeaseAnswer(refusal.value if refusal is not None else ""))
--- a/pimentomill/node/_election.py
+++ b/pimentomill/node/_election.py
@@ -138,7 +138,12 @@
         self._rejected_epoch = 0
 
     async def run(self) -> None:
-        """Watch the leader and take part in elections until cancelled."""
+        """Watch the leader and take part in elections until cancelled.
+
+        Other entries must be able to connect to this one by now.
+        """
+        if self.grantor is not None:
+            self.grantor.record_reachable()
         await asyncio.gather(self._watch_leader(), self._elect())
 
     async def _watch_leader(self) -> None:
@@ -225,7 +230,7 @@
             return True
         leader = LeaseRequest(record.epoch, record.incarnation)
         silence_ms = self.work.current_as_of_ - self.watch.heartbeat_at_
-        may_claim = self.grantor.may_claim(leader, silence_ms)
+        may_claim = self.grantor.may_claim(leader, silence_ms, self.work.age_ms())
         if may_claim == self._is_held_back:
             self._is_held_back = not may_claim
             _log.info(
--- a/pimentomill/node/_grant_collector.py
+++ b/pimentomill/node/_grant_collector.py
@@ -46,16 +46,15 @@
         outcomes = await asyncio.gather(
             *(self._ask(name, address) for name, address in required.items())
         )
-        for incarnation, outcome in zip(required, outcomes, strict=True):
+        for name, outcome in zip(required, outcomes, strict=True):
             if outcome is LeaseOutcome.GRANTED:
-                self.enrolments.record_grant(incarnation, requested_at)
+                self.enrolments.record_grant(name, requested_at)
             elif outcome is LeaseOutcome.ENDED:
-                self.enrolments.record_end(incarnation)
-        still_required = self.enrolments.required(stored_at)
+                self.enrolments.record_end(name, requested_at)
+        answers = dict(zip(required, outcomes, strict=True))
         missing = {
-            incarnation: outcome.value
-            for incarnation, outcome in zip(required, outcomes, strict=True)
-            if outcome is not LeaseOutcome.GRANTED and incarnation in still_required
+            name: answers[name].value if name in answers else "not asked yet"
+            for name in self.enrolments.ungranted(required, requested_at, stored_at)
         }
         has_grants = not missing
         if has_grants != self._had_grants:
@@ -68,6 +67,7 @@
             )
         return has_grants
 
-    async def _ask(self, incarnation: str, address: str) -> LeaseOutcome:
-        query = LeaseQuery(self.req.epoch, self.req.incarnation, incarnation)
+    async def _ask(self, name: str, address: str) -> LeaseOutcome:
+        grantor = self.enrolments.grantor_of(name)
+        query = LeaseQuery(self.req.epoch, self.req.incarnation, grantor)
         return await self.links.request_lease(address, query)
--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -39,6 +39,7 @@
 )
 from ..overload import LoadReport, ShareLedger
 from ..replica import (
+    GRANTORS_KEY,
     LEADER_KEY,
     Authority,
     ElectionTiming,
@@ -46,6 +47,7 @@
     Follower,
     FollowerTiming,
     Grantor,
+    GrantorList,
     GrantRefusal,
     GroupAppender,
     LeaderRecord,
@@ -89,6 +91,9 @@
 LEADER_PAUSE_MS = 60
 """Milliseconds between two reads by the leader, which learns of submissions through
 direct notices."""
+LIST_INTERVAL_MS = 500
+"""Milliseconds between two checks whether the list of grantors has to be stored. After
+a change of the leader, all entries enrol within a second."""
 HANDOVER_CHECK_INTERVAL_MS = 2000
 """Milliseconds between two checks for an entry with more cores."""
 HANDOVER_CORES_RATIO = 1.5
@@ -374,7 +379,9 @@
                 reason = "resigned" if is_own_record else "a later leader is on record"
                 self.leader_.step_down(reason)
             return
-        if record.key == FLEET_KEY:
+        if record.key == GRANTORS_KEY:
+            self._apply_grantors(record.value)
+        elif record.key == FLEET_KEY:
             self._apply_fleet(record.value)
         elif record.key == USAGE_KEY:
             self._usage_record = record.value
@@ -385,6 +392,21 @@
         else:
             self._apply_job(record)
 
+    def _apply_grantors(self, value: bytes) -> None:
+        """Apply the list of the entries that a leader asks for leases."""
+        self.grantor.apply_list(None)
+        try:
+            listed = msgspec.msgpack.decode(value, type=GrantorList)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            _log.warning(
+                "Ignoring undecodable list of grantors", key=GRANTORS_KEY, why=str(exc)
+            )
+            return
+        if listed.incarnation == self.incarnation:
+            self.enrolments.observe_list(listed.addresses)
+        elif self.cfg.address in listed.addresses:
+            self.grantor.apply_list(LeaseRequest(listed.epoch, listed.incarnation))
+
     def _apply_member(self, record: KeyedRecord) -> None:
         self.members.apply(record)
         if self.leader_ is not None:
@@ -632,6 +654,7 @@
             "heartbeats": self._send_heartbeats,
             "election": self._candidate.run,
             "handover": self._hand_over_to_larger,
+            "grantors": self._list_grantors,
         }
         await asyncio.gather(
             *(supervise(name, run, _log) for name, run in tasks.items())
@@ -673,6 +696,31 @@
                 )
                 await self._resign(leader)
 
+    async def _list_grantors(self) -> None:
+        """Store the list of the entries that this one asks for leases as the leader."""
+        listed: GrantorList | None = None
+        while True:
+            await asyncio.sleep(LIST_INTERVAL_MS / 1000)
+            leader = self.leader_
+            if leader is None:
+                continue
+            current = GrantorList(
+                leader.record.epoch, self.incarnation, self.enrolments.listable()
+            )
+            if current == listed:
+                continue
+            listed = current
+            # Required before any entry can read the list.
+            self.enrolments.begin_listing(listed.addresses)
+            leader.progress_writer.replace_extra_record(
+                KeyedRecord(GRANTORS_KEY, msgspec.msgpack.encode(listed))
+            )
+            _log.info(
+                "Entries listed that grant leases",
+                epoch=listed.epoch,
+                addresses=listed.addresses,
+            )
+
     async def _send_heartbeats(self) -> None:
         member = MemberRecord(
             self.cfg.node, self.cfg.address, self.incarnation, self.cfg.cores
@@ -699,6 +747,10 @@
         known = None
         if record is not None and not record.resigned:
             known = LeaseRequest(record.epoch, record.incarnation)
+        elif record is None and not self.work.has_been_current:
+            # An entry that has read nothing has made no claim, and the leader goes on
+            # while the store is down.
+            known = req
         return self.grantor.grant(req, known, self.work.age_ms())
 
     def _latest_read_as_leader(self) -> Instant | None:
--- a/pimentomill/node/tests/test_authority.py
+++ b/pimentomill/node/tests/test_authority.py
@@ -12,7 +12,10 @@
 from pimentomill.node import CellNode, NodeSettings, _node
 from pimentomill.node._election import Claim
 from pimentomill.replica import (
+    GRANT_MS,
+    GRANTORS_KEY,
     LEADER_KEY,
+    GrantorList,
     GrantRefusal,
     LeaderRecord,
     LeaseRequest,
@@ -50,6 +53,7 @@
             ManualClock(NOW),
             CellMetrics(),
         )
+        self.never = self.node.work.current_as_of_
         self.node.work.current_as_of_ = READ_AT
 
     def apply_leader(self, epoch, incarnation, resigned=False):
@@ -94,6 +98,54 @@
         query = LeaseQuery(1, self.node.incarnation, "life-2")
         self.assertEqual(self.links.queries, [("a2", query)])
 
+    def apply_list(self, addresses, epoch=3, incarnation="life-2"):
+        listed = GrantorList(epoch, incarnation, tuple(addresses))
+        value = msgspec.msgpack.encode(listed)
+        self.node._apply_work(KeyedRecord(GRANTORS_KEY, value))
+
+    # Guards against entries that wait for 26 s as they have all restarted.
+    def test_an_entry_that_the_leader_lists_may_claim(self):
+        candidate = self.node._candidate
+        self.node.work.current_as_of_ = NOW + GRANT_MS
+        self.apply_leader(3, "life-2")
+        self.node.grantor.record_reachable()
+        self.node.clock.advance(GRANT_MS)
+        self.assertFalse(candidate._may_claim())
+        self.apply_list(["127.0.0.1:1", "127.0.0.2:1"])
+        self.assertTrue(candidate._may_claim())
+        self.apply_list(["127.0.0.2:1"])
+        self.assertFalse(candidate._may_claim())
+
+    # Guards against two leaders: a newer list that can't be read may leave it out.
+    def test_a_list_that_cannot_be_read_ends_the_one_before(self):
+        self.apply_list(["127.0.0.1:1"])
+        self.node._apply_work(KeyedRecord(GRANTORS_KEY, b"\xc1"))
+        self.assertIsNone(self.node.grantor.describe()["listed_by"])
+
+    # Guards against a leader that acts without an entry that relies on its list.
+    async def test_a_leader_stores_the_entries_that_it_asks(self):
+        writer = mock.Mock()
+        self.node.leader_ = mock.Mock(progress_writer=writer)
+        self.node.leader_.record.epoch = 3
+        self.node.enrol("life-2", "a2")
+        required = []
+
+        def replace_extra_record(record):
+            required.append(set(self.node.enrolments._listed_until))
+            raise asyncio.CancelledError
+
+        writer.replace_extra_record = replace_extra_record
+        with self.assertRaises(asyncio.CancelledError):
+            await self.node._list_grantors()
+        self.assertEqual(required, [{"a2"}])
+
+    # Guards against leases of workers that end because an entry restarts while the
+    # store is down.
+    def test_an_entry_that_has_read_nothing_grants_a_lease(self):
+        self.assertIs(self.grant(), GrantRefusal.OTHER_LEADER)
+        self.node.work.current_as_of_ = self.never
+        self.assertIsNone(self.grant())
+
     def grant(self, epoch=3, incarnation="life-2"):
         return self.node.grant_lease(LeaseRequest(epoch, incarnation))
 
--- a/pimentomill/node/tests/test_grant_collector.py
+++ b/pimentomill/node/tests/test_grant_collector.py
@@ -47,3 +47,20 @@
         self.links.outcomes["b"] = LeaseOutcome.ENDED
         self.assertTrue(await self.collector.collect(1000))
         self.assertEqual(set(self.enrolments.required(1000)), {"life-a"})
+
+    # Guards against two leaders: another process at a listed address has claimed.
+    async def test_whatever_runs_at_a_listed_address_is_asked(self):
+        self.enrolments.begin_listing("ab")
+        await self.collector.collect(1000)
+        self.clock.advance(1000)
+        self.links.outcomes["b"] = LeaseOutcome.ENDED
+        self.assertFalse(await self.collector.collect(1000))
+        for outcome in (LeaseOutcome.ENDED, LeaseOutcome.GRANTED):
+            self.clock.advance(1000)
+            self.links.outcomes["b"] = outcome
+            self.assertTrue(await self.collector.collect(1000))
+            self.assertIn(("b", LeaseQuery(3, "life-l", "")), self.links.queries[-2:])
+        for outcome in (LeaseOutcome.REFUSED, LeaseOutcome.UNKNOWN):
+            self.links.outcomes["b"] = outcome
+            self.clock.advance(100)
+            self.assertFalse(await self.collector.collect(1000))
--- a/pimentomill/replica/__init__.py
+++ b/pimentomill/replica/__init__.py
@@ -15,10 +15,13 @@
 )
 from ._follower import Follower, FollowerTiming
 from ._grants import (
+    ANY_GRANTOR,
     ENROLMENT_MS,
     GRANT_MS,
+    GRANTORS_KEY,
     Enrolments,
     Grantor,
+    GrantorList,
     GrantRefusal,
     LeaseRequest,
 )
@@ -35,8 +38,10 @@
 from ._ports import AppendPosition, NewestPage, RecordStore, Slice, Writer
 
 __all__ = [
+    "ANY_GRANTOR",
     "AUTHORITY_MS",
     "ENROLMENT_MS",
+    "GRANTORS_KEY",
     "GRANT_MS",
     "LEADER_KEY",
     "MAX_EPOCH",
@@ -51,6 +56,7 @@
     "FollowerTiming",
     "GrantRefusal",
     "Grantor",
+    "GrantorList",
     "GroupAppender",
     "Hedge",
     "LeaderRecord",
--- a/pimentomill/replica/_follower.py
+++ b/pimentomill/replica/_follower.py
@@ -178,6 +178,11 @@
         self._failure_logged_at = NEVER
         self._loading: _Load | None = None
 
+    @property
+    def has_been_current(self) -> bool:
+        """Whether the state has ever been known to be current."""
+        return self.current_as_of_ != NEVER
+
     def age_ms(self) -> int:
         """Return the milliseconds since the state was last known to be current."""
         return self.clock.now() - self.current_as_of_
--- a/pimentomill/replica/tests/test_grants.py
+++ b/pimentomill/replica/tests/test_grants.py
@@ -1,6 +1,7 @@
 import unittest
 
 from pimentomill.replica import (
+    ANY_GRANTOR,
     AUTHORITY_MS,
     ENROLMENT_MS,
     GRANT_MS,
@@ -13,6 +14,8 @@
 from pimentomill.replica._grants import (
     CURRENT_AGE_MS,
     LATE_CLAIM_MS,
+    LISTED_MS,
+    MAX_LIST_AGE_MS,
     UNENROLLED_SILENCE_MS,
 )
 from pimentomill.utils import ManualClock
@@ -90,6 +93,57 @@
         self.assertTrue(self.may_claim())
 
 
+class TestListedEntry(unittest.TestCase):
+    """An entry that has restarted, at an address that the leader lists."""
+
+    def setUp(self):
+        self.clock = ManualClock(1000)
+        self.grantor = Grantor(self.clock)
+        self.grantor.apply_list(LEADER)
+        self.grantor.record_reachable()
+
+    def may_claim(self, leader=LEADER, replay_age_ms=0):
+        return self.grantor.may_claim(leader, 0, replay_age_ms)
+
+    # Guards against a wait of 26 s of entries that have all restarted.
+    def test_a_restarted_entry_that_the_leader_lists_may_claim(self):
+        self.clock.advance(GRANT_MS)
+        self.assertTrue(self.may_claim())
+
+    # Guards against two leaders: the leader goes on after it found that nothing listens
+    # at the address.
+    def test_the_start_of_a_process_counts_as_a_grant(self):
+        self.clock.advance(GRANT_MS - 1)
+        self.assertFalse(self.may_claim())
+        self.grantor.record_reachable()
+        self.clock.advance(1)
+        self.assertTrue(self.may_claim())
+
+    def test_a_grant_binds_an_entry_that_is_listed(self):
+        self.clock.advance(GRANT_MS)
+        self.grantor.grant(LEADER, LEADER, CURRENT_AGE_MS)
+        self.assertFalse(self.may_claim())
+
+    # Guards against two leaders: the leader may have left the address out since.
+    def test_a_list_that_may_be_out_of_date_is_not_relied_on(self):
+        self.clock.advance(GRANT_MS)
+        self.assertTrue(self.may_claim(replay_age_ms=MAX_LIST_AGE_MS - 1))
+        self.assertFalse(self.may_claim(replay_age_ms=MAX_LIST_AGE_MS))
+        self.grantor.apply_list(None)
+        self.assertFalse(self.may_claim())
+
+    def test_the_list_of_another_leader_does_not_count(self):
+        self.clock.advance(GRANT_MS)
+        for other in (LeaseRequest(4, "life-l"), LeaseRequest(3, "life-m")):
+            self.assertFalse(self.may_claim(other))
+
+    def test_a_process_that_is_not_reachable_yet_does_not_claim(self):
+        grantor = Grantor(self.clock)
+        grantor.apply_list(LEADER)
+        self.clock.advance(10 * GRANT_MS)
+        self.assertFalse(grantor.may_claim(LEADER, 0))
+
+
 class TestEnrolments(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(1000)
@@ -144,3 +198,85 @@
         self.clock.advance(ENROLMENT_MS)
         self.enrolments.add("life-a", "a2")
         self.assertEqual(self.required(1000 + 2 * ENROLMENT_MS), {"life-a": "a2"})
+
+
+class TestListedAddresses(unittest.TestCase):
+    """A leader that has listed an address, before and after a process there ends."""
+
+    def setUp(self):
+        self.clock = ManualClock(100_000)
+        self.enrolments = Enrolments(self.clock)
+        self.enrolments.add("life-a", "a1")
+        self.enrolments.begin_listing(["a1"])
+
+    def required(self, stored_at=0):
+        return self.enrolments.required(stored_at)
+
+    def ungranted(self, requested_at):
+        names = list(self.required())
+        return self.enrolments.ungranted(names, requested_at, 0)
+
+    def find_ended(self):
+        """Let the process grant a lease, and find 1 s later that it has ended."""
+        self.enrolments.record_grant("life-a", self.clock.now())
+        self.clock.advance(1000)
+        self.enrolments.record_end("life-a", self.clock.now())
+        [name] = self.required()
+        return name
+
+    # Guards against two leaders: another process at the address relies on the list.
+    def test_a_listed_address_is_asked_after_the_end_of_its_process(self):
+        name = self.find_ended()
+        self.assertEqual(self.required(), {name: "a1"})
+        self.assertEqual(self.enrolments.grantor_of(name), ANY_GRANTOR)
+        self.assertEqual(self.ungranted(self.clock.now()), [name])
+
+    # Guards against leases of workers that end because an entry restarts while the
+    # store is down.
+    def test_answers_without_a_gap_prove_that_no_process_there_has_claimed(self):
+        name = self.find_ended()
+        for record in (self.enrolments.record_end, self.enrolments.record_grant):
+            self.clock.advance(1400)
+            record(name, self.clock.now())
+            self.assertEqual(self.ungranted(self.clock.now()), [])
+
+    # Guards against two leaders: an unknown process there may have claimed meanwhile.
+    def test_an_answer_after_a_gap_proves_nothing(self):
+        for record in (Enrolments.record_end, Enrolments.record_grant):
+            with self.subTest(record.__name__):
+                self.setUp()
+                name = self.find_ended()
+                self.clock.advance(AUTHORITY_MS)
+                for _ in range(3):
+                    record(self.enrolments, name, self.clock.now())
+                    self.assertEqual(self.ungranted(self.clock.now()), [name])
+                    self.clock.advance(100)
+
+    def test_a_process_that_enrols_is_asked_instead_of_its_address(self):
+        self.find_ended()
+        self.enrolments.add("life-b", "a1")
+        self.assertEqual(self.required(), {"life-b": "a1"})
+
+    # Guards against two leaders: an entry has read the list before the address was
+    # left out, and the store carries out its claim late.
+    def test_an_address_is_asked_until_no_claim_by_an_earlier_list_can_show(self):
+        self.enrolments.observe_list([])
+        latest = self.clock.now() + int(MAX_LIST_AGE_MS * FASTEST) + LATE_CLAIM_MS
+        self.clock.advance(100_000)
+        self.assertEqual(set(self.required(latest).values()), {"a1"})
+        self.assertEqual(self.required(self.clock.now()), {})
+
+    def test_an_address_that_is_listed_again_is_asked(self):
+        self.enrolments.observe_list([])
+        self.enrolments.begin_listing(["a1"])
+        self.clock.advance(100_000)
+        self.assertEqual(set(self.required(self.clock.now()).values()), {"a1"})
+
+    def test_entries_that_have_enrolled_recently_are_listed(self):
+        self.clock.advance(LISTED_MS - 1)
+        self.enrolments.add("life-b", "b1")
+        self.assertEqual(self.enrolments.listable(), ("a1", "b1"))
+        self.clock.advance(1)
+        self.assertEqual(self.enrolments.listable(), ("b1",))
+        self.required()
+        self.assertEqual(self.enrolments.listable(), ("b1",))
--- a/proofs/authority/__init__.py
+++ b/proofs/authority/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from ._cell import NO_LEASE_OUTLASTS, NO_TASK_TWICE, Cell, CellShape
+from ._costs import POWER_LOSS_S, measure
 from ._mutations import MUTATIONS
 from ._network import NetworkPlan
 from ._run import AuthorityResult, run_scenario, run_seed
@@ -15,11 +16,13 @@
     "MUTATIONS",
     "NO_LEASE_OUTLASTS",
     "NO_TASK_TWICE",
+    "POWER_LOSS_S",
     "SCENARIOS",
     "AuthorityResult",
     "Cell",
     "CellShape",
     "NetworkPlan",
+    "measure",
     "run_scenario",
     "run_seed",
 ]
--- a/proofs/authority/_costs.py
+++ b/proofs/authority/_costs.py
@@ -15,6 +15,8 @@
 AFTER_S = 15.0
 OUTAGE_S = 20.0
 LONG_CUT_S = 180.0
+POWER_LOSS_S = 3.0
+RESTART_S = 1.0
 SHAPE = CellShape(chains=0, mean_run_s=4.0, plan=NetworkPlan(0.0, 0.0))
 
 
@@ -68,6 +70,13 @@
     await _lose_store(cell)
 
 
+async def _lose_store_and_restart_entry(cell: Cell) -> None:
+    restarted = next(e for e in cell.entries.values() if e is not cell.leaders()[-1])
+    cell.network.after(OUTAGE_S / 2, restarted.kill)
+    cell.network.after(OUTAGE_S / 2 + RESTART_S, restarted.boot)
+    await _lose_store(cell)
+
+
 async def _kill_leader_beside_silent_worker(cell: Cell) -> None:
     _cut(cell, {"w1"}, LinkKind.WORKER)
     cell.leaders()[-1].kill()
@@ -88,12 +97,26 @@
     await asyncio.sleep(LONG_CUT_S)
 
 
+async def _lose_power(cell: Cell) -> None:
+    lost = cell.leaders()[-1]
+    others = [entry for entry in cell.entries.values() if entry is not lost]
+    _cut(cell, {lost.name}, *LinkKind)
+    for entry in cell.entries.values():
+        entry.kill()
+    await asyncio.sleep(POWER_LOSS_S)
+    for entry in others:
+        entry.boot()
+    await asyncio.sleep(OUTAGE_S)
+
+
 COSTS: dict[str, Callable[[Cell], Awaitable[None]]] = {
     "store down for 20 s": _lose_store,
     "store down for 20 s, one entry silent": _lose_store_and_entry,
+    "store down for 20 s, one entry restarts": _lose_store_and_restart_entry,
     "leader killed beside a silent worker": _kill_leader_beside_silent_worker,
     "data centre of the leader cut off for 180 s": _cut_data_centre,
     "another data centre cut off for 180 s": _cut_other_data_centre,
+    "power loss of all entries, the leader never returns": _lose_power,
 }
 
 
--- a/proofs/authority/_faults.py
+++ b/proofs/authority/_faults.py
@@ -105,6 +105,7 @@
         for probability, fault in (
             (0.15, self._kill_leader),
             (0.3, self._kill_entry),
+            (0.1, self._restart_others),
             (0.1, self._pause_entry),
             (0.15, self._resign),
             (0.2, self._add_entry),
@@ -244,6 +245,15 @@
         entry.kill()
         self._later(self.rng.uniform(0.1, 8.0), self._boot_entry, entry)
 
+    def _restart_others(self) -> None:
+        """End all entries but one that leads, which each start again."""
+        leader = self._pick_leader()
+        for entry in self.cell.entries.values():
+            if entry is not leader and entry.process is not None:
+                self._count("restart", entry.name)
+                entry.kill()
+                self._later(self.rng.uniform(0.1, 3.0), self._boot_entry, entry)
+
     def _boot_entry(self, entry: SimulatedEntry) -> None:
         self.cell.note("FAULT", f"boots {entry.name}")
         entry.boot()
--- a/proofs/authority/_mutations.py
+++ b/proofs/authority/_mutations.py
@@ -5,7 +5,8 @@
 
 from pimentomill.control._lease_keeper import LeaseKeeper
 from pimentomill.fleet import Worker
-from pimentomill.replica import Authority, Enrolments, Grantor
+from pimentomill.replica import GRANT_MS, Authority, Enrolments, Grantor
+from pimentomill.replica._grants import _Enrolment
 from pimentomill.utils import Instant
 
 __all__ = ["MUTATIONS"]
@@ -37,6 +38,7 @@
     """Let a leader forget enrolled entries whatever the store has shown."""
 
     def required(self, stored_at):
+        self._listed_until.clear()
         return original(self, Instant(self.clock.now() + ENROLMENT_CUT_MS))
 
     original = Enrolments.required
@@ -48,8 +50,10 @@
 def drop_ended_entries():
     """Let a leader forget an enrolled entry as soon as it has ended."""
 
-    def record_end(self, incarnation):
-        self._entries.pop(incarnation, None)
+    def record_end(self, name, requested_at=None):
+        ended = self._entries.pop(name, None)
+        if ended is not None:
+            self._listed_until.pop(ended.address, None)
 
     with mock.patch.object(Enrolments, "record_end", record_end):
         yield
@@ -67,14 +71,44 @@
     """Let an entry claim while a lease that it has granted is in force."""
     original = Grantor.may_claim
 
-    def may_claim(self, leader, silence_ms):
+    def may_claim(self, *args):
         self._granted_until = self.clock.now()
-        return original(self, leader, silence_ms)
+        return original(self, *args)
 
     with mock.patch.object(Grantor, "may_claim", may_claim):
         yield
 
 
+@contextlib.contextmanager
+def claim_after_start():
+    """Let a process rely on a list of the leader as soon as it has started."""
+
+    def record_reachable(self):
+        self._reachable_since = Instant(self.clock.now() - GRANT_MS)
+
+    with mock.patch.object(Grantor, "record_reachable", record_reachable):
+        yield
+
+
+@contextlib.contextmanager
+def ask_no_listed_address():
+    """Let a leader ask only the processes that have enrolled."""
+    with mock.patch.object(Enrolments, "begin_listing", lambda self, addresses: None):
+        yield
+
+
+@contextlib.contextmanager
+def trust_any_process():
+    """Let whatever runs at a listed address prove that none there has claimed."""
+    original = _Enrolment.is_granted
+
+    def is_granted(self, now):
+        return self.is_vacancy or original(self, now)
+
+    with mock.patch.object(_Enrolment, "is_granted", is_granted):
+        yield
+
+
 @contextlib.contextmanager
 def act_without_proof():
     """Let a leader act until it has to step down."""
@@ -143,6 +177,9 @@
     "an append counts from its answer": prove_by_late_retry,
     "an entry claims while its grant is in force": claim_despite_grant,
     "an entry that is not enrolled claims at once": claim_unenrolled,
+    "a restarted process claims at once": claim_after_start,
+    "listed addresses are not asked": ask_no_listed_address,
+    "any process proves for a listed address": trust_any_process,
     "refusals count as grants": count_refusals,
     "enrolments are forgotten early": forget_enrolments,
     "ended entries are forgotten at once": drop_ended_entries,
--- a/proofs/authority/_scenarios.py
+++ b/proofs/authority/_scenarios.py
@@ -142,6 +142,52 @@
     await asyncio.sleep(8.0)
 
 
+async def lead_after_restart(cell: Cell) -> None:
+    """Restart an entry that has granted; it replaces the leader unseen, and ends."""
+    script = _Script(cell)
+    epoch, first = script.epoch(), script.first
+    restarted, granting = script.rng.sample(script.others, 2)
+    script.cut({first.name, granting.name}, LinkKind.STORE)
+    alone = script.cut({restarted.name}, LinkKind.STORE)
+    await asyncio.sleep(script.rng.uniform(1.5, 3.0))
+    restarted.kill()
+    script.heal(alone)
+    # The leader finds that the entry has ended.
+    await asyncio.sleep(script.rng.uniform(1.2, 2.0))
+    unseen = script.cut({restarted.name}, LinkKind.ENTRY)
+    script.keep_workers()
+    restarted.boot()
+    if await script.successor(epoch) is not restarted:
+        return
+    await asyncio.sleep(script.rng.uniform(0.3, 1.0))
+    restarted.kill()
+    script.heal(unseen)
+    await asyncio.sleep(8.0)
+
+
+async def claim_after_restart(cell: Cell) -> None:
+    """Restart an entry that has granted, and end it again once it leads."""
+    script = _Script(cell)
+    epoch, first = script.epoch(), script.first
+    restarted, granting = script.rng.sample(script.others, 2)
+    script.keep_workers()
+    script.cut({first.name, granting.name}, LinkKind.STORE)
+    alone = script.cut({restarted.name}, LinkKind.STORE)
+    await asyncio.sleep(script.rng.uniform(1.8, 2.6))
+    restarted.kill()
+    script.heal(alone)
+    unseen = script.cut({restarted.name}, LinkKind.ENTRY)
+    restarted.boot()
+    if await script.successor(epoch) is not restarted:
+        return
+    await asyncio.sleep(script.rng.uniform(0.1, 0.4))
+    restarted.kill()
+    script.heal(unseen)
+    await asyncio.sleep(1.0)
+    restarted.boot()
+    await asyncio.sleep(8.0)
+
+
 async def lose_worker_before_store(cell: Cell) -> None:
     """Cut a leader from workers, then from the store; its successor has them."""
     script = _Script(cell)
@@ -236,6 +282,8 @@
     "claimant ends": lose_leader_behind_claimant,
     "claim after grant": claim_after_grant,
     "join beside outage": join_beside_outage,
+    "leads after restart": lead_after_restart,
+    "claim after restart": claim_after_restart,
     "worker lost first": lose_worker_before_store,
     "ends beside claim": end_runs_beside_claim,
     "restart beside claim": restart_worker_beside_claim,
--- a/proofs/tests/test_authority.py
+++ b/proofs/tests/test_authority.py
@@ -2,12 +2,23 @@
 
 import unittest
 
-from proofs.authority import MUTATIONS, NO_TASK_TWICE, SCENARIOS, run_scenario, run_seed
+from proofs.authority import (
+    MUTATIONS,
+    NO_TASK_TWICE,
+    POWER_LOSS_S,
+    SCENARIOS,
+    measure,
+    run_scenario,
+    run_seed,
+)
 
 SEEDS = (1, 2)
 SCENARIO_SEEDS = (1, 2)
+MAX_WITHOUT_LEADER_S = 7.0
+"""Seconds that the users' rules allow for contact (`ContactMs`) and for a calm time,
+before work that waits counts as lost."""
 DETECTIONS = {
-    "a successor waits only for a lease": ("leader alone", 1),
+    "a successor waits only for a lease": ("leader alone", 2),
     "a leader acts without proof": ("leader alone", 1),
     "enrolments are forgotten early": ("leader alone", 1),
     "refusals count as grants": ("store lost", 1),
@@ -16,7 +27,10 @@
     "an append counts from its answer": ("pause after append", 1),
     "an entry claims while its grant is in force": ("claim after grant", 1),
     "ended entries are forgotten at once": ("claimant ends", 1),
-    "lost runs are released without a later proof": ("worker lost first", 1),
+    "a restarted process claims at once": ("claim after restart", 2),
+    "listed addresses are not asked": ("leads after restart", 1),
+    "any process proves for a listed address": ("leads after restart", 1),
+    "lost runs are released without a later proof": ("worker lost first", 2),
     "inherited ends are not withheld": ("ends beside claim", 1),
     "a new incarnation of a worker is used at once": ("restart beside claim", 2),
 }
@@ -41,6 +55,18 @@
                     self.assertEqual(result.failures, {}, "\n".join(result.trace))
                     self.assertGreater(result.leaders, 1)
 
+    # Guards against accepted work that waits for half a minute on idle workers: entries
+    # that have all restarted waited until a leader that is gone must have stepped down.
+    def test_entries_that_restart_together_replace_a_leader_that_never_returns(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cost = measure(
+                    "power loss of all entries, the leader never returns", seed
+                )
+                self.assertEqual(cost.failures, {})
+                without_leader_s = cost.longest_without_leader_s - POWER_LOSS_S
+                self.assertLess(without_leader_s, MAX_WITHOUT_LEADER_S)
+
     # Guards against a model that a broken rule does not violate.
     def test_each_mutation_is_detected(self):
         self.assertEqual(set(DETECTIONS), set(MUTATIONS))
