Leader: a successor stores the end of jobs that were cancelled before it took over

Cause: the end of a cancelled job shows a successor that nothing of it is left. A leader stored it for jobs that it had led, not for one that was cancelled before its takeover, so that the next leader took all of that job for left on the silent worker.

Change: a leader keeps such a job until it knows that no run of it is left, and stores its end then.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -253,6 +253,10 @@
         for occurrence in self.occurrences.latest_due(job):
             job.open_occurrence(self.clock.now(), occurrence)
         self.inheritance.add_ended_job(job)
+        if entry.state is JobState.CANCELLED:
+            # Its end remains to be stored.
+            self.jobs[entry.accepted_.job] = job
+            self.stopping.add(entry.accepted_.job)
 
     def _add_job(self, entry: JobEntry, inherited: bool) -> JobRun:
         now = self.clock.now()
--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -308,6 +308,28 @@
         self.report(self.prompt, ended=ends)
         self.assertEqual(len(self.plan()), 2)
 
+    # Guards against a limit that stays blocked beside a silent worker by jobs that were
+    # cancelled before the takeover, as nobody ever stores their end.
+    def test_a_successor_stores_the_end_of_a_job_that_was_cancelled_before(self):
+        self.store_cancelled(2)
+        self.take_over(2000)
+        self.report(self.prompt, [RunStatus(FIRST_TASK, 1, "", 40, 0)])
+        self.end_survey()
+        self.assertEqual(self.state.pop_changes()[0], [])
+        self.report(self.silent)
+        self.ready()
+        self.assertEqual(self.state.pop_changes()[0], [])
+        end = RunEnd(1, FIRST_TASK, 1, EndKind.STOPPED, "")
+        self.report(self.prompt, ended=[end])
+        records, _ = self.state.pop_changes()
+        self.assertEqual([item.state for item in records], [JobState.CANCELLED])
+        self.table.apply(progress_key(JOB), encode_record(records[0]))
+        self.take_over(2000)
+        self.report(self.prompt)
+        self.end_survey()
+        self.prompt.confirm(lambda at: True)
+        self.assertEqual(len(self.plan()), 2)
+
     def test_a_job_of_which_no_run_can_be_left_blocks_no_limit(self):
         final = Progress(JOB, JobState.CANCELLED, self.clock.wall_ms())
         completed = Progress(JOB, JobState.COMPLETED, self.clock.wall_ms())
