--- a/pimentomill/node/_node.py
+++ b/pimentomill/node/_node.py
@@ -47,7 +47,6 @@
     Follower,
     FollowerTiming,
     Grantor,
-    GrantorList,
     GrantRefusal,
     GroupAppender,
     LeaderRecord,
@@ -62,6 +61,7 @@
 from ._election import MAX_SUSPICION_AGE_MS, Candidate, Claim
 from ._forwarding import Forwarder
 from ._grant_collector import GrantCollector
+from ._grantor_lister import GrantorLister
 from ._members import Members
 from ._read_timing import rules_timing, work_timing
 from ._records import MEMBER_PREFIX, MemberRecord, member_key
@@ -91,9 +91,6 @@
 LEADER_PAUSE_MS = 60
 """Milliseconds between two reads by the leader, which learns of submissions through
 direct notices."""
-LIST_INTERVAL_MS = 500
-"""Milliseconds between two checks whether the list of grantors has to be stored. After
-a change of the leader, all entries enrol within a second."""
 HANDOVER_CHECK_INTERVAL_MS = 2000
 """Milliseconds between two checks for an entry with more cores."""
 HANDOVER_CORES_RATIO = 1.5
@@ -236,6 +233,9 @@
         self.members = Members(cfg.node, clock)
         self.grantor = Grantor(clock)
         self.enrolments = Enrolments(clock)
+        self.grantor_lister = GrantorLister(
+            self.incarnation, cfg.address, self.grantor, self.enrolments
+        )
         self.forwarder = Forwarder(self.members, links, clock)
         self._max_version_served = -1
         self._leader_query_allowed_at = clock.now()
@@ -380,7 +380,7 @@
                 self.leader_.step_down(reason)
             return
         if record.key == GRANTORS_KEY:
-            self._apply_grantors(record.value)
+            self.grantor_lister.apply(record.value)
         elif record.key == FLEET_KEY:
             self._apply_fleet(record.value)
         elif record.key == USAGE_KEY:
@@ -392,21 +392,6 @@
         else:
             self._apply_job(record)
 
-    def _apply_grantors(self, value: bytes) -> None:
-        """Apply the list of the entries that a leader asks for leases."""
-        self.grantor.apply_list(None)
-        try:
-            listed = msgspec.msgpack.decode(value, type=GrantorList)
-        except (msgspec.DecodeError, RecursionError) as exc:
-            _log.warning(
-                "Ignoring undecodable list of grantors", key=GRANTORS_KEY, why=str(exc)
-            )
-            return
-        if listed.incarnation == self.incarnation:
-            self.enrolments.observe_list(listed.addresses)
-        elif self.cfg.address in listed.addresses:
-            self.grantor.apply_list(LeaseRequest(listed.epoch, listed.incarnation))
-
     def _apply_member(self, record: KeyedRecord) -> None:
         self.members.apply(record)
         if self.leader_ is not None:
@@ -654,7 +639,7 @@
             "heartbeats": self._send_heartbeats,
             "election": self._candidate.run,
             "handover": self._hand_over_to_larger,
-            "grantors": self._list_grantors,
+            "grantors": lambda: self.grantor_lister.run(lambda: self.leader_),
         }
         await asyncio.gather(
             *(supervise(name, run, _log) for name, run in tasks.items())
@@ -696,31 +681,6 @@
                 )
                 await self._resign(leader)
 
-    async def _list_grantors(self) -> None:
-        """Store the list of the entries that this one asks for leases as the leader."""
-        listed: GrantorList | None = None
-        while True:
-            await asyncio.sleep(LIST_INTERVAL_MS / 1000)
-            leader = self.leader_
-            if leader is None:
-                continue
-            current = GrantorList(
-                leader.record.epoch, self.incarnation, self.enrolments.listable()
-            )
-            if current == listed:
-                continue
-            listed = current
-            # Required before any entry can read the list.
-            self.enrolments.begin_listing(listed.addresses)
-            leader.progress_writer.replace_extra_record(
-                KeyedRecord(GRANTORS_KEY, msgspec.msgpack.encode(listed))
-            )
-            _log.info(
-                "Entries listed that grant leases",
-                epoch=listed.epoch,
-                addresses=listed.addresses,
-            )
-
     async def _send_heartbeats(self) -> None:
         member = MemberRecord(
             self.cfg.node, self.cfg.address, self.incarnation, self.cfg.cores
--- a/pimentomill/node/tests/test_authority.py
+++ b/pimentomill/node/tests/test_authority.py
@@ -123,20 +123,18 @@
         self.assertIsNone(self.node.grantor.describe()["listed_by"])
 
     # Guards against a leader that acts without an entry that relies on its list.
-    async def test_a_leader_stores_the_entries_that_it_asks(self):
-        writer = mock.Mock()
-        self.node.leader_ = mock.Mock(progress_writer=writer)
-        self.node.leader_.record.epoch = 3
+    def test_a_leader_stores_the_entries_that_it_asks(self):
+        leader = mock.Mock()
+        leader.record.epoch = 3
         self.node.enrol("life-2", "a2")
         required = []
 
         def replace_extra_record(record):
             required.append(set(self.node.enrolments._listed_until))
-            raise asyncio.CancelledError
 
-        writer.replace_extra_record = replace_extra_record
-        with self.assertRaises(asyncio.CancelledError):
-            await self.node._list_grantors()
+        leader.progress_writer.replace_extra_record = replace_extra_record
+        for _ in range(2):
+            self.node.grantor_lister._store(leader)
         self.assertEqual(required, [{"a2"}])
 
     # Guards against leases of workers that end because an entry restarts while the
