Workers: a hold without an answer leads to new connections to its worker

Cause: the client keeps up to 12 connections to a worker and takes an idle one before it opens another. Each silent one costs a hold its time-out of 0.7 s, one after the other, while the lease is 3.6 s.

Change: after a hold that gets no answer in time, calls to that worker use connections of their own; what is under way on the earlier ones goes on, and they are closed later. A start without an answer changes nothing: workers may leave orders unanswered while their connections are sound.

--- a/pimentomill/httpclient/_client.py
+++ b/pimentomill/httpclient/_client.py
@@ -1,7 +1,9 @@
 """Asynchronous HTTP client with persistent connections."""
 
+import asyncio
 import errno
 from typing import NamedTuple
+from urllib.parse import urlsplit
 
 import aiohttp
 
@@ -13,6 +15,10 @@
 """Shorter than the about 1 s after which TCP retransmits a lost SYN packet."""
 KEEPALIVE_TIMEOUT_S = 60.0
 """Idle connections stay open for reuse: each new one costs a round trip."""
+MAX_RENEWED_ADDRESSES = 256
+"""Addresses with connections of their own after a renewal; bounds the memory."""
+CLOSE_DELAY_S = 10.0
+"""Seconds in which requests on replaced connections may end."""
 MAX_REASON_CHARS = 200
 """Most characters of an address or an error in a message; bounds the log."""
 
@@ -43,14 +49,20 @@
     def __init__(
         self, connections_per_host: int, connect_timeout_s: float = CONNECT_TIMEOUT_S
     ) -> None:
+        self.connections_per_host = connections_per_host
         self.connect_timeout_s = connect_timeout_s
+        self.session = self._open_session()
+        self._renewed: dict[str, aiohttp.ClientSession] = {}
+        self._closing: dict[asyncio.Task, aiohttp.ClientSession] = {}
+
+    def _open_session(self) -> aiohttp.ClientSession:
         connector = aiohttp.TCPConnector(
             limit=0,
-            limit_per_host=connections_per_host,
+            limit_per_host=self.connections_per_host,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             use_dns_cache=False,
         )
-        self.session = aiohttp.ClientSession(
+        return aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
@@ -58,7 +70,32 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.session.close()
+        closing, self._closing = self._closing, {}
+        for task in closing:
+            task.cancel()
+        for session in (self.session, *self._renewed.values(), *closing.values()):
+            await session.close()
+
+    def _session_for(self, url: str) -> aiohttp.ClientSession:
+        if not self._renewed:
+            return self.session
+        return self._renewed.get(urlsplit(url).netloc, self.session)
+
+    def _renew(self, url: str) -> None:
+        """Use new connections to the address of a URL from now on.
+
+        Those that are open may be silent for good. Requests under way there go on.
+        """
+        address = urlsplit(url).netloc
+        replaced = [self._renewed.pop(address, None)]
+        if len(self._renewed) >= MAX_RENEWED_ADDRESSES:
+            replaced.append(self._renewed.pop(next(iter(self._renewed))))
+        self._renewed[address] = self._open_session()
+        for session in replaced:
+            if session is not None:
+                task = asyncio.get_running_loop().create_task(_close_later(session))
+                self._closing[task] = session
+                task.add_done_callback(lambda done: self._closing.pop(done, None))
 
     async def call(
         self,
@@ -68,6 +105,7 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         read_timeout_ms: float | None = None,
+        renews: bool = False,
     ) -> HttpReply:
         """Send a request and return the complete response.
 
@@ -84,6 +122,9 @@
         read_timeout_ms : float, default=None
             Maximum milliseconds between two received bytes, after which the response
             counts as lost; if None, only `timeout_ms` applies.
+        renews : bool, default=False
+            Whether later requests to the address use new connections if this one gets
+            no answer in time.
 
         Raises
         ------
@@ -99,7 +140,7 @@
         )
         content = bytearray()
         try:
-            async with self.session.request(
+            async with self._session_for(url).request(
                 method, url, data=body, headers=headers, timeout=timeout
             ) as resp:
                 async for chunk in resp.content.iter_any():
@@ -116,6 +157,8 @@
             reason = f"{received} for {read_timeout_ms:.0f} ms"
             raise TransportError(reason, sent=True) from exc
         except TimeoutError as exc:
+            if renews:
+                self._renew(url)
             received = f"{len(content)} bytes, but no complete" if content else "no"
             reason = f"{received} answer within {timeout_ms:.0f} ms"
             raise TransportError(reason, sent=True) from exc
@@ -129,6 +172,11 @@
             raise error_type(reason, sent=True) from exc
 
 
+async def _close_later(session: aiohttp.ClientSession) -> None:
+    await asyncio.sleep(CLOSE_DELAY_S)
+    await session.close()
+
+
 def _shortened(text: str) -> str:
     return text if len(text) <= MAX_REASON_CHARS else f"{text[:MAX_REASON_CHARS]}..."
 
--- /dev/null
+++ b/pimentomill/httpclient/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of pimentomill.httpclient."""
--- a/pimentomill/platform/_workers.py
+++ b/pimentomill/platform/_workers.py
@@ -287,7 +287,8 @@
             order.token, order.acknowledged, order.lease_until_ms, order.wait_ms
         )
         timeout_ms = self.hold_timeout_ms + order.wait_ms
-        reply = await self._post(info, "/hold", body, timeout_ms)
+        # Without an answer, the open connections may be silent for good.
+        reply = await self._post(info, "/hold", body, timeout_ms, renews=True)
         self._check_reply(reply, "hold")
         try:
             wire = _report_decoder.decode(reply.body)
@@ -306,11 +307,13 @@
         )
 
     async def _post(
-        self, info: WorkerInfo, path: str, body, timeout_ms: int
+        self, info: WorkerInfo, path: str, body, timeout_ms: int, renews: bool = False
     ) -> HttpReply:
         headers = {**JSON_HEADERS, INCARNATION_HEADER: info.worker}
         url = f"http://{info.address}{path}"
-        return await self.http.call("POST", url, timeout_ms, _encode(body), headers)
+        return await self.http.call(
+            "POST", url, timeout_ms, _encode(body), headers, renews=renews
+        )
 
     def _check_reply(self, reply: HttpReply, operation: str) -> None:
         if reply.status == 200:
--- a/pimentomill/platform/tests/test_workers.py
+++ b/pimentomill/platform/tests/test_workers.py
@@ -1,5 +1,6 @@
 import json
 import unittest
+from unittest import mock
 
 from pimentomill.dispatch.tests.samples import info
 from pimentomill.exceptions import ConflictError, FencedError, TransportError
@@ -110,6 +111,20 @@
     async def hold(self):
         return await self.workers.hold(self.info, HoldOrder(7, 57, 486000, 10))
 
+    # Guards against a worker that stays out of reach for a lease, as each connection
+    # that has gone silent takes a time-out of its own.
+    async def test_a_hold_without_an_answer_leads_to_new_connections(self):
+        self.wire.unanswered.add("/hold")
+        self.workers.hold_timeout_ms = 50
+        with mock.patch.object(self.http, "_renew") as renew:
+            with self.assertRaises(TransportError):
+                await self.hold()
+            renew.assert_called_once_with(f"http://{self.wire.address}/hold")
+            self.wire.unanswered.add("/run-start")
+            self.workers.start_timeout_ms = 50
+            await self.start()
+            renew.assert_called_once()
+
     # Guards against a worker that stays in use, as a call to an address that another
     # writer has left fails in a way that does not count as silence.
     async def test_a_call_to_an_unusable_address_gets_no_answer(self):
