--- a/pimentomill/httpclient/_client.py
+++ b/pimentomill/httpclient/_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from ..exceptions import ProcessEndedError, TransportError
+from ..telemetry import ComponentLogger
 
 __all__ = ["HttpClient", "HttpReply"]
 
@@ -22,6 +23,8 @@
 MAX_REASON_CHARS = 200
 """Most characters of an address or an error in a message; bounds the log."""
 
+_log = ComponentLogger("http")
+
 
 class HttpReply(NamedTuple):
     """Status and body of a response."""
@@ -91,6 +94,7 @@
         if len(self._renewed) >= MAX_RENEWED_ADDRESSES:
             replaced.append(self._renewed.pop(next(iter(self._renewed))))
         self._renewed[address] = self._open_session()
+        _log.info("New connections after a request without an answer", address=address)
         for session in replaced:
             if session is not None:
                 task = asyncio.get_running_loop().create_task(_close_later(session))
