Election: a round of requests for leases survives an entry that restarts meanwhile

Who is asked under which name was looked up when a request was sent, one turn of the loop after the set was read. An entry that enrols in between may have left the set, and the round ended with a KeyError; the leader would have gone without this round's proof. The name is looked up with the set now.

test_an_entry_that_restarts_during_a_round_does_not_end_it fails without the change.

--- a/pimentomill/node/_grant_collector.py
+++ b/pimentomill/node/_grant_collector.py
@@ -44,7 +44,10 @@
         requested_at = self.enrolments.clock.now()
         required = self.enrolments.required(stored_at)
         outcomes = await asyncio.gather(
-            *(self._ask(name, address) for name, address in required.items())
+            *(
+                self._ask(self.enrolments.grantor_of(name), address)
+                for name, address in required.items()
+            )
         )
         for name, outcome in zip(required, outcomes, strict=True):
             if outcome is LeaseOutcome.GRANTED:
@@ -67,7 +70,6 @@
             )
         return has_grants
 
-    async def _ask(self, name: str, address: str) -> LeaseOutcome:
-        grantor = self.enrolments.grantor_of(name)
+    async def _ask(self, grantor: str, address: str) -> LeaseOutcome:
         query = LeaseQuery(self.req.epoch, self.req.incarnation, grantor)
         return await self.links.request_lease(address, query)
--- a/pimentomill/node/tests/test_grant_collector.py
+++ b/pimentomill/node/tests/test_grant_collector.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 
 from pimentomill.links import LeaseOutcome, LeaseQuery
@@ -64,3 +65,14 @@
             self.links.outcomes["b"] = outcome
             self.clock.advance(100)
             self.assertFalse(await self.collector.collect(1000))
+
+    # Guards against a round that ends with an error, as an entry restarts and enrols
+    # while the requests of the round are about to be sent.
+    async def test_an_entry_that_restarts_during_a_round_does_not_end_it(self):
+        await self.collector.collect(1000)
+        self.clock.advance(1000)
+        collecting = asyncio.ensure_future(self.collector.collect(1000))
+        await asyncio.sleep(0)
+        self.enrolments.add("life-c", "b")
+        self.assertTrue(await collecting)
+        self.assertEqual(set(self.enrolments.required(1000)), {"life-a", "life-c"})
