Tests: crowds of misbehaving clients at both doors, with crowd and bounds

Real processes with lowered limits meet 250 (silent: 400) connections that send what no client should. Checked are that the process lives, that memory and sockets stay within the machine's limits, and that one ordinary request is answered while the crowd is connected.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -2,7 +2,15 @@
 
 import sys
 
-from benchmarks import authority, configuration, planner, slopes, takeover, whole_path
+from benchmarks import (
+    authority,
+    callers,
+    configuration,
+    planner,
+    slopes,
+    takeover,
+    whole_path,
+)
 
 MODULES = {
     "slopes": slopes,
@@ -11,6 +19,7 @@
     "takeover": takeover,
     "planner": planner,
     "authority": authority,
+    "callers": callers,
 }
 
 
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -7,7 +7,7 @@
 
 from scripts.cell import LocalCell
 
-__all__ = ["Usage", "read_entry_usage"]
+__all__ = ["Usage", "read_cpu_s", "read_entry_usage", "read_resident_mb"]
 
 KB = 1_000
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
--- a/pimentomill/platform/tests/soak/_cell.py
+++ b/pimentomill/platform/tests/soak/_cell.py
@@ -39,7 +39,7 @@
 """Limit for all entries to become ready, also on a loaded machine."""
 
 
-def render_settings(name, ip, data_centre, store_port, ports):
+def render_settings(name, ip, data_centre, store_port, ports, limits=""):
     front, ready, control = ports
     return f"""
 NodeName = "{name}"
@@ -54,7 +54,7 @@
 EvacuateMs = {EVACUATE_MS}
 [platform]
 Address = "127.0.0.1:{store_port}"
-"""
+{limits}"""
 
 
 def reserve_subnet():
@@ -152,10 +152,13 @@
         Generator of all random choices.
     entries, workers : int
         Number of entries and of workers.
+    limits : str, default=""
+        Section of the entries' settings with the limits of their instances.
     """
 
-    def __init__(self, folder, rng, entries=3, workers=4):
+    def __init__(self, folder, rng, entries=3, workers=4, limits=""):
         self.rng = rng
+        self.limits = limits
         self.ledger = Ledger()
         self.store = WireStore()
         self.network = Network()
@@ -198,6 +201,7 @@
             entry.data_centre,
             entry.proxy.port,
             entry.ports,
+            self.limits,
         )
         entry.path.write_text(text)
         await entry.start()
