Ingress: one account bounds what callers of the platform make an entry hold

Cause: nothing counted what callers make a process hold, from the accepted connection to the end of the answer. Limits of the operators applied to one complete header or body; the parser's limits are per line and field, the queue of pipelined requests and unread answers had none, and the node file's MemoryMb and MaxFds were not read.

Change: a server of its own (pimentomill/ingress) accepts connections into an account of a quarter of the memory and half of the descriptors for sockets. Bytes are charged when they arrive and given back once the request is answered or the connection closed. If there is no room, those that hold more than an ordinary request go first, the largest first, then idle ones, then incomplete ones; a request that is being answered stays. 503 is only said to a request that is incomplete and so never runs. A header is bounded by the bytes received; a connection is read no further while its request is answered or its answer is not read; socket buffers have a fixed size; what is parsed per iteration of the event loop is bounded, requests of which least was received first. Content-Encoding is decoded with the limit of the body. The readiness check and the metrics have accounts of their own. A body that is given up is freed at once: its stream kept an exception, the exception the frame and the frame the body, until the cyclic garbage collector ran.

Crowds and bounds are unchanged; the crowd that reads nothing sends the same bytes with less memory of its own.

--- a/pimentomill/exceptions.py
+++ b/pimentomill/exceptions.py
@@ -7,10 +7,13 @@
 __all__ = [
     "AdmissionError",
     "AppendUnknownError",
+    "BodyLostError",
+    "BodyTimeoutError",
     "BodyTooLargeError",
     "CapacityError",
     "ConflictError",
     "FencedError",
+    "HeaderTooLargeError",
     "InvariantError",
     "LogUnavailableError",
     "NotFoundError",
@@ -46,6 +49,18 @@
     """A request body exceeds the size limit."""
 
 
+class HeaderTooLargeError(ValidationError):
+    """The header of a request exceeds the size limit."""
+
+
+class BodyTimeoutError(PimentomillError):
+    """A request body is not complete in time."""
+
+
+class BodyLostError(PimentomillError):
+    """A request body is malformed, or its caller left before it was complete."""
+
+
 class QuerySyntaxError(ValidationError):
     """A statement of the operators' language can't be parsed.
 
--- /dev/null
+++ b/pimentomill/ingress/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ingress package."""
--- a/pimentomill/platform/_daemon.py
+++ b/pimentomill/platform/_daemon.py
@@ -8,6 +8,7 @@
 
 from ..control import ControlSettings, Features, load_scheduling_settings
 from ..httpclient import HttpClient
+from ..ingress import IngressLimits
 from ..links import LinkClient, LinkServer
 from ..node import CellNode, NodeSettings
 from ..telemetry import CellMetrics, ComponentLogger, log_to_stdout
@@ -96,7 +97,7 @@
         metrics,
     )
     caller_handler = CallerHandler(node)
-    frontend = Frontend(caller_handler)
+    frontend = Frontend(caller_handler, IngressLimits.for_machine(cfg.limits.machine))
     links = LinkServer(
         policy_client,
         node.incarnation,
--- a/pimentomill/platform/_frontend.py
+++ b/pimentomill/platform/_frontend.py
@@ -3,12 +3,18 @@
 from aiohttp import web
 
 from ..catalog import RequestLimits
-from ..exceptions import BodyTooLargeError
+from ..exceptions import BodyTooLargeError, ValidationError
+from ..ingress import (
+    IngressAccount,
+    IngressLimits,
+    IngressServer,
+    RequestBounds,
+    decode_content,
+    read_request_body,
+)
 from ..links import CallerAnswer, CallerRequest
 from ..telemetry import ComponentLogger
-from ..utils import read_body
 from ._caller_handler import CallerHandler, RequestRejectedError
-from ._connections import CallerServer
 
 __all__ = ["Frontend"]
 
@@ -23,6 +29,10 @@
 """How long a shutdown waits for requests in flight."""
 MAX_LINE_BYTES = 65536
 """Maximum request line and header field that are parsed; operators set less."""
+BACKLOG = 1024
+"""Connections that may wait to be accepted."""
+MONITOR_CONNECTIONS = 32
+"""Connections for readiness checks, and as many for metrics scrapers."""
 
 _log = ComponentLogger("front")
 
@@ -34,13 +44,16 @@
     ----------
     caller_handler : CallerHandler
         Handler of callers' requests.
+    limits : IngressLimits
+        Bounds on what all callers together hold.
     """
 
-    def __init__(self, caller_handler: CallerHandler) -> None:
+    def __init__(self, caller_handler: CallerHandler, limits: IngressLimits) -> None:
         self.caller_handler = caller_handler
         self.node = caller_handler.node
+        self.account = IngressAccount(limits)
         self.in_flight_ = 0
-        self._runners: list[web.ServerRunner] = []
+        self._servers: list[IngressServer] = []
 
     async def start(
         self,
@@ -49,28 +62,56 @@
         metrics_address: tuple[str, int],
     ) -> None:
         """Listen for callers, readiness checks and metrics scrapers."""
-        for handler, (host, port) in (
-            (self._handle, caller_address),
-            (self._handle_ready, readiness_address),
-            (self._handle_metrics, metrics_address),
+        metrics = self.node.metrics
+        metrics.watch_callers(self._caller_usage)
+        for handler, account, address in (
+            (self._handle, self.account, caller_address),
+            (self._handle_ready, self._monitor_account(), readiness_address),
+            (self._handle_metrics, self._monitor_account(), metrics_address),
         ):
-            server = CallerServer(
+            server = IngressServer(
                 handler,
-                lambda: self._limits().header_timeout_ms / 1000,
+                account,
+                self._bounds,
+                _log,
+                metrics.record_closed_connection,
                 access_log=None,
                 keepalive_timeout=KEEPALIVE_S,
                 max_line_size=MAX_LINE_BYTES,
                 max_field_size=MAX_LINE_BYTES,
             )
-            runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-            await runner.setup()
-            await web.TCPSite(runner, host, port, backlog=1024).start()
-            self._runners.append(runner)
+            await server.start(*address, backlog=BACKLOG)
+            self._servers.append(server)
+
+    @property
+    def addresses_(self) -> list[tuple[str, int]]:
+        """Addresses for callers, readiness checks and metrics scrapers."""
+        return [server.address_ for server in self._servers]
+
+    def _monitor_account(self) -> IngressAccount:
+        """Return an account of its own, so that callers can't use it up."""
+        max_request_bytes = self._bounds().max_request_bytes
+        return IngressAccount(
+            IngressLimits.for_connections(MONITOR_CONNECTIONS, max_request_bytes)
+        )
+
+    def _caller_usage(self) -> tuple[int, int]:
+        """Return the number of callers' connections and the bytes they hold."""
+        return self.account.connection_count, self.account.held_bytes_
+
+    def _bounds(self) -> RequestBounds:
+        limits = self._limits()
+        return RequestBounds(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        )
 
     async def stop(self) -> None:
         """Stop listening and close idle connections."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for server in self._servers:
+            await server.stop(SHUTDOWN_TIMEOUT_S)
 
     async def _handle_ready(self, req: web.BaseRequest) -> web.Response:
         if req.path != READY_PATH:
@@ -95,7 +136,6 @@
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
         try:
-            self._check_header_size(req)
             body = await self._read_body(req) if req.method == "POST" else b""
         except RequestRejectedError as exc:
             _log.info("Request", path=req.path, status=exc.status, why=str(exc))
@@ -111,27 +151,20 @@
 
     async def _read_body(self, req: web.BaseRequest) -> bytes:
         limits = self._limits()
-        if (req.content_length or 0) > limits.body_bytes:
-            raise RequestRejectedError(413, "body too large")
         timeout_s = limits.idle_timeout_ms / 1000
+        body = await read_request_body(req, limits.body_bytes, timeout_s)
+        encoding = req.headers.get("Content-Encoding", "")
         try:
-            return await read_body(req.content.iter_any(), limits.body_bytes, timeout_s)
-        except BodyTooLargeError as exc:
-            raise RequestRejectedError(413, "body too large") from exc
-        except TimeoutError as exc:
-            raise RequestRejectedError(408, "body not sent in time") from exc
+            return decode_content(body, encoding, limits.body_bytes)
+        except BodyTooLargeError:
+            raise
+        except ValidationError as exc:
+            raise RequestRejectedError(415, str(exc)) from exc
 
     def _limits(self) -> RequestLimits:
         catalog = self.node.catalog_
         return catalog.limits if catalog is not None else RequestLimits()
 
-    def _check_header_size(self, req: web.BaseRequest) -> None:
-        header_bytes = len(req.path_qs) + sum(
-            len(name) + len(value) for name, value in req.raw_headers
-        )
-        if header_bytes > self._limits().header_bytes:
-            raise RequestRejectedError(431, "header too large")
-
 
 def _encode(answer: CallerAnswer) -> web.Response:
     if answer.status == 200:
--- a/pimentomill/platform/_settings.py
+++ b/pimentomill/platform/_settings.py
@@ -6,10 +6,12 @@
 import msgspec
 
 from ..exceptions import SettingsError
+from ..ingress import Descriptors, Machine, MemoryMb
 
 __all__ = ["NODE_FILE_VARIABLE", "NodeFile", "load_node_file"]
 
 NODE_FILE_VARIABLE = "PIMENTOMILL_NODE_FILE"
+DEFAULT = Machine()
 
 
 class ListenAddresses(msgspec.Struct, frozen=True):
@@ -49,7 +51,7 @@
 
 
 class InstanceLimits(msgspec.Struct, frozen=True):
-    """Processor limits of the instance.
+    """Limits of the instance.
 
     Parameters
     ----------
@@ -58,16 +60,27 @@
     core_speed : float
         Speed of that core relative to a standard one. The wire name misleads: it
         suggests a number of cores.
+    memory_mb : int
+        Memory of the process, in MB.
+    descriptors : int
+        File descriptors of the process.
     """
 
     core_share: float = msgspec.field(name="CpuShare", default=1.0)
     core_speed: float = msgspec.field(name="Cores", default=1.0)
+    memory_mb: MemoryMb = msgspec.field(name="MemoryMb", default=DEFAULT.memory_mb)
+    descriptors: Descriptors = msgspec.field(name="MaxFds", default=DEFAULT.descriptors)
 
     @property
     def cores(self) -> float:
         """Processor capacity in standard cores."""
         return self.core_share * self.core_speed
 
+    @property
+    def machine(self) -> Machine:
+        """Memory and descriptors of the instance."""
+        return Machine(self.memory_mb, self.descriptors)
+
 
 class StoreSettings(msgspec.Struct, frozen=True):
     """Address of the platform's store."""
@@ -95,7 +108,7 @@
     policy_address : str
         IP address and port of the placement policy service.
     limits : InstanceLimits
-        Processor limits of the instance.
+        Limits of the instance.
     """
 
     node: str = msgspec.field(name="NodeName")
--- a/pimentomill/platform/tests/test_frontend.py
+++ b/pimentomill/platform/tests/test_frontend.py
@@ -8,6 +8,7 @@
 from pimentomill.catalog import Catalog, RequestLimits, Team
 from pimentomill.control import ControlSettings
 from pimentomill.dispatch.tests.samples import queue
+from pimentomill.ingress import IngressLimits, Machine
 from pimentomill.intake import _intake
 from pimentomill.jobs import KeyedRecord
 from pimentomill.links import CallerAnswer
@@ -27,6 +28,7 @@
 RESPONSE_BOUND_S = 8.0
 """Exceeded by a server with one thread per connection and a timeout of 10 s each."""
 LONG_AGE_MS = 30_000
+LIMITS = IngressLimits.for_machine(Machine())
 
 
 def make_catalog(version=1, keys=None, queues=None):
@@ -64,11 +66,9 @@
             patched = mock.patch.object(module, name, LONG_AGE_MS - 1)
             patched.start()
             self.addCleanup(patched.stop)
-        self.frontend = Frontend(CallerHandler(self.node))
+        self.frontend = Frontend(CallerHandler(self.node), LIMITS)
         await self.frontend.start(*[("127.0.0.1", 0)] * 3)
-        callers, readiness, metrics = (
-            runner.addresses[0] for runner in self.frontend._runners
-        )
+        callers, readiness, metrics = self.frontend.addresses_
         self.metrics_address = metrics
         self.address, self.ready_address = callers, readiness
         self.session = aiohttp.ClientSession()
--- a/pimentomill/platform/tests/test_jobs_and_rules.py
+++ b/pimentomill/platform/tests/test_jobs_and_rules.py
@@ -6,6 +6,7 @@
 from pimentomill.catalog import EvacuationRequest
 from pimentomill.dispatch.tests.samples import queue
 from pimentomill.exceptions import SettingsError, ValidationError
+from pimentomill.ingress import Machine
 from pimentomill.jobs import Accepted, JobState, encode_record
 from pimentomill.platform._jobs import decode_job, encode_state, encode_waiting
 from pimentomill.platform._rules import decode_rule, decode_rules
@@ -169,7 +170,15 @@
         cfg = self.load(NODE_FILE + "[Limits]\nCpuShare = 0.5\nCores = 3\n")
         self.assertEqual(cfg.limits.cores, 1.5)
 
+    def test_machine_of_the_instance(self):
+        cfg = self.load(NODE_FILE + "[Limits]\nMemoryMb = 160\nMaxFds = 1638\n")
+        self.assertEqual(cfg.limits.machine, Machine(160, 1638))
+        self.assertEqual(self.load(NODE_FILE).limits.machine, Machine())
+
     def test_errors_name_the_field(self):
+        for field, value in (("MemoryMb", 0), ("MaxFds", 200)):
+            with self.assertRaisesRegex(SettingsError, rf"Limits\.{field}"):
+                self.load(NODE_FILE + f"[Limits]\n{field} = {value}\n")
         with self.assertRaisesRegex(SettingsError, "NodeName"):
             self.load(NODE_FILE.replace("NodeName", "Other"))
         wrong = NODE_FILE.replace("RevokeMs = 5000", 'RevokeMs = "soon"')
--- a/pimentomill/telemetry/_cell_metrics.py
+++ b/pimentomill/telemetry/_cell_metrics.py
@@ -1,6 +1,6 @@
 """Counters and histograms of a cell's entry, exported to Prometheus."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -19,6 +19,8 @@
 
 TEAM_GAUGES = ("team_current_share", "team_past_share", "team_past_use_factor")
 """Gauges of each team, in the order of the values passed to `set_team_usage`."""
+CALLER_GAUGES = ("caller_connections", "caller_held_bytes")
+"""Gauges of all callers, in the order of the values read by `watch_callers`."""
 
 
 class CellMetrics:
@@ -73,6 +75,10 @@
         for index, name in enumerate(TEAM_GAUGES):
             meter.create_observable_gauge(name, [self._observe_teams(index)])
         self._slow_runs = meter.create_counter("slow_runs")
+        self._closed_connections = meter.create_counter("closed_connections")
+        self._caller_usage: Callable[[], tuple[int, int]] = lambda: (0, 0)
+        for index, name in enumerate(CALLER_GAUGES):
+            meter.create_observable_gauge(name, [self._observe_callers(index)])
 
     def record_request(self, method: str, status: int, duration_ms: float) -> None:
         """Record an answered request of a caller and its latency."""
@@ -144,6 +150,20 @@
         self._jobs.add(1, {**labels, "in_time": str(in_time).lower()})
         self._job_ms.record(duration_ms, {"queue": queue})
 
+    def record_closed_connection(self, reason: str) -> None:
+        """Record a connection closed, or a request refused, before its answer."""
+        self._closed_connections.add(1, {"reason": reason})
+
+    def watch_callers(self, read_usage: Callable[[], tuple[int, int]]) -> None:
+        """Export what callers hold.
+
+        Parameters
+        ----------
+        read_usage : callable
+            Returns the number of callers' connections and the bytes they hold.
+        """
+        self._caller_usage = read_usage
+
     def record_leader_term(self) -> None:
         """Record the start of a term as leader."""
         self._terms.add(1)
@@ -170,6 +190,12 @@
 
         return observe
 
+    def _observe_callers(self, index: int):
+        def observe(_: CallbackOptions) -> Iterator[Observation]:
+            yield Observation(self._caller_usage()[index])
+
+        return observe
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -22,6 +22,7 @@
 FIELD_BYTES = 8_000
 PIPELINED_BODIES = 8
 PIPELINED_REQUESTS = 400
+REQUESTS_PER_PIECE = 8
 ONE_BYTE_CHUNKS = 43_000
 DECODED_BODY_BYTES = 64 * 1_048_576
 """Decoded size of a body whose compressed form is well below `BODY_BYTES`."""
@@ -151,7 +152,8 @@
 
 def send_requests_without_reading(head: bytes) -> Pieces:
     """Send small requests and never read an answer."""
-    yield from split((head + b"\r\n") * PIPELINED_REQUESTS)
+    batch = (head + b"\r\n") * REQUESTS_PER_PIECE
+    return itertools.repeat(batch, PIPELINED_REQUESTS // REQUESTS_PER_PIECE)
 
 
 def send_nothing(head: bytes) -> Pieces:
