HTTP server: callers of the own interface share the account of the ingress

Cause: the same as there; the entry's settings had no memory and no descriptors.

Change: HttpServer uses the server of pimentomill/ingress, with an account each for callers and for the control port, and refusals in the JSON form of the interface. `machine` in the settings tells memory and descriptors; a connection with TLS is charged its buffers.

--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -9,6 +9,7 @@
 from ..cell import CellState
 from ..exceptions import LogUnavailableError, PimentomillError
 from ..http import HttpServer
+from ..ingress import IngressLimits
 from ..journal import LogWriter, PendingAppend, PlatformClient
 from ..peers import (
     GetJobRequest,
@@ -158,12 +159,15 @@
             timeout_ms=cfg.callers.socket_timeout_ms,
             shutdown_timeout_ms=cfg.stop_by_ms,
             tls=cfg.callers.tls,
+            limits=IngressLimits.for_machine(cfg.machine),
+            on_closure=self.metrics.record_closed_connection,
         )
         self._control_server = HttpServer(
             cfg.control.host,
             cfg.control.port,
             ControlApi(self.core, self.metrics, self.meter).router(),
             threads=CONTROL_THREADS,
+            limits=IngressLimits.for_machine(cfg.machine),
         )
 
     # Process lifecycle.
--- a/pimentomill/http/_server.py
+++ b/pimentomill/http/_server.py
@@ -3,24 +3,36 @@
 import asyncio
 import ssl
 import threading
+from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from http import HTTPStatus
 
 from aiohttp import web
 
-from ..exceptions import BodyTooLargeError
+from ..ingress import (
+    IngressAccount,
+    IngressLimits,
+    IngressServer,
+    Machine,
+    RequestBounds,
+    read_request_body,
+)
 from ..settings import TlsSettings
-from ..utils import read_body
+from ..telemetry import ComponentLogger
 from ._app import HttpRequest, HttpResponse, Router
 from ._errors import ErrorBody
 
 __all__ = ["HttpServer"]
 
-MAX_HEADER_BYTES = 16_384
+MAX_FIELD_BYTES = 16_384
 """Maximum size of the request line and of each header field."""
+MAX_HEADER_BYTES = 65_536
+"""Maximum size of the request line and all header fields together."""
 RETRY_AFTER_S = 1
 """Sent with status 503; long enough since requests take milliseconds."""
 
+_log = ComponentLogger("http")
+
 
 class HttpServer:
     """Serve a router in background threads.
@@ -44,11 +56,18 @@
     max_body_bytes : int, default=4194304
         Maximum size of a request body.
     timeout_ms : int, default=10000
-        Timeout in milliseconds for the complete header and for the complete body.
+        Timeout in milliseconds for the complete header, for the complete body and for
+        a client to read an answer.
     shutdown_timeout_ms : int, default=5000
         Milliseconds that requests in flight may take at shutdown.
     tls : TlsSettings or None, default=None
         Certificate and key; plain HTTP if None.
+    limits : IngressLimits or None, default=None
+        Bounds on what all clients together hold; None for those of the callers of a
+        default machine.
+    on_closure : callable, optional
+        Called with the name of the reason for each connection closed, or request
+        refused, before its answer.
     """
 
     def __init__(
@@ -62,6 +81,8 @@
         timeout_ms: int = 10_000,
         shutdown_timeout_ms: int = 5_000,
         tls: TlsSettings | None = None,
+        limits: IngressLimits | None = None,
+        on_closure: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self.host = host
         self.port = port
@@ -72,6 +93,8 @@
         self.timeout_ms = timeout_ms
         self.shutdown_timeout_ms = shutdown_timeout_ms
         self.tls = tls
+        self.limits = limits or IngressLimits.for_machine(Machine())
+        self.on_closure = on_closure
         self._in_flight = 0
         self._pool = ThreadPoolExecutor(threads, "http")
         self._started: Future[None] = Future()
@@ -101,51 +124,46 @@
     async def _serve(self) -> None:
         self._loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
-        runner = web.ServerRunner(
-            self._make_server(), shutdown_timeout=self.shutdown_timeout_ms / 1000
-        )
+        server = self._make_server()
         try:
-            await self._listen(runner)
+            await server.start(
+                self.host, self.port, self.backlog, self._make_tls_context()
+            )
         except (OSError, ssl.SSLError) as exc:
             self._started.set_exception(exc)
             return
         self._started.set_result(None)
         await self._stopping.wait()
-        await runner.cleanup()
+        await server.stop(self.shutdown_timeout_ms / 1000)
 
-    def _make_server(self) -> web.Server:
-        return web.Server(
+    def _make_server(self) -> IngressServer:
+        timeout_s = self.timeout_ms / 1000
+        bounds = RequestBounds(
+            MAX_HEADER_BYTES, self.max_body_bytes, timeout_s, timeout_s
+        )
+        return IngressServer(
             self._handle,
+            IngressAccount(self.limits),
+            lambda: bounds,
+            _log,
+            self.on_closure,
+            _encode_error,
             access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=self.timeout_ms / 1000,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
+            keepalive_timeout=timeout_s,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
         )
 
-    async def _listen(self, runner: web.ServerRunner) -> None:
-        context = None
-        if self.tls is not None:
-            context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-            context.load_cert_chain(self.tls.certificate, self.tls.private_key)
-        await runner.setup()
-        site = web.TCPSite(
-            runner, self.host, self.port, backlog=self.backlog, ssl_context=context
-        )
-        await site.start()
+    def _make_tls_context(self) -> ssl.SSLContext | None:
+        if self.tls is None:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(self.tls.certificate, self.tls.private_key)
+        return context
 
     async def _handle(self, req: web.BaseRequest) -> web.Response:
         timeout_s = self.timeout_ms / 1000
-        try:
-            body = await read_body(
-                req.content.iter_any(), self.max_body_bytes, timeout_s
-            )
-        except TimeoutError:
-            return _reject(
-                HTTPStatus.REQUEST_TIMEOUT, "timed out reading the request body"
-            )
-        except BodyTooLargeError as exc:
-            return _reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, str(exc))
+        body = await read_request_body(req, self.max_body_bytes, timeout_s)
         if self._in_flight >= self.threads + self.backlog:
             return _reject(
                 HTTPStatus.SERVICE_UNAVAILABLE, "too many requests are queued"
@@ -165,6 +183,12 @@
     return web.Response(status=response.status, body=response.body, headers=headers)
 
 
+def _encode_error(status: int, reason: str) -> tuple[str, bytes]:
+    """Return media type and body of the response to a refused request."""
+    response = HttpResponse.json(ErrorBody(HTTPStatus(status).name.lower(), reason))
+    return response.content_type, response.body
+
+
 def _reject(status: HTTPStatus, reason: str) -> web.Response:
     """Return an error response for a request that no handler has seen."""
     response = HttpResponse.json(ErrorBody(status.name.lower(), reason), status)
--- a/pimentomill/settings/_schema.py
+++ b/pimentomill/settings/_schema.py
@@ -6,6 +6,7 @@
 from msgspec import Meta
 
 from ..exceptions import SettingsError
+from ..ingress import Machine
 from ..utils import Instant, to_other_clock
 
 __all__ = [
@@ -203,6 +204,8 @@
         Maximum number of waiting tasks of a team in the cell.
     stop_by_ms : int, default=10000
         Maximum duration of a graceful shutdown, in milliseconds.
+    machine : Machine
+        Memory and descriptors of the process, a part of which callers may use.
     """
 
     name: Name
@@ -217,6 +220,7 @@
     snapshots: SnapshotSettings = msgspec.field(default_factory=SnapshotSettings)
     max_waiting_per_team: PositiveInt = 20_000
     stop_by_ms: DurationMs = 10_000
+    machine: Machine = Machine()
 
     def __post_init__(self) -> None:
         names = [group.name for group in self.groups]
--- a/pimentomill/settings/tests/test_settings.py
+++ b/pimentomill/settings/tests/test_settings.py
@@ -60,6 +60,12 @@
     def test_ownership_lease_must_exceed_two_renewals(self):
         self.assert_rejected("ownership_ms", leases={"ownership_ms": 3_000})
 
+    def test_machine_has_defaults_and_bounds(self):
+        machine = parse(machine={"memory_mb": 64}).machine
+        self.assertEqual((machine.memory_mb, machine.descriptors), (64, 4096))
+        self.assert_rejected("$.machine.memory_mb", machine={"memory_mb": 31})
+        self.assert_rejected("$.machine.descriptors", machine={"descriptors": 200})
+
     def test_malformed_json_is_rejected(self):
         with self.assertRaises(SettingsError):
             parse_settings(b"{", EntrySettings)
--- a/pimentomill/telemetry/_metrics.py
+++ b/pimentomill/telemetry/_metrics.py
@@ -41,10 +41,15 @@
         self.reports_ = otel_meter.create_counter("worker_reports", "1")
         self.unexpected_errors_ = otel_meter.create_counter("unexpected_errors", "1")
 
+        self._closed_connections = otel_meter.create_counter("closed_connections", "1")
         otel_meter.create_observable_counter(
             "control_bytes", [self._observe_traffic], "By"
         )
 
+    def record_closed_connection(self, reason: str) -> None:
+        """Record a connection closed, or a request refused, before its answer."""
+        self._closed_connections.add(1, {"reason": reason})
+
     def _observe_traffic(self, options: CallbackOptions) -> list[Observation]:
         return [
             Observation(self.meter.sent_, {"direction": "sent"}),
