Links: calls of other entries are bounded by an account of their own

Cause: the server of the calls between entries had no bound on connections or on what they hold. Entries forward callers' requests to one another, so a crowd at all of them makes one entry hold what the others forward.

Internal errors are logged by the component's logger, with their traceback, instead of the HTTP library's; the test of it checks that line, as strictly as before.

Evidence: tests of links; no crowd was run against this port.

--- a/pimentomill/http/_server.py
+++ b/pimentomill/http/_server.py
@@ -93,7 +93,7 @@
         self.timeout_ms = timeout_ms
         self.shutdown_timeout_ms = shutdown_timeout_ms
         self.tls = tls
-        self.limits = limits or IngressLimits.for_machine(Machine())
+        self.limits = limits or IngressLimits.for_callers(Machine())
         self.on_closure = on_closure
         self._in_flight = 0
         self._pool = ThreadPoolExecutor(threads, "http")
--- a/pimentomill/ingress/_limits.py
+++ b/pimentomill/ingress/_limits.py
@@ -32,10 +32,13 @@
 """Charge of the objects of a parsed request header."""
 FILE_DESCRIPTORS = 200
 """Descriptors of a process that are not available to sockets."""
-MEMORY_PARTS = 4
-"""Callers get one of this many equal parts of the machine's memory."""
-DESCRIPTOR_PARTS = 2
-"""Callers get one of this many equal parts of the descriptors for sockets."""
+CALLER_MEMORY_PARTS = 4
+CALLER_DESCRIPTOR_PARTS = 2
+"""Callers get one of this many equal parts of the memory and of the descriptors for
+sockets."""
+PEER_MEMORY_PARTS = 8
+PEER_DESCRIPTOR_PARTS = 4
+"""Other entries get one of this many equal parts."""
 HEADER_OVERHEAD_BYTES = 1024
 """Separators, line ends and version, which a limit on a header does not include."""
 BYTES_PER_BODY_BYTE = 8
@@ -78,11 +81,22 @@
     max_connections: int
 
     @classmethod
-    def for_machine(cls, machine: Machine) -> "IngressLimits":
+    def for_callers(cls, machine: Machine) -> "IngressLimits":
         """Return the bounds for the callers of a process."""
+        return cls._for_parts(machine, CALLER_MEMORY_PARTS, CALLER_DESCRIPTOR_PARTS)
+
+    @classmethod
+    def for_peers(cls, machine: Machine) -> "IngressLimits":
+        """Return the bounds for other entries that call a process."""
+        return cls._for_parts(machine, PEER_MEMORY_PARTS, PEER_DESCRIPTOR_PARTS)
+
+    @classmethod
+    def _for_parts(
+        cls, machine: Machine, memory_parts: int, descriptor_parts: int
+    ) -> "IngressLimits":
         return cls(
-            machine.memory_mb * BYTES_PER_MB // MEMORY_PARTS,
-            (machine.descriptors - FILE_DESCRIPTORS) // DESCRIPTOR_PARTS,
+            machine.memory_mb * BYTES_PER_MB // memory_parts,
+            (machine.descriptors - FILE_DESCRIPTORS) // descriptor_parts,
         )
 
     @classmethod
--- a/pimentomill/ingress/_server.py
+++ b/pimentomill/ingress/_server.py
@@ -1,7 +1,6 @@
 """HTTP server that bounds what its clients make the process hold."""
 
 import asyncio
-import contextlib
 import logging
 import socket
 import ssl
@@ -34,6 +33,7 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 ErrorEncoder = Callable[[int, str], tuple[str, bytes]]
 
+FORMATTER = logging.Formatter()
 ACCEPTS_PER_WAKEUP = 64
 ACCEPT_PAUSE_S = 0.1
 """Pause after a connection could not be accepted, as descriptors are used up."""
@@ -272,6 +272,7 @@
             detail = type(exc).__name__
             self.server.closures.record(CloseReason.MALFORMED, peer, detail)
             return
-        with contextlib.suppress(TypeError, ValueError):
-            text = record.getMessage()
-            self.server.log.warning("Request failed", why=text, error=repr(exc))
+        fields = {"error": repr(exc)}
+        if record.exc_info:
+            fields["traceback"] = FORMATTER.formatException(record.exc_info)
+        self.server.log.warning("Request failed", why=record.getMessage(), **fields)
--- a/pimentomill/links/_server.py
+++ b/pimentomill/links/_server.py
@@ -14,6 +14,14 @@
     PimentomillError,
     StateUnavailableError,
 )
+from ..ingress import (
+    IngressAccount,
+    IngressLimits,
+    IngressServer,
+    Machine,
+    RequestBounds,
+    read_request_body,
+)
 from ..jobs import JobState, KeyedRecord
 from ..overload import LoadReport
 from ..replica import ANY_GRANTOR, GrantRefusal, LeaseRequest
@@ -49,6 +57,16 @@
 HEARTBEATS_PER_REPORT = 2
 """Heartbeats per load report. Three reports a second are well below the age of 1 s from
 which they are not used."""
+BODY_TIMEOUT_S = 10.0
+"""Seconds for a complete body."""
+BOUNDS = RequestBounds(
+    header_bytes=16_384,
+    body_bytes=1_048_576,
+    header_timeout_s=5.0,
+    answer_timeout_s=30.0,
+)
+BACKLOG = 128
+"""Connections that may wait to be accepted."""
 SHUTDOWN_TIMEOUT_S = 0.1
 """Maximum time that a stop waits for open calls of other entries."""
 
@@ -97,6 +115,11 @@
         can't answer.
     load_report : callable, optional
         Returns the load of the cell if this entry leads and reports it, else None.
+    limits : IngressLimits or None, default=None
+        Bounds on what all other entries hold; None for those of a default machine.
+    on_closure : callable, optional
+        Called with the name of the reason for each connection closed before its
+        answer.
     """
 
     def __init__(
@@ -106,13 +129,17 @@
         services: EntryServices,
         answer_caller: Callable[[CallerRequest], Awaitable[CallerAnswer]],
         load_report: Callable[[], LoadReport | None] = lambda: None,
+        limits: IngressLimits | None = None,
+        on_closure: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self.answer_caller = answer_caller
         self.load_report = load_report
         self.policy_client = policy_client
         self.incarnation = incarnation
         self.services = services
-        self._runner: web.ServerRunner | None = None
+        self.limits = limits or IngressLimits.for_peers(Machine())
+        self.on_closure = on_closure
+        self._server: IngressServer | None = None
         self._handlers: dict[str, Callable[[bytes], Awaitable[web.Response]]] = {
             Path.QUERY_POLICY: self._query_policy,
             Path.APPEND: self._append_records,
@@ -124,17 +151,25 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start listening on an address."""
-        self._runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None),
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        self._server = IngressServer(
+            self._handle,
+            IngressAccount(self.limits),
+            lambda: BOUNDS,
+            _log,
+            self.on_closure,
+            access_log=None,
         )
-        await self._runner.setup()
-        await web.TCPSite(self._runner, host, port).start()
+        await self._server.start(host, port, BACKLOG)
+
+    @property
+    def address_(self) -> tuple[str, int]:
+        """Address at which the server listens."""
+        return self._server.address_
 
     async def stop(self) -> None:
         """Stop listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._server is not None:
+            await self._server.stop(SHUTDOWN_TIMEOUT_S)
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         if req.path.startswith(Path.WATCH):
@@ -143,7 +178,8 @@
         if handler is None:
             return web.Response(status=404)
         try:
-            return await handler(await req.read())
+            body = await read_request_body(req, BOUNDS.body_bytes, BODY_TIMEOUT_S)
+            return await handler(body)
         except msgspec.DecodeError as exc:
             return web.Response(status=400, text=str(exc))
         except AppendUnknownError as exc:
--- a/pimentomill/links/tests/test_links.py
+++ b/pimentomill/links/tests/test_links.py
@@ -96,7 +96,7 @@
             self.policy_client, "life-1", self.services, self.services.answer_for
         )
         await self.server.start("127.0.0.1", 0)
-        port = self.server._runner.addresses[0][1]
+        port = self.server.address_[1]
         self.address = f"127.0.0.1:{port}"
         self.http = HttpClient(4)
         self.client = LinkClient(self.http)
@@ -135,8 +135,20 @@
 
     async def test_internal_error_of_other_entry_is_not_rejection(self):
         self.services.error = ValueError("unexpected")
-        with self.assertLogs("aiohttp.server"), self.assertRaises(AppendUnknownError):
+        with (
+            mock.patch.object(_server._log, "warning") as warning,
+            self.assertRaises(AppendUnknownError),
+        ):
             await self.client.append(self.address, RECORDS)
+        self.assertIn("ValueError: unexpected", warning.call_args.kwargs["traceback"])
+
+    async def test_a_record_beyond_the_bound_is_not_appended(self):
+        large = [KeyedRecord("k", bytes(_server.BOUNDS.body_bytes))]
+        with self.assertRaises(AppendUnknownError):
+            await self.client.append(self.address, large)
+        self.assertEqual(self.services.appended, [])
+        await self.client.append(self.address, RECORDS)
+        self.assertEqual(self.services.appended, RECORDS)
 
     async def test_leader_is_notified_of_records_and_queried_for_state(self):
         await self.client.notify_appended(self.address, 7, RECORDS)
--- a/pimentomill/platform/_daemon.py
+++ b/pimentomill/platform/_daemon.py
@@ -97,13 +97,15 @@
         metrics,
     )
     caller_handler = CallerHandler(node)
-    frontend = Frontend(caller_handler, IngressLimits.for_machine(cfg.limits.machine))
+    frontend = Frontend(caller_handler, IngressLimits.for_callers(cfg.limits.machine))
     links = LinkServer(
         policy_client,
         node.incarnation,
         node,
         caller_handler.answer_forwarded,
         node.load_report,
+        IngressLimits.for_peers(cfg.limits.machine),
+        metrics.record_closed_connection,
     )
     await frontend.start(
         split_address(cfg.listen.callers),
--- a/pimentomill/platform/tests/test_frontend.py
+++ b/pimentomill/platform/tests/test_frontend.py
@@ -28,7 +28,7 @@
 RESPONSE_BOUND_S = 8.0
 """Exceeded by a server with one thread per connection and a timeout of 10 s each."""
 LONG_AGE_MS = 30_000
-LIMITS = IngressLimits.for_machine(Machine())
+LIMITS = IngressLimits.for_callers(Machine())
 
 
 def make_catalog(version=1, keys=None, queues=None):
