Settings: machine, MemoryMb and MaxFds are written only where they are set

The test of old records failed, as a settings file without them was written back with defaults. They are unset by default, like other fields that earlier builds do not know. The largest body of the own interface must fit into the machine's memory, which is checked. Besides: a request that waits because earlier answers are not read may be refused, as nothing has been done for it.

--- a/pimentomill/entry/_daemon.py
+++ b/pimentomill/entry/_daemon.py
@@ -159,7 +159,7 @@
             timeout_ms=cfg.callers.socket_timeout_ms,
             shutdown_timeout_ms=cfg.stop_by_ms,
             tls=cfg.callers.tls,
-            limits=IngressLimits.for_callers(cfg.machine),
+            limits=IngressLimits.for_callers(cfg.resolve_machine()),
             on_closure=self.metrics.record_closed_connection,
         )
         self._control_server = HttpServer(
@@ -167,7 +167,7 @@
             cfg.control.port,
             ControlApi(self.core, self.metrics, self.meter).router(),
             threads=CONTROL_THREADS,
-            limits=IngressLimits.for_peers(cfg.machine),
+            limits=IngressLimits.for_peers(cfg.resolve_machine()),
         )
 
     # Process lifecycle.
--- a/pimentomill/ingress/_connection.py
+++ b/pimentomill/ingress/_connection.py
@@ -1,7 +1,6 @@
 """Connection of a client, with bounds that hold while bytes arrive."""
 
 import asyncio
-import socket
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -49,8 +48,8 @@
     ----------
     server : IngressServer
         Server of the connection.
-    sock : socket.socket
-        Accepted socket.
+    peer : str
+        Address of the client.
     base_bytes : int
         Charge for the objects and buffers of the connection.
     options : dict
@@ -63,7 +62,7 @@
     """
 
     def __init__(
-        self, server: "IngressServer", sock: socket.socket, base_bytes: int, **options
+        self, server: "IngressServer", peer: str, base_bytes: int, **options
     ) -> None:
         super().__init__(
             server,
@@ -73,7 +72,7 @@
             **options,
         )
         self.server = server
-        self.peer = sock.getpeername()[0]
+        self.peer = peer
         self.opening: asyncio.Task | None = None
         self.state_ = ConnectionState.IDLE
         self.since_ = self._loop.time()
--- a/pimentomill/ingress/_limits.py
+++ b/pimentomill/ingress/_limits.py
@@ -36,6 +36,8 @@
 CALLER_DESCRIPTOR_PARTS = 2
 """Callers get one of this many equal parts of the memory and of the descriptors for
 sockets."""
+MIN_BODIES_IN_MEMORY = 64
+"""Bodies of the maximum size that the memory of a machine must hold."""
 PEER_MEMORY_PARTS = 8
 PEER_DESCRIPTOR_PARTS = 4
 """Other entries get one of this many equal parts."""
@@ -65,6 +67,11 @@
     memory_mb: MemoryMb = 512
     descriptors: Descriptors = 4096
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body that fits into the callers' account in chunks of any size."""
+        return self.memory_mb * BYTES_PER_MB // MIN_BODIES_IN_MEMORY
+
 
 class IngressLimits(msgspec.Struct, frozen=True):
     """Bounds on all connections of a server together.
--- a/pimentomill/ingress/_server.py
+++ b/pimentomill/ingress/_server.py
@@ -150,7 +150,7 @@
     def _accept(self) -> None:
         for _ in range(ACCEPTS_PER_WAKEUP):
             try:
-                sock, _ = self._listener.accept()
+                sock, address = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as exc:
@@ -158,23 +158,17 @@
                 self._loop.remove_reader(self._listener)
                 self._loop.call_later(ACCEPT_PAUSE_S, self._watch_listener)
                 return
-            self._open(sock)
+            self._open(sock, address[0])
 
-    def _open(self, sock: socket.socket) -> None:
+    def _open(self, sock: socket.socket, peer: str) -> None:
         """Add an accepted connection to the account, or close it."""
-        try:
-            conn = IngressConnection(
-                self, sock, self._base_bytes, loop=self._loop, **self.options
-            )
-        except OSError:
-            # The caller has already left.
-            sock.close()
-            return
+        conn = IngressConnection(
+            self, peer, self._base_bytes, loop=self._loop, **self.options
+        )
         if not self.account.open(conn):
             self.closures.record(CloseReason.CONNECTIONS, conn.peer)
             sock.close()
             return
-        sock.setblocking(False)
         conn.opening = task = self._loop.create_task(self._connect(conn, sock))
         self._opening.add(task)
         task.add_done_callback(lambda _: self._on_opened(task, sock))
@@ -205,11 +199,14 @@
 
     async def _answer(self, req: web.BaseRequest) -> web.StreamResponse:
         conn: IngressConnection = req.protocol
+        if conn.writing_paused:
+            try:
+                await req.writer.drain()
+            except ConnectionError:
+                # The caller has left without reading earlier answers, and is recorded.
+                return web.Response(status=503)
         conn.begin_answer(req)
         try:
-            if conn.writing_paused:
-                # Earlier answers have not been read.
-                await req.writer.drain()
             resp = await self._call_handler(req)
         finally:
             conn.end_answer(req.content.is_eof())
--- a/pimentomill/platform/_settings.py
+++ b/pimentomill/platform/_settings.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from ..exceptions import SettingsError
 from ..ingress import Descriptors, Machine, MemoryMb
@@ -11,7 +12,6 @@
 __all__ = ["NODE_FILE_VARIABLE", "NodeFile", "load_node_file"]
 
 NODE_FILE_VARIABLE = "PIMENTOMILL_NODE_FILE"
-DEFAULT = Machine()
 
 
 class ListenAddresses(msgspec.Struct, frozen=True):
@@ -60,16 +60,16 @@
     core_speed : float
         Speed of that core relative to a standard one. The wire name misleads: it
         suggests a number of cores.
-    memory_mb : int
+    memory_mb : int, optional
         Memory of the process, in MB.
-    descriptors : int
+    descriptors : int, optional
         File descriptors of the process.
     """
 
     core_share: float = msgspec.field(name="CpuShare", default=1.0)
     core_speed: float = msgspec.field(name="Cores", default=1.0)
-    memory_mb: MemoryMb = msgspec.field(name="MemoryMb", default=DEFAULT.memory_mb)
-    descriptors: Descriptors = msgspec.field(name="MaxFds", default=DEFAULT.descriptors)
+    memory_mb: MemoryMb | UnsetType = msgspec.field(name="MemoryMb", default=UNSET)
+    descriptors: Descriptors | UnsetType = msgspec.field(name="MaxFds", default=UNSET)
 
     @property
     def cores(self) -> float:
@@ -78,8 +78,13 @@
 
     @property
     def machine(self) -> Machine:
-        """Memory and descriptors of the instance."""
-        return Machine(self.memory_mb, self.descriptors)
+        """Memory and descriptors of the instance; defaults where they are unset."""
+        machine = Machine()
+        if self.memory_mb is not UNSET:
+            machine = msgspec.structs.replace(machine, memory_mb=self.memory_mb)
+        if self.descriptors is not UNSET:
+            machine = msgspec.structs.replace(machine, descriptors=self.descriptors)
+        return machine
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
--- a/pimentomill/settings/_schema.py
+++ b/pimentomill/settings/_schema.py
@@ -3,7 +3,7 @@
 from typing import Annotated
 
 import msgspec
-from msgspec import Meta
+from msgspec import UNSET, Meta, UnsetType
 
 from ..exceptions import SettingsError
 from ..ingress import Machine
@@ -204,8 +204,9 @@
         Maximum number of waiting tasks of a team in the cell.
     stop_by_ms : int, default=10000
         Maximum duration of a graceful shutdown, in milliseconds.
-    machine : Machine
-        Memory and descriptors of the process, a part of which callers may use.
+    machine : Machine, optional
+        Memory and descriptors of the process, a part of which callers may use; unset
+        for those of a default machine.
     """
 
     name: Name
@@ -220,16 +221,28 @@
     snapshots: SnapshotSettings = msgspec.field(default_factory=SnapshotSettings)
     max_waiting_per_team: PositiveInt = 20_000
     stop_by_ms: DurationMs = 10_000
-    machine: Machine = Machine()
+    machine: Machine | UnsetType = UNSET
 
     def __post_init__(self) -> None:
         names = [group.name for group in self.groups]
         if len(set(names)) != len(names):
             raise ValueError(f"groups must have different names, got {names}")
+        machine = self.resolve_machine()
+        max_body_bytes = machine.max_body_bytes
+        if self.callers.max_body_bytes > max_body_bytes:
+            raise ValueError(
+                f"callers.max_body_bytes must be at most {max_body_bytes} with "
+                f"machine.memory_mb {machine.memory_mb}, "
+                f"got {self.callers.max_body_bytes}"
+            )
         racks = [rack for group in self.groups for rack in group.racks]
         if len(set(racks)) != len(racks):
             raise ValueError(f"a rack may be in one group only, got {racks}")
 
+    def resolve_machine(self) -> Machine:
+        """Return the machine as set, or the default one."""
+        return Machine() if self.machine is UNSET else self.machine
+
 
 class PlatformSettings(_Settings, kw_only=True, frozen=True):
     """Settings of the platform stand-in.
--- a/pimentomill/settings/tests/test_settings.py
+++ b/pimentomill/settings/tests/test_settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from pimentomill.exceptions import SettingsError
+from pimentomill.ingress import Machine
 from pimentomill.settings import EntrySettings, LeaseSettings, parse_settings
 
 VALID_SETTINGS = {
@@ -63,9 +64,17 @@
     def test_machine_has_defaults_and_bounds(self):
         machine = parse(machine={"memory_mb": 64}).machine
         self.assertEqual((machine.memory_mb, machine.descriptors), (64, 4096))
+        self.assertEqual(parse().resolve_machine(), Machine())
         self.assert_rejected("$.machine.memory_mb", machine={"memory_mb": 31})
         self.assert_rejected("$.machine.descriptors", machine={"descriptors": 200})
 
+    def test_the_largest_body_must_fit_into_the_memory(self):
+        changes = {
+            "machine": {"memory_mb": 64},
+            "callers": {"port": 8001, "max_body_bytes": 1_048_577},
+        }
+        self.assert_rejected("callers.max_body_bytes", **changes)
+
     def test_malformed_json_is_rejected(self):
         with self.assertRaises(SettingsError):
             parse_settings(b"{", EntrySettings)
--- a/tests/test_old_records.py
+++ b/tests/test_old_records.py
@@ -204,6 +204,7 @@
     ("workers as shown", None): ["is_evacuated"],
     ("registered worker", None): ["ColdLeftMs"],
     ("answer to a caller", None): ["retry_after_s"],
+    ("settings of an entry", None): ["machine"],
 }
 """Fields that earlier builds do not know; they are written only when they are set."""
 
