Ingress: an ordinary request costs no more than before the account

Change: the header's timer starts only once a piece leaves the header incomplete; fields are counted only if more bytes came than a header may have; the bounds are kept until the operators' limits change; a body that has arrived with its header is taken at once.

--- a/pimentomill/ingress/_account.py
+++ b/pimentomill/ingress/_account.py
@@ -43,7 +43,7 @@
     state_ : ConnectionState
         What the connection is doing.
     since_ : float
-        Time of the last change between idle and not idle, in seconds.
+        Time at which the last request began or the connection was accepted, in seconds.
     base_bytes_ : int
         Charge for the connection's own objects and buffers.
     content_bytes_ : int
--- a/pimentomill/ingress/_body.py
+++ b/pimentomill/ingress/_body.py
@@ -38,11 +38,16 @@
     if (req.content_length or 0) > max_bytes:
         raise BodyTooLargeError(f"request body exceeds {max_bytes} bytes")
     try:
-        body = await read_body(req.content.iter_any(), max_bytes, timeout_s)
+        if req.content.is_eof():
+            body = req.content.read_nowait()
+        else:
+            body = await read_body(req.content.iter_any(), max_bytes, timeout_s)
     except TimeoutError as exc:
         raise BodyTimeoutError("timed out reading the request body") from exc
     except (ConnectionError, web.RequestPayloadError) as exc:
         raise BodyLostError(f"request body is not complete: {exc}") from exc
+    if len(body) > max_bytes:
+        raise BodyTooLargeError(f"request body exceeds {max_bytes} bytes")
     req.protocol.mark_received()
     return body
 
--- a/pimentomill/ingress/_connection.py
+++ b/pimentomill/ingress/_connection.py
@@ -59,6 +59,8 @@
     ----------
     state_, since_, base_bytes_, content_bytes_
         See `Holder`.
+    received_bytes_ : int
+        Bytes received since the last request was answered, also of further requests.
     """
 
     def __init__(
@@ -79,7 +81,7 @@
         self.base_bytes_ = base_bytes
         self.content_bytes_ = 0
         self._socket_transport: asyncio.Transport | None = None
-        self._received_bytes = 0
+        self.received_bytes_ = 0
         self._is_header_received = False
         self._is_held_by_parser = False
         self._pending: list[bytes] = []
@@ -161,14 +163,13 @@
 
     def end_answer(self, is_complete: bool) -> None:
         """Give back what the request held; `is_complete` tells if all was received."""
-        queued = len(self._messages) * MESSAGE_BYTES
-        pending = CHARGE_PER_BYTE * sum(map(len, self._pending))
-        self.server.account.release(
-            self, self.content_bytes_ - self._unsent_bytes - queued - pending
-        )
-        self._received_bytes = 0
+        kept = self._unsent_bytes + len(self._messages) * MESSAGE_BYTES
+        if self._pending:
+            kept += CHARGE_PER_BYTE * sum(map(len, self._pending))
+        self.server.account.release(self, self.content_bytes_ - kept)
         self._is_header_received = bool(self._messages)
-        self.since_ = self._loop.time()
+        if not self._messages:
+            self.received_bytes_ = 0
         if not is_complete:
             self.state_ = ConnectionState.DISCARDING
         elif self._messages or self._pending:
@@ -220,10 +221,6 @@
     def _begin_request(self) -> None:
         self.state_ = ConnectionState.RECEIVING
         self.since_ = self._loop.time()
-        if not self._is_header_received:
-            self._header_timer = self._loop.call_later(
-                self.server.bounds().header_timeout_s, self._on_header_timeout
-            )
 
     def _is_busy(self) -> bool:
         """Return whether what is received now belongs to a later request."""
@@ -235,7 +232,7 @@
             self._defer()
 
     def _defer(self) -> None:
-        self.server.pacer.defer(self._received_bytes, self._parse_pending)
+        self.server.pacer.defer(self.received_bytes_, self._parse_pending)
 
     def _parse_pending(self) -> int:
         """Parse the bytes that wait, and return their number."""
@@ -249,24 +246,40 @@
         return len(data)
 
     def _parse(self, data: bytes) -> None:
-        self._received_bytes += len(data)
+        self.received_bytes_ += len(data)
         count = self._request_count
         super().data_received(data)
-        if self._request_count > count:
+        arrived = self._request_count - count
+        if arrived:
             self._is_header_received = True
             self._cancel_header_timer()
-            self._charge((self._request_count - count) * MESSAGE_BYTES)
-        if self._force_close:
+        # The objects of one request are in the charge of the connection.
+        if arrived > 1:
+            self._charge(arrived * MESSAGE_BYTES)
+        if not self._force_close:
+            self._check_bounds(len(data))
+
+    def _check_bounds(self, count: int) -> None:
+        """Refuse a request that is too large, after `count` bytes of it were parsed."""
+        if self.state_ is ConnectionState.DISCARDING:
+            self.server.account.release(self, CHARGE_PER_BYTE * count)
+        elif not self._is_header_received:
+            self._check_header()
             return
+        # One piece is too small to matter, and most requests are not larger.
+        if self.received_bytes_ <= PIECE_BYTES:
+            return
+        if self.received_bytes_ > self.server.bounds().max_request_bytes:
+            self.refuse(CloseReason.REQUEST_SIZE)
+
+    def _check_header(self) -> None:
         bounds = self.server.bounds()
-        is_in_header = not self._is_header_received
-        if self.state_ is ConnectionState.DISCARDING:
-            self.server.account.release(self, CHARGE_PER_BYTE * len(data))
-            is_in_header = False
-        if is_in_header and self._received_bytes > bounds.max_header_bytes:
+        if self.received_bytes_ > bounds.max_header_bytes:
             self.refuse(CloseReason.HEADER_SIZE)
-        elif self._received_bytes > bounds.max_request_bytes:
-            self.refuse(CloseReason.REQUEST_SIZE)
+        elif self._header_timer is None:
+            self._header_timer = self._loop.call_later(
+                bounds.header_timeout_s, self._on_header_timeout
+            )
 
     def _charge(self, count: int) -> None:
         self.server.account.charge(self, count)
--- a/pimentomill/ingress/_pacer.py
+++ b/pimentomill/ingress/_pacer.py
@@ -20,11 +20,16 @@
 
     Parameters
     ----------
+    loop : asyncio.AbstractEventLoop
+        The event loop.
     iteration_bytes : int, default=32768
         Bytes per iteration; one piece may exceed them.
     """
 
-    def __init__(self, iteration_bytes: int = ITERATION_BYTES) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, iteration_bytes: int = ITERATION_BYTES
+    ) -> None:
+        self.loop = loop
         self.iteration_bytes = iteration_bytes
         self._parsed_bytes = 0
         self._is_scheduled = False
@@ -55,7 +60,7 @@
     def _schedule(self) -> None:
         if not self._is_scheduled:
             self._is_scheduled = True
-            asyncio.get_running_loop().call_soon(self._begin_iteration)
+            self.loop.call_soon(self._begin_iteration)
 
     def _begin_iteration(self) -> None:
         self._is_scheduled = False
--- a/pimentomill/ingress/_server.py
+++ b/pimentomill/ingress/_server.py
@@ -33,6 +33,13 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 ErrorEncoder = Callable[[int, str], tuple[str, bytes]]
 
+REJECTIONS = {
+    HeaderTooLargeError: (431, CloseReason.HEADER_SIZE),
+    BodyTooLargeError: (413, CloseReason.REQUEST_SIZE),
+    BodyTimeoutError: (408, CloseReason.BODY_TIMEOUT),
+    BodyLostError: (400, CloseReason.MALFORMED),
+}
+"""Status and reason by the error for which a request is not carried out."""
 FORMATTER = logging.Formatter()
 ACCEPTS_PER_WAKEUP = 64
 ACCEPT_PAUSE_S = 0.1
@@ -88,7 +95,7 @@
         self.log = log
         self.encode_error = encode_error
         self.closures = ClosureLog(log, on_closure)
-        self.pacer = ReceivePacer()
+        self.pacer = ReceivePacer(self._loop)
         self.options = {"logger": self._make_library_logger(), **options}
         self.address_: tuple[str, int] | None = None
         self._listener: socket.socket | None = None
@@ -207,41 +214,34 @@
                 return web.Response(status=503)
         conn.begin_answer(req)
         try:
-            resp = await self._call_handler(req)
+            self._check_header_size(req)
+            resp = await self.handler(req)
+        except tuple(REJECTIONS) as exc:
+            resp = self._reject(req, exc)
         finally:
-            conn.end_answer(req.content.is_eof())
-        if not req.content.is_eof():
+            is_complete = req.content.is_eof()
+            conn.end_answer(is_complete)
+        if not is_complete:
             resp.force_close()
         return resp
 
-    async def _call_handler(self, req: web.BaseRequest) -> web.StreamResponse:
-        try:
-            self._check_header_size(req)
-            return await self.handler(req)
-        except HeaderTooLargeError as exc:
-            return self._reject(req, 431, CloseReason.HEADER_SIZE, str(exc))
-        except BodyTooLargeError as exc:
-            return self._reject(req, 413, CloseReason.REQUEST_SIZE, str(exc))
-        except BodyTimeoutError as exc:
-            return self._reject(req, 408, CloseReason.BODY_TIMEOUT, str(exc))
-        except BodyLostError as exc:
-            return self._reject(req, 400, CloseReason.MALFORMED, str(exc))
-
     def _check_header_size(self, req: web.BaseRequest) -> None:
+        max_bytes = self.bounds().header_bytes
+        if req.protocol.received_bytes_ <= max_bytes:
+            return
         header_bytes = len(req.path_qs) + sum(
             len(name) + len(value) for name, value in req.raw_headers
         )
-        max_bytes = self.bounds().header_bytes
         if header_bytes > max_bytes:
             raise HeaderTooLargeError(f"request header exceeds {max_bytes} bytes")
 
-    def _reject(
-        self, req: web.BaseRequest, status: int, reason: CloseReason, text: str
-    ) -> web.Response:
-        """Return an error response for a request that no handler has carried out."""
+    def _reject(self, req: web.BaseRequest, exc: Exception) -> web.Response:
+        """Return the response to a request that no handler has carried out."""
+        status, reason = REJECTIONS[type(exc)]
+        # A caller that has left is recorded by its connection.
         if req.transport is not None:
             self.closures.record(reason, req.protocol.peer)
-        content_type, body = self.encode_error(status, text)
+        content_type, body = self.encode_error(status, str(exc))
         resp = web.Response(
             status=status, body=body, headers={"Content-Type": content_type}
         )
--- a/pimentomill/ingress/tests/test_pacer.py
+++ b/pimentomill/ingress/tests/test_pacer.py
@@ -6,7 +6,7 @@
 
 class TestReceivePacer(unittest.IsolatedAsyncioTestCase):
     async def test_bytes_of_one_iteration_are_bounded(self):
-        pacer = ReceivePacer(10)
+        pacer = ReceivePacer(asyncio.get_running_loop(), 10)
         self.assertTrue(pacer.take(6))
         self.assertTrue(pacer.take(6))
         self.assertFalse(pacer.take(1))
@@ -14,7 +14,7 @@
         self.assertTrue(pacer.take(1))
 
     async def test_least_received_comes_first(self):
-        pacer, parsed = ReceivePacer(10), []
+        pacer, parsed = ReceivePacer(asyncio.get_running_loop(), 10), []
 
         def parse(name):
             parsed.append(name)
@@ -29,7 +29,7 @@
         self.assertEqual(parsed, [1, 3, 7, 40, 500, 9000])
 
     async def test_a_small_request_passes_waiting_large_ones(self):
-        pacer, parsed = ReceivePacer(1), []
+        pacer, parsed = ReceivePacer(asyncio.get_running_loop(), 1), []
 
         def parse_large():
             parsed.append("large")
--- a/pimentomill/platform/_frontend.py
+++ b/pimentomill/platform/_frontend.py
@@ -34,6 +34,8 @@
 MONITOR_CONNECTIONS = 32
 """Connections for readiness checks, and as many for metrics scrapers."""
 
+DEFAULT_LIMITS = RequestLimits()
+
 _log = ComponentLogger("front")
 
 
@@ -54,6 +56,8 @@
         self.account = IngressAccount(limits)
         self.in_flight_ = 0
         self._servers: list[IngressServer] = []
+        self._bounded_limits: RequestLimits | None = None
+        self._request_bounds: RequestBounds | None = None
 
     async def start(
         self,
@@ -101,12 +105,15 @@
 
     def _bounds(self) -> RequestBounds:
         limits = self._limits()
-        return RequestBounds(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_timeout_ms / 1000,
-            limits.idle_timeout_ms / 1000,
-        )
+        if limits is not self._bounded_limits:
+            self._bounded_limits = limits
+            self._request_bounds = RequestBounds(
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.header_timeout_ms / 1000,
+                limits.idle_timeout_ms / 1000,
+            )
+        return self._request_bounds
 
     async def stop(self) -> None:
         """Stop listening and close idle connections."""
@@ -163,7 +170,7 @@
 
     def _limits(self) -> RequestLimits:
         catalog = self.node.catalog_
-        return catalog.limits if catalog is not None else RequestLimits()
+        return catalog.limits if catalog is not None else DEFAULT_LIMITS
 
 
 def _encode(answer: CallerAnswer) -> web.Response:
