Ingress: a request that was refused is never carried out

Callers would see: 503 for a job that runs, or a cancellation that takes effect.

Cause: a refusal between the parser's end of a request and the start of its handler wrote 503, but the HTTP library went on with the request; and a DELETE or GET with a body, which is not read, counted as incomplete while it was carried out.

Change: the connection knows that it is refused, and neither the server nor the reader of the body hands the request on; a handler that leaves a body unread says so first.

Evidence: test_a_refused_request_is_never_carried_out failed before (2 requests carried out), and holds now.

--- a/pimentomill/ingress/_body.py
+++ b/pimentomill/ingress/_body.py
@@ -12,7 +12,7 @@
 )
 from ..utils import read_body
 
-__all__ = ["decode_content", "read_request_body"]
+__all__ = ["decode_content", "read_request_body", "skip_request_body"]
 
 WINDOW_BITS_BY_ENCODING = {
     "gzip": zlib.MAX_WBITS | 16,
@@ -33,7 +33,7 @@
     BodyTimeoutError
         If the body is not complete within `timeout_s`.
     BodyLostError
-        If the body is malformed or its caller leaves.
+        If the body is malformed, its caller leaves or the request has been refused.
     """
     if (req.content_length or 0) > max_bytes:
         raise BodyTooLargeError(f"request body exceeds {max_bytes} bytes")
@@ -48,10 +48,17 @@
         raise BodyLostError(f"request body is not complete: {exc}") from exc
     if len(body) > max_bytes:
         raise BodyTooLargeError(f"request body exceeds {max_bytes} bytes")
+    if req.protocol.is_refused_:
+        raise BodyLostError("request was refused meanwhile")
     req.protocol.mark_received()
     return body
 
 
+def skip_request_body(req: web.BaseRequest) -> None:
+    """Leave the body of a request unread, so that the request counts as complete."""
+    req.protocol.mark_received()
+
+
 def decode_content(body: bytes, encoding: str, max_bytes: int) -> bytes:
     """Decode a body that was sent with a content encoding.
 
--- a/pimentomill/ingress/_connection.py
+++ b/pimentomill/ingress/_connection.py
@@ -64,6 +64,9 @@
         See `Holder`.
     received_bytes_ : int
         Bytes received since the last request was answered, also of further requests.
+    is_refused_ : bool
+        Whether the request was refused or the connection closed, so that nothing more
+        may be carried out.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         self.content_bytes_ = 0
         self._socket_transport: asyncio.Transport | None = None
         self.received_bytes_ = 0
+        self.is_refused_ = False
         self._is_header_received = False
         self._is_held_by_parser = False
         self._pending: list[bytes] = []
@@ -187,6 +191,7 @@
         """Refuse the request that is being received, if any, and close."""
         if self._force_close:
             return
+        self.is_refused_ = True
         self.server.closures.record(reason, self.peer)
         status = STATUS_BY_REASON.get(reason)
         transport = self.transport
--- a/pimentomill/ingress/_server.py
+++ b/pimentomill/ingress/_server.py
@@ -60,8 +60,9 @@
     Parameters
     ----------
     handler : callable
-        Coroutine function that answers a request whose header is complete. It reads
-        the body with `read_request_body`.
+        Coroutine function that answers a request whose header is complete. Before it
+        does anything else, it reads the body with `read_request_body` or leaves it with
+        `skip_request_body`.
     account : IngressAccount
         Account of the connections.
     bounds : callable
@@ -212,6 +213,9 @@
             except ConnectionError:
                 # The caller has left without reading earlier answers, and is recorded.
                 return web.Response(status=503)
+        if conn.is_refused_:
+            # The parser had the request complete, but its refusal has been sent.
+            return web.Response(status=503)
         conn.begin_answer(req)
         try:
             self._check_header_size(req)
--- a/pimentomill/ingress/tests/test_server.py
+++ b/pimentomill/ingress/tests/test_server.py
@@ -7,12 +7,15 @@
 from aiohttp import web
 
 from pimentomill.ingress import (
+    CloseReason,
     IngressAccount,
     IngressLimits,
     IngressServer,
     RequestBounds,
     read_request_body,
+    skip_request_body,
 )
+from pimentomill.ingress._connection import IngressConnection
 from pimentomill.telemetry import ComponentLogger
 
 HEADER_BYTES = 2000
@@ -41,7 +44,7 @@
         self.closed = Counter()
         self.release = asyncio.Event()
         self.release.set()
-        self.in_flight = 0
+        self.in_flight = self.handled = 0
         log = ComponentLogger("test")
         log.info = mock.Mock()
         log.warning = self.warning = mock.Mock()
@@ -59,6 +62,7 @@
     async def handle(self, req):
         body = await read_request_body(req, BODY_BYTES, HANG_S)
         self.in_flight += 1
+        self.handled += 1
         await self.release.wait()
         self.in_flight -= 1
         return web.Response(body=f"{len(body)};".encode())
@@ -179,6 +183,36 @@
         self.assertEqual(self.closed["malformed"], 5)
         self.warning.assert_not_called()
 
+    async def test_a_refused_request_is_never_carried_out(self):
+        def refuse(conn, count):
+            conn.refuse(CloseReason.MEMORY)
+
+        with mock.patch.object(IngressConnection, "_check_bounds", refuse):
+            for data in (GET, with_length(b"job")):
+                reader, _ = await self.connect(data)
+                answer = await self.read_all(reader)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 503"))
+        await self.wait_until(lambda: not self.server.connections)
+        self.assertEqual(self.handled, 0)
+
+    async def test_a_request_whose_body_is_skipped_is_not_refused(self):
+        async def skip(req):
+            skip_request_body(req)
+            self.in_flight += 1
+            await self.release.wait()
+            return web.Response(body=b"done;")
+
+        self.server.handler = skip
+        self.release.clear()
+        reader, _ = await self.connect(with_length(b"x" * 5000)[:-1])
+        await self.wait_until(lambda: self.in_flight)
+        self.account.limits = IngressLimits(0, 0)
+        await self.connect()
+        await self.wait_until(lambda: self.closed["connections"])
+        self.release.set()
+        async with asyncio.timeout(HANG_S):
+            self.assertTrue((await reader.readuntil(b";")).endswith(b"done;"))
+
     async def test_a_caller_that_leaves_within_its_body(self):
         reader, writer = await self.connect(with_length(b"x" * 100)[:-1])
         await self.wait_until(lambda: self.account.connection_count)
--- a/pimentomill/platform/_frontend.py
+++ b/pimentomill/platform/_frontend.py
@@ -11,6 +11,7 @@
     RequestBounds,
     decode_content,
     read_request_body,
+    skip_request_body,
 )
 from ..links import CallerAnswer, CallerRequest
 from ..telemetry import ComponentLogger
@@ -143,7 +144,7 @@
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
         try:
-            body = await self._read_body(req) if req.method == "POST" else b""
+            body = await self._read_body(req)
         except RequestRejectedError as exc:
             _log.info("Request", path=req.path, status=exc.status, why=str(exc))
             return _encode(CallerAnswer(exc.status, reason=str(exc)))
@@ -157,6 +158,9 @@
         return _encode(await self.caller_handler.answer(caller_request))
 
     async def _read_body(self, req: web.BaseRequest) -> bytes:
+        if req.method != "POST":
+            skip_request_body(req)
+            return b""
         limits = self._limits()
         timeout_s = limits.idle_timeout_ms / 1000
         body = await read_request_body(req, limits.body_bytes, timeout_s)
