--- a/pimentomill/ingress/_connection.py
+++ b/pimentomill/ingress/_connection.py
@@ -1,17 +1,14 @@
 """Connection of a client, with bounds that hold while bytes arrive."""
 
 import asyncio
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
 from ._account import ConnectionState
 from ._closures import CloseReason
-from ._limits import (
-    MESSAGE_BYTES,
-    RECEIVE_BUFFER_BYTES,
-    RETRY_AFTER_S,
-)
+from ._limits import MESSAGE_BYTES, RECEIVE_BUFFER_BYTES, RETRY_AFTER_S
 
 if TYPE_CHECKING:
     from ._server import IngressServer
@@ -26,22 +23,18 @@
 BODY_BUFFER_BYTES = 32 * 1024
 """Bytes of a body from which on its connection is read only as the body is consumed."""
 CHARGE_PER_BYTE = 2
-"""A body exists twice for a moment, when it is complete."""
+"""Bytes charged per byte received, as a complete body exists twice for a moment."""
 LINGER_S = 2.0
 """How long the rest of a refused body is read, so that the answer is not lost."""
 FLUSH_TIMEOUT_S = 2.0
 """How long a closed connection may take to send what remains."""
 STATUS_BY_REASON = {
-    CloseReason.MEMORY: 503,
-    CloseReason.CONNECTIONS: 503,
-    CloseReason.HEADER_SIZE: 431,
-    CloseReason.REQUEST_SIZE: 413,
-}
-PHRASES = {
-    413: "Request Entity Too Large",
-    431: "Request Header Fields Too Large",
-    503: "Service Unavailable",
+    CloseReason.MEMORY: HTTPStatus.SERVICE_UNAVAILABLE,
+    CloseReason.CONNECTIONS: HTTPStatus.SERVICE_UNAVAILABLE,
+    CloseReason.HEADER_SIZE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    CloseReason.REQUEST_SIZE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
 }
+"""Status of the answer to an incomplete request; other reasons have no answer."""
 
 
 class IngressConnection(web.RequestHandler):
@@ -64,6 +57,8 @@
         See `Holder`.
     received_bytes_ : int
         Bytes received since the last request was answered, also of further requests.
+    opening : asyncio.Task or None
+        Sets up the transport, with the TLS handshake if any; None once it is there.
     is_refused_ : bool
         Whether the request was refused or the connection closed, so that nothing more
         may be carried out.
@@ -134,7 +129,9 @@
         """Give back all charges, and log a caller that left without an answer."""
         if self.state_ is not ConnectionState.IDLE and not self._force_close:
             self.server.closures.record(CloseReason.CALLER_LEFT, self.peer)
-        self._forget()
+        self.server.account.close(self)
+        self._pending.clear()
+        self._cancel_header_timer()
         self._cancel_unsent_timer()
         super().connection_lost(exc)
 
@@ -212,15 +209,15 @@
         if has_unsent:
             self._loop.call_later(FLUSH_TIMEOUT_S, transport.abort)
 
-    def _encode_refusal(self, status: int, reason: CloseReason) -> bytes:
+    def _encode_refusal(self, status: HTTPStatus, reason: CloseReason) -> bytes:
         content_type, body = self.server.encode_error(status, reason.value)
         lines = [
-            f"HTTP/1.1 {status} {PHRASES[status]}",
+            f"HTTP/1.1 {status:d} {status.phrase}",
             f"Content-Type: {content_type}",
             f"Content-Length: {len(body)}",
             "Connection: close",
         ]
-        if status == 503:
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
             lines.append(f"Retry-After: {RETRY_AFTER_S}")
         return "\r\n".join([*lines, "", ""]).encode() + body
 
@@ -328,8 +325,3 @@
         if self._unsent_timer is not None:
             self._unsent_timer.cancel()
             self._unsent_timer = None
-
-    def _forget(self) -> None:
-        self.server.account.close(self)
-        self._pending.clear()
-        self._cancel_header_timer()
--- a/pimentomill/ingress/_limits.py
+++ b/pimentomill/ingress/_limits.py
@@ -48,7 +48,6 @@
 RETRY_AFTER_S = 1
 """Retry delay after a refusal; by then another entry is chosen or memory is free."""
 
-
 MemoryMb = Annotated[int, Meta(ge=32)]
 Descriptors = Annotated[int, Meta(gt=FILE_DESCRIPTORS)]
 
--- a/pimentomill/ingress/_server.py
+++ b/pimentomill/ingress/_server.py
@@ -5,6 +5,7 @@
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -34,10 +35,13 @@
 ErrorEncoder = Callable[[int, str], tuple[str, bytes]]
 
 REJECTIONS = {
-    HeaderTooLargeError: (431, CloseReason.HEADER_SIZE),
-    BodyTooLargeError: (413, CloseReason.REQUEST_SIZE),
-    BodyTimeoutError: (408, CloseReason.BODY_TIMEOUT),
-    BodyLostError: (400, CloseReason.MALFORMED),
+    HeaderTooLargeError: (
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        CloseReason.HEADER_SIZE,
+    ),
+    BodyTooLargeError: (HTTPStatus.REQUEST_ENTITY_TOO_LARGE, CloseReason.REQUEST_SIZE),
+    BodyTimeoutError: (HTTPStatus.REQUEST_TIMEOUT, CloseReason.BODY_TIMEOUT),
+    BodyLostError: (HTTPStatus.BAD_REQUEST, CloseReason.MALFORMED),
 }
 """Status and reason by the error for which a request is not carried out."""
 FORMATTER = logging.Formatter()
@@ -146,7 +150,7 @@
             self._listener = None
         for task in list(self._opening):
             task.cancel()
-        # Lets connections that have just been accepted be set up.
+        # Lets connections whose setup is done be closed with the others.
         await asyncio.sleep(0)
         self.pre_shutdown()
         await self.shutdown(timeout_s)
--- a/pimentomill/ingress/tests/test_server.py
+++ b/pimentomill/ingress/tests/test_server.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 import unittest
 from collections import Counter
 from unittest import mock
@@ -21,6 +22,7 @@
 HEADER_BYTES = 2000
 BODY_BYTES = 20_000
 LIMITS = IngressLimits(4_000_000, 20)
+SMALL_BUFFER_BYTES = 4096
 HANG_S = 60.0
 HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -282,9 +284,14 @@
         self.assertEqual(self.closed["header_timeout"], 1)
 
     async def test_answers_that_nobody_reads(self):
-        _, writer = await self.connect()
-        writer.transport.pause_reading()
-        writer.write(GET * 60_000)
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, self.server.address_)
+        sending = loop.create_task(loop.sock_sendall(sock, GET * 10_000))
+        self.addCleanup(sending.cancel)
         await self.wait_until(lambda: self.closed["answer_unread"])
         await self.wait_until(lambda: not self.account.connection_count)
         self.assertEqual(self.account.held_bytes_, 0)
