--- a/proofs/authority/_cell.py
+++ b/proofs/authority/_cell.py
@@ -29,7 +29,7 @@
 from pimentomill.utils import Resources
 from proofs.clocks import SkewedClock
 
-from ._links import EntryEndpoint, SimulatedHttp, StreamWeb
+from ._links import EntryEndpoint, SimulatedHttp, StreamWeb, read_simulated_body
 from ._loop import PROCESS, LoopClock, Process, SimulatedLoop
 from ._network import Endpoint, Network, NetworkPlan
 from ._store import SimulatedStore
@@ -216,6 +216,7 @@
                 ("pimentomill.control._leader.time", times),
                 ("pimentomill.control._load.time", times),
                 ("pimentomill.links._server.web", StreamWeb),
+                ("pimentomill.links._server.read_request_body", read_simulated_body),
             ):
                 stack.enter_context(mock.patch(target, new))
             stack.enter_context(
--- a/proofs/authority/_links.py
+++ b/proofs/authority/_links.py
@@ -14,7 +14,13 @@
 from ._loop import PROCESS
 from ._network import Endpoint, LinkKind, LostError, Network, RefusedError
 
-__all__ = ["EntryEndpoint", "SimulatedHttp", "SimulatedStream", "StreamWeb"]
+__all__ = [
+    "EntryEndpoint",
+    "SimulatedHttp",
+    "SimulatedStream",
+    "StreamWeb",
+    "read_simulated_body",
+]
 
 END_OF_STREAM = None
 MS_PER_S = 1000
@@ -54,6 +60,13 @@
         return self._body
 
 
+async def read_simulated_body(
+    req: SimulatedRequest, max_bytes: int, timeout_s: float
+) -> bytes:
+    """Read a body in place of `read_request_body`; it has arrived and is small."""
+    return await req.read()
+
+
 class _Channel:
     """Carries a streamed response from a server to a client."""
 
