Ingress: callers are read before they are closed for later ones, refusals leave no traceback

Cause: up to 64 connections were accepted in an iteration of the event loop; with room for 150, a new connection was the oldest idle one before its request was read. Now 8 are accepted.

--- a/pimentomill/ingress/_body.py
+++ b/pimentomill/ingress/_body.py
@@ -46,6 +46,11 @@
         raise BodyTimeoutError("timed out reading the request body") from exc
     except (ConnectionError, web.RequestPayloadError) as exc:
         raise BodyLostError(f"request body is not complete: {exc}") from exc
+    except RuntimeError as exc:
+        # The library's error for reading from a connection that has been closed.
+        if req.protocol.connected:
+            raise
+        raise BodyLostError("request was refused meanwhile") from exc
     if len(body) > max_bytes:
         raise BodyTooLargeError(f"request body exceeds {max_bytes} bytes")
     if req.protocol.is_refused_:
--- a/pimentomill/ingress/_server.py
+++ b/pimentomill/ingress/_server.py
@@ -45,7 +45,9 @@
 }
 """Status and reason by the error for which a request is not carried out."""
 FORMATTER = logging.Formatter()
-ACCEPTS_PER_WAKEUP = 64
+ACCEPTS_PER_WAKEUP = 8
+"""Connections accepted in an iteration of the event loop. With more, new connections
+would be closed for the next ones before they are read."""
 ACCEPT_PAUSE_S = 0.1
 """Pause after a connection could not be accepted, as descriptors are used up."""
 
--- a/pimentomill/ingress/tests/test_server.py
+++ b/pimentomill/ingress/tests/test_server.py
@@ -46,7 +46,7 @@
         self.closed = Counter()
         self.release = asyncio.Event()
         self.release.set()
-        self.in_flight = self.handled = 0
+        self.reading = self.in_flight = self.handled = 0
         log = ComponentLogger("test")
         log.info = mock.Mock()
         log.warning = self.warning = mock.Mock()
@@ -62,6 +62,7 @@
         self.addAsyncCleanup(self.server.stop, 0.1)
 
     async def handle(self, req):
+        self.reading += 1
         body = await read_request_body(req, BODY_BYTES, HANG_S)
         self.in_flight += 1
         self.handled += 1
@@ -190,12 +191,29 @@
             conn.refuse(CloseReason.MEMORY)
 
         with mock.patch.object(IngressConnection, "_check_bounds", refuse):
-            for data in (GET, with_length(b"job")):
+            for data in (GET, with_length(b"job"), with_length(b"job")[:-1]):
                 reader, _ = await self.connect(data)
                 answer = await self.read_all(reader)
                 self.assertTrue(answer.startswith(b"HTTP/1.1 503"))
         await self.wait_until(lambda: not self.server.connections)
         self.assertEqual(self.handled, 0)
+        self.warning.assert_not_called()
+
+    async def test_a_refusal_while_the_body_is_read_is_no_error(self):
+        def check(conn, count):
+            if conn.received_bytes_ > 3000:
+                conn.refuse(CloseReason.MEMORY)
+
+        request = with_length(b"x" * 5000)
+        with mock.patch.object(IngressConnection, "_check_bounds", check):
+            reader, writer = await self.connect(request[:2000])
+            await self.wait_until(lambda: self.reading)
+            writer.write(request[2000:4000])
+            answer = await self.read_all(reader)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"))
+        await self.wait_until(lambda: not self.server.connections)
+        self.assertEqual(self.handled, 0)
+        self.warning.assert_not_called()
 
     async def test_a_request_whose_body_is_skipped_is_not_refused(self):
         async def skip(req):
