--- a/review/12/moved.py
+++ b/review/11/moved.py
@@ -3,11 +3,8 @@
 import asyncio
 import os
 import sys
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "11"))
-
-from cell import Cell, new_record, route, run_case, tenant  # noqa: E402
+from cell import Cell, new_record, route, run_case, tenant
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CUT_S = 5.5
--- a/review/11/flap.py
+++ b/review/12/flap.py
@@ -3,8 +3,11 @@
 import asyncio
 import os
 import sys
+from pathlib import Path
 
-from cell import Cell, new_record, route, run_case, tenant
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "11"))
+
+from cell import Cell, new_record, route, run_case, tenant  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 EXECUTORS = 30
