--- a/review/11/moved.py
+++ b/review/11/moved.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import os
+import signal
 import sys
 
 from cell import Cell, new_record, route, run_case, tenant
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CUT_S = 5.5
-KILL_AFTER_S = 0.3
+STOP_AFTER_S = 0.3
 TASK_S = 14.0
 
 
@@ -40,13 +41,13 @@
 
 
 async def disrupt(cell, executor):
-    """Cut an executor off, and kill the leader's process meanwhile."""
+    """Cut an executor off, and stop the leader's process gracefully meanwhile."""
     leader = cell.leader()
     executor.is_cut = True
     cell.record.add("cut", id=executor.name, for_s=CUT_S)
-    await asyncio.sleep(KILL_AFTER_S)
-    cell.kill(leader)
-    await asyncio.sleep(CUT_S - KILL_AFTER_S)
+    await asyncio.sleep(STOP_AFTER_S)
+    cell.signal(leader, signal.SIGTERM)
+    await asyncio.sleep(CUT_S - STOP_AFTER_S)
     executor.is_cut = False
     cell.record.add("healed", id=executor.name)
 
