--- a/review/11/cell.py
+++ b/review/11/cell.py
@@ -44,7 +44,7 @@
 Entry = "virtual_ip"
 HeartbeatMs = 1500
 Contracts = ["base", "drain", "config", "cost", "recover", "sched", "tenants",
-    "quota", "platform", "advice", "upkeep", "sharing"{further}]
+    "quota", "platform", "advice", "upkeep", "sharing"]
 ControlMode = "rpc"
 Advice = "{advice}"
 [Zones]
@@ -228,7 +228,7 @@
         self.rng = random.Random(7)
         self.plan = Plan(self.rng)
         self.store = Store()
-        self.settings = {"restore_ms": 100, "further": "", **settings}
+        self.settings = {"restore_ms": 100, **settings}
         self.executors = {}
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         subnet = free_subnet()
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps exec python3 review/12/flap.py
+PYTHONPATH=target/deps exec python3 review/12/removed.py
