Leader: a task whose queue has moved waits for silent workers of each former service

Callers saw: after a queue had moved from svc-a to svc-b, a task that ran on a silent worker of svc-a was started on svc-b by the next leader, 1.3 s after the leader was lost, while its first run went on until its lease lapsed.

Cause: Inheritance asks whether an earlier leader may have started a step on a silent worker, and judged the worker's service by the queue as configured now. The same answer decides what counts for the limit of the team. The queue of the acceptance would not do either: a queue moves more than once, back, or away for good.

Change: the progress record of a job names each service to which its queue has sent it, once there is another than that of the acceptance, until the job has ended. A task starts in a further service only after the leader has read that record back, so a successor never misses one. Nothing waits for workers of other services, and a queue that never moves writes nothing.

Tests: five in test_inheritance.

--- a/pimentomill/control/_inheritance.py
+++ b/pimentomill/control/_inheritance.py
@@ -177,11 +177,11 @@
     """Return whether a previous leader could have started the step on the worker.
 
     The placement policy is left out, as this leader does not know its answers yet.
-    The worker may have shrunk since.
+    The worker may have shrunk since, and the queue may have moved to another service.
     """
     info = worker.info
     return (
-        info.service == step.job.queue.service
+        info.service in step.job.services
         and step.matches_label(info)
         and step.spec.reserved.fits_in(worker.largest_capacity)
     )
--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -183,8 +183,28 @@
         self.catalog = catalog
         self.quotas.teams = catalog.teams
         self.usage.teams = catalog.teams
+        moved: Counter[tuple[str, str, str]] = Counter()
         for job in self.jobs.values():
-            job.queue = catalog.queues.get(job.accepted.queue.name, job.queue)
+            before = job.queue.service
+            self._apply_queue(job)
+            if job.queue.service != before:
+                moved[job.queue.name, before, job.queue.service] += 1
+        for (queue, before, service), count in moved.items():
+            _log.info(
+                "Queue moved to another service",
+                queue=queue,
+                before=before,
+                service=service,
+                jobs=count,
+                version=catalog.version,
+            )
+
+    def _apply_queue(self, job: JobRun) -> None:
+        """Apply the configured queue of a job, and have a new service of it stored."""
+        if self.catalog is not None:
+            job.set_queue(self.catalog.queues.get(job.queue.name, job.queue))
+        if not job.is_service_stored and not job.state.is_final:
+            self.dirty.add(job.accepted.job)
 
     def set_evacuated(self, data_centres: frozenset[str]) -> None:
         """Apply the data centres that operators have evacuated.
@@ -227,6 +247,8 @@
                     self._inherit_ended_job(entry)
                 return
             job = self._add_job(entry, inherited)
+        if entry.progress_ is not None:
+            job.observe_stored(entry.progress_)
         if entry.state is JobState.CANCELLED and not job.state.is_final:
             self._finish(job, JobState.CANCELLED, "cancelled by a caller")
 
@@ -245,11 +267,10 @@
         if not may_run or age_ms > MAX_REMNANT_AGE_MS:
             return
         job = JobRun(entry.accepted_, 1, self.clock.now())
-        if self.catalog is not None:
-            job.queue = self.catalog.queues.get(job.queue.name, job.queue)
         if stored is not None:
             job.restore(stored)
         job.state = entry.state
+        self._apply_queue(job)
         for occurrence in self.occurrences.latest_due(job):
             job.open_occurrence(self.clock.now(), occurrence)
         self.inheritance.add_ended_job(job)
@@ -267,10 +288,9 @@
         job.led_since = now
         job.counts_failed_runs = self.features.admission
         job.keeps_retries = self.features.policy_reuse
-        if self.catalog is not None:
-            job.queue = self.catalog.queues.get(accepted.queue.name, job.queue)
         if entry.progress_ is not None:
             job.restore(entry.progress_)
+        self._apply_queue(job)
         self.jobs[accepted.job] = job
         if self.catalog is not None:
             team = self.catalog.teams.get(accepted.team)
@@ -377,6 +397,9 @@
         for step in self.open_steps.values():
             if step.ready_at is None or not step.waiting:
                 continue
+            if not step.job.is_service_stored:
+                # Without a record, a successor would not look for runs there.
+                continue
             if not self.inheritance.is_withheld(step):
                 yield step
 
--- a/pimentomill/control/tests/test_inheritance.py
+++ b/pimentomill/control/tests/test_inheritance.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from pimentomill.catalog import Team
+from pimentomill.catalog import Catalog, RequestLimits, Team
 from pimentomill.control import LeaderState
 from pimentomill.control._leader_state import MAX_REMNANT_AGE_MS, WAITING_HOLD_MS
 from pimentomill.dispatch import Planner
-from pimentomill.dispatch.tests.samples import SERVICE, accepted, info, step
+from pimentomill.dispatch.tests.samples import SERVICE, accepted, info, queue, step
 from pimentomill.fleet import EndKind, RunEnd, RunStatus, WorkerReport
 from pimentomill.jobs import (
     Cancelled,
@@ -377,6 +377,105 @@
         self.assertEqual([item.state for item in records], [JobState.CANCELLED])
         self.assertEqual(self.state.jobs, {})
 
+    # A queue that moves to another service
+
+    def route(self, state, *services):
+        """Send the queue to services in turn; None removes it."""
+        for service in services:
+            queues = [] if service is None else [queue(service=service)]
+            teams = self.state.quotas.teams.values()
+            catalog = Catalog(1, queues, teams, {}, [SERVICE], RequestLimits())
+            state.set_catalog(catalog)
+
+    def store_changes(self, state):
+        """Store what a leader has changed and let it read that."""
+        records, _ = state.pop_changes()
+        for record in records:
+            self.table.apply(progress_key(record.job), encode_record(record))
+            state.sync_job(record.job, self.table.find(record.job), inherited=False)
+
+    def take_over_beside(self, silent_service):
+        """Let a successor survey a worker of a service that does not answer."""
+        self.set_up_state()
+        self.silent.register(self.silent.info._replace(service=silent_service))
+        catalog = self.previous.catalog
+        self.state.set_catalog(catalog)
+        self.state.sync_job(JOB, self.table.find(JOB), inherited=True)
+        self.report(self.prompt)
+        self.end_survey()
+        self.store_changes(self.state)
+
+    def lead_before(self, *services):
+        """Let a leader run a task of the queue in each of the services in turn."""
+        self.previous = LeaderState(1, self.clock, self.table.find)
+        self.inherit([step()])
+        self.previous.sync_job(JOB, self.table.find(JOB), inherited=False)
+        for service in services:
+            self.route(self.previous, service)
+            self.store_changes(self.previous)
+
+    # Guards against two runs of a task: the silent worker is of a service to which the
+    # queue was sent before, once or several times, and is named in no setting any more.
+    def test_a_task_waits_for_a_silent_worker_of_each_service_its_queue_has_had(self):
+        moves = (
+            (SERVICE, ["b"]),
+            ("b", ["b", "c"]),
+            ("b", ["b", SERVICE]),
+            ("b", ["b", None]),
+            (SERVICE, ["b", "c", None, "c"]),
+        )
+        for silent_service, services in moves:
+            with self.subTest(silent=silent_service, services=services):
+                self.setUp()
+                self.lead_before(*services)
+                self.take_over_beside(silent_service)
+                self.assertEqual(self.ready(), [])
+                self.report(self.silent)
+                self.assertEqual(self.ready(), [0])
+
+    def test_a_task_waits_for_no_silent_worker_of_a_service_its_queue_never_had(self):
+        self.lead_before("b")
+        self.take_over_beside("other")
+        self.assertEqual(self.ready(), [0])
+
+    # Guards against two runs of a task: a leader that is lost right after a start in
+    # the new service of a queue leaves no trace of it.
+    def test_nothing_starts_in_a_new_service_before_a_successor_can_know_of_it(self):
+        self.lead_before()
+        self.route(self.previous, "b")
+        self.assertEqual(list(self.previous.ready_steps()), [])
+        self.store_changes(self.previous)
+        self.assertEqual(len(list(self.previous.ready_steps())), 1)
+
+    # Guards against the same if an entry with later settings has accepted the job.
+    def test_nothing_starts_in_another_service_than_that_of_the_acceptance(self):
+        record = accepted(JOB, [step()], of=queue(service="b"))
+        self.table.apply(accepted_key(JOB), encode_record(record))
+        self.route(self.state, SERVICE)
+        self.state.sync_job(JOB, self.table.find(JOB), inherited=False)
+        self.assertEqual(self.ready(), [])
+        self.store_changes(self.state)
+        self.assertEqual(self.ready(), [0])
+
+    # Guards against a team beyond its limit: its job on the silent worker was
+    # cancelled, or has failed, after the queue had moved.
+    def test_runs_in_a_former_service_count_for_the_limit_of_their_team(self):
+        for state in (JobState.CANCELLED, JobState.FAILED):
+            with self.subTest(state=state):
+                self.setUp()
+                self.lead_before("b")
+                if state is JobState.CANCELLED:
+                    record = Cancelled(JOB, self.clock.wall_ms())
+                    self.table.apply(cancelled_key(JOB), encode_record(record))
+                else:
+                    self.previous.jobs[JOB].state = state
+                    self.previous.dirty.add(JOB)
+                    self.store_changes(self.previous)
+                self.take_over_beside(SERVICE)
+                self.state.inheritance.end_survey([self.silent])
+                withheld = self.state.inheritance.withheld_by_team()
+                self.assertEqual(withheld, {"t": step().need})
+
     def plan(self):
         planner = Planner(self.state.quotas)
         steps = list(self.state.ready_steps())
--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -366,11 +366,16 @@
         Whether failed runs extend the objective.
     keeps_retries : bool
         Whether repeated runs of urgent tasks keep their place among waiting work.
+    services : set of str
+        Services to which the queue has sent the job: any leader may have started its
+        tasks on their workers.
     """
 
     def __init__(self, accepted: Accepted, first_run: int, seen_at: Instant) -> None:
         self.accepted = accepted
         self.queue: Queue = accepted.queue
+        self.services = {accepted.queue.service}
+        self._stored_services = frozenset(self.services)
         self.first_run = first_run
         self.seen_at = seen_at
         self.steps: dict[StepKey, StepRun] = {}
@@ -394,6 +399,22 @@
         """Specification of the job."""
         return self.accepted.spec
 
+    def set_queue(self, queue: Queue) -> None:
+        """Apply the queue as configured by operators, perhaps for another service."""
+        self.queue = queue
+        self.services.add(queue.service)
+
+    def observe_stored(self, progress: Progress) -> None:
+        """Record which services the store names by the newest progress record."""
+        if progress.services is not UNSET:
+            self._stored_services = frozenset(progress.services)
+            self.services |= self._stored_services
+
+    @property
+    def is_service_stored(self) -> bool:
+        """Whether a successor knows that tasks may run in the queue's service."""
+        return self.queue.service in self._stored_services
+
     def failed_path_ms(self, occurrence: int) -> int:
         """Return by how much failed runs lengthen the critical path of an occurrence.
 
@@ -420,6 +441,7 @@
     def restore(self, progress: Progress) -> None:
         """Restore the state from stored progress, before any occurrence is opened."""
         self.state = progress.state
+        self.observe_stored(progress)
         if progress.done_occurrences is not UNSET:
             self._done_occurrences = OccurrenceSet(progress.done_occurrences)
             self._lists_done_steps = False
@@ -537,7 +559,10 @@
 
     def progress(self, at_ms: int) -> Progress:
         """Return the progress record to store."""
-        progress = Progress(self.accepted.job, self.state, at_ms)
+        accepted = self.accepted
+        has_moved = self.services != {accepted.queue.service}
+        services = tuple(sorted(self.services)) if has_moved else UNSET
+        progress = Progress(accepted.job, self.state, at_ms, services=services)
         if self.state.is_final:
             return progress
         steps = (*self.stored_steps.values(), *self._collect(StepRun.progress))
--- a/pimentomill/jobs/_records.py
+++ b/pimentomill/jobs/_records.py
@@ -181,6 +181,10 @@
         Ranges of occurrences that are done and not listed in `steps`, each with its
         first and last number. Written only for jobs of which very many occurrences are
         done: earlier builds ignore it and would run these again.
+    services : tuple of str, optional
+        Services to which the queue has sent the job since it was accepted, sorted.
+        Written only if there is another than that of the acceptance. A successor has
+        no other trace of them: operators' settings hold the present service only.
     """
 
     job: JobId
@@ -189,6 +193,7 @@
     steps: tuple[StepProgress, ...] = ()
     crashes: tuple[StepCrashes, ...] | msgspec.UnsetType = msgspec.UNSET
     done_occurrences: tuple[tuple[int, int], ...] | msgspec.UnsetType = msgspec.UNSET
+    services: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 JobRecord = Accepted | Cancelled | Progress | Withdrawn
