Election: reading an earlier list of grantors ends no address of the newest one

What could happen: where the store is slow, the leader reads its list back after it has sent the next one. An address that is only on the newer list counted as left out, and was asked for leases for 12 s only, although entries rely on the newer list for good: two leaders.

Cause: each list that was read back ended the addresses that it lacks. Change: only the newest list that this process has sent does. The test fails without the change: only a2 is asked.

--- a/pimentomill/node/_grantor_lister.py
+++ b/pimentomill/node/_grantor_lister.py
@@ -54,7 +54,9 @@
             )
             return
         if listed.incarnation == self.incarnation:
-            self.enrolments.observe_list(listed.addresses)
+            # An address that an earlier list lacks may be on the newest one.
+            if listed == self._listed:
+                self.enrolments.observe_list(listed.addresses)
         elif self.address in listed.addresses:
             self.grantor.apply_list(LeaseRequest(listed.epoch, listed.incarnation))
 
--- a/pimentomill/node/tests/test_authority.py
+++ b/pimentomill/node/tests/test_authority.py
@@ -137,6 +137,21 @@
             self.node.grantor_lister._store(leader)
         self.assertEqual(required, [{"a2"}])
 
+    # Guards against two leaders: where the store is slow, a list is read after the next
+    # one has been sent, and an address that is only on that one was asked for 12 s only.
+    def test_an_address_of_the_newest_list_is_asked_after_an_earlier_list_is_read(self):
+        leader = mock.Mock()
+        leader.record.epoch = 3
+        lister = self.node.grantor_lister
+        for incarnation, address in (("life-2", "a2"), ("life-3", "a3")):
+            self.node.enrol(incarnation, address)
+            lister._store(leader)
+        for addresses in (["a2"], ["a2", "a3"]):
+            self.apply_list(addresses, 3, self.node.incarnation)
+        self.node.clock.advance(100_000)
+        required = self.node.enrolments.required(self.node.clock.now())
+        self.assertEqual(set(required.values()), {"a2", "a3"})
+
     # Guards against leases of workers that end because an entry restarts while the
     # store is down.
     def test_an_entry_that_has_read_nothing_grants_a_lease(self):
