Leader: a worker that returns with other labels is recorded anew for a successor

What could happen: the record of the workers in use was renewed when a worker came, drained or grew, but not when it returned under its name with other labels or in another service. A successor that could not read the worker's own entry any more took the silent worker for unable to run a task that ran there.

Change: service and labels count as a change of that record.

--- a/pimentomill/control/_leader.py
+++ b/pimentomill/control/_leader.py
@@ -240,7 +240,7 @@
         )
         self._plan_wanted = asyncio.Event()
         self._end_reason: asyncio.Future = asyncio.get_running_loop().create_future()
-        self._recorded_fleet: frozenset[tuple[WorkerId, Resources]] = frozenset()
+        self._recorded_fleet: frozenset[tuple] = frozenset()
         self._surveyed = False
         self._survey_until = clock.now()
         self._predecessors_until = clock.now()
@@ -447,9 +447,10 @@
             if info.is_draining and has_changed:
                 _log.info("Worker is draining", worker=info.worker)
             has_grown = not info.capacity.fits_in(worker.largest_capacity)
+            has_other_labels = _pool_and_labels(info) != _pool_and_labels(worker.info)
             self.state.sync_worker(info, cold_left_ms)
             # Workers renew their records each second or two without a change.
-            if has_changed or has_grown:
+            if has_changed or has_grown or has_other_labels:
                 self._record_fleet()
         self.lease_keeper.watch(worker)
 
@@ -467,7 +468,9 @@
             for worker in self.state.workers.values()
             if worker.attempts or not worker.info.is_draining
         ]
-        fleet = frozenset((info.worker, info.capacity) for info in infos)
+        fleet = frozenset(
+            (info.worker, info.capacity, *_pool_and_labels(info)) for info in infos
+        )
         if fleet == self._recorded_fleet:
             return
         self._recorded_fleet = fleet
@@ -751,6 +754,11 @@
             self.progress_writer.wake()
 
 
+def _pool_and_labels(info: WorkerInfo) -> tuple[str, frozenset[str]]:
+    """Return what decides, besides capacity, which tasks a worker may run."""
+    return info.service, info.labels
+
+
 def _urgent_demands(steps: list[StepRun], now: Instant) -> Iterator[UrgentDemand]:
     """Yield the waiting work that capacity is kept for."""
     for step in steps:
--- a/pimentomill/control/tests/test_leader.py
+++ b/pimentomill/control/tests/test_leader.py
@@ -482,6 +482,23 @@
             recorded = self.stored_fleet()["w1"].capacity
             self.assertEqual(recorded.cpu_milli, largest)
 
+    # Guards against two runs of a task: a worker has returned with other labels or in
+    # another service, and a successor that can't read its registration any more takes
+    # it for unable to run the task.
+    async def test_a_worker_that_returns_with_another_kind_is_recorded_anew(self):
+        leader = self.start_leader(1)
+        await self.wait_until(lambda: self.accept_runs(leader))
+        for changes in ({"kind": "gpu"}, {"kind": "gpu", "service": "survey"}):
+            await self.list_worker("w1", **changes)
+            await self.wait_until(lambda: self.stored_kind("w1") == self.kind("w1"))
+
+    def stored_kind(self, name):
+        recorded = self.stored_fleet()[name]
+        return recorded.service, recorded.labels
+
+    def kind(self, name):
+        return self.infos[name].service, self.infos[name].labels
+
     # After a change of the leader, jobs beyond a team's share must not start before
     # others. A team with a share of one job per second submits six at once, of which
     # one is done.
