Leader: a new incarnation of a worker is told to stop runs of unanswered starts

Callers saw: a start without an answer was carried out 8 s late by the next life of its worker, while the task ran elsewhere.

Cause: the stop that follows an unanswered start bars the run only in the incarnation that has answered the stop. Once a report lacked the run, the leader forgot it, so the next incarnation under the same name knew of no stop.

--- a/pimentomill/control/_leader_state.py
+++ b/pimentomill/control/_leader_state.py
@@ -33,6 +33,7 @@
 from ..utils import ZERO, Clock, Epoch, Instant, JobId
 from ._crashes import CrashTracker
 from ._inheritance import Inheritance
+from ._late_starts import LateStarts
 from ._occurrences import OccurrenceOpener
 from ._relocation import is_straggler, is_stuck, must_evacuate
 from ._scheduling import Features
@@ -120,6 +121,8 @@
         Tasks that a previous leader may have started, unknown to this one.
     crashes : CrashTracker
         Crashes of workers and the tasks that may have caused them.
+    late_starts : LateStarts
+        Start orders without an answer.
     dirty : set of JobId
         Jobs whose progress has to be stored soon.
     stopping : set of JobId
@@ -174,6 +177,7 @@
         self.is_covered = is_covered
         self.inheritance = Inheritance(clock, is_covered)
         self.crashes = CrashTracker(clock, self.step_of, self.dirty)
+        self.late_starts = LateStarts(clock)
         self.stragglers: StragglerPolicy | None = None
 
     # Jobs
@@ -692,6 +696,7 @@
         previous_incarnation_ms = worker.incarnation_ms
         worker.begin_incarnation(incarnation_ms)
         worker.require_confirmation(self.clock.now())
+        self._bar_late_starts(worker)
         if not previous_incarnation_ms:
             return
         _log.warning(
@@ -712,6 +717,14 @@
                 self.release(attempt)
                 self._observe_inherited_end(attempt.task)
 
+    def _bar_late_starts(self, worker: Worker) -> None:
+        """Stop runs that a new incarnation may start by an order to the one before."""
+        for task, run in self.late_starts.of(worker.info.worker):
+            attempt = worker.attempts.get(task)
+            if attempt is None or attempt.run != run:
+                reason = "an unanswered start may be carried out late"
+                self.stop_orders.append(StopOrder(worker, task, run, reason))
+
     def _observe_inherited_end(self, task: TaskKey) -> None:
         """Record an end of which a previous leader may know as well."""
         job = self.jobs.get(task.job)
--- a/pimentomill/control/_orders.py
+++ b/pimentomill/control/_orders.py
@@ -158,6 +158,9 @@
     ) -> None:
         now = self.context.clock.now()
         outcome = answer.outcome
+        if outcome is StartOutcome.UNKNOWN:
+            worker = attempt.worker.info.worker
+            self.context.state.late_starts.add(worker, attempt.task, attempt.run)
         if outcome is StartOutcome.STARTED:
             self.context.state.record_begun(placement.step)
         if attempt.phase is AttemptPhase.STOPPING:
--- a/pimentomill/control/tests/test_late_starts.py
+++ b/pimentomill/control/tests/test_late_starts.py
@@ -5,6 +5,7 @@
 
 from pimentomill.control import ControlSettings, _orders
 from pimentomill.control._context import ControlContext
+from pimentomill.control._late_starts import LATE_START_MS
 from pimentomill.control._orders import OrderSender
 from pimentomill.dispatch.tests.samples import step
 from pimentomill.exceptions import ConflictError, TransportError
@@ -42,19 +43,24 @@
     def answer_stop(self, attempt, *answers_before):
         port = mock.AsyncMock()
         port.stop.side_effect = [*answers_before, None]
-        context = ControlContext(
-            self.state,
-            port,
-            self.clock,
-            ControlSettings(),
-            Authority(self.clock.now(), self.clock.now()),
-            mock.Mock(),
-            mock.Mock(),
-        )
+        sender = self.make_sender(port)
         sleep = mock.patch.object(_orders.asyncio, "sleep")
         for stop in self.state.pop_stop_orders():
             with sleep:
-                asyncio.run(OrderSender(context)._stop(stop))
+                asyncio.run(sender._stop(stop))
+
+    def make_sender(self, port):
+        return OrderSender(
+            ControlContext(
+                self.state,
+                port,
+                self.clock,
+                ControlSettings(),
+                Authority(self.clock.now(), self.clock.now()),
+                mock.Mock(),
+                mock.Mock(),
+            )
+        )
 
     def assert_reserved(self, attempt):
         self.assertEqual(attempt.worker.used.cpu_milli, 12000)
@@ -95,6 +101,45 @@
         self.assert_reserved(attempt)
         self.assertEqual(len(self.state.stop_orders), 1)
 
+    # Guards against TWICE: the task has started elsewhere when a new incarnation of its
+    # first worker, which knows nothing of the answered stop, carries the order out.
+    def test_a_new_incarnation_is_told_to_stop_a_run_that_was_released(self):
+        for elapsed_ms, expected in ((LATE_START_MS - 1000, 1), (LATE_START_MS, 0)):
+            with self.subTest(elapsed_ms=elapsed_ms):
+                self.setUp()
+                attempt = self.order()
+                self.answer_start(attempt, StartOutcome.UNKNOWN)
+                self.answer_stop(attempt)
+                self.report_without_runs(attempt)
+                self.assertEqual(len(self.ready()), 1)
+                self.clock.advance(elapsed_ms)
+                self.report_without_runs(attempt, incarnation_ms=2)
+                stops = [(s.task, s.run) for s in self.state.pop_stop_orders()]
+                self.assertEqual(stops, [(attempt.task, attempt.run)] * expected)
+
+    # Guards against the same if the worker was taken for gone in between.
+    def test_a_worker_that_is_listed_again_is_told_as_well(self):
+        attempt = self.order()
+        self.answer_start(attempt, StartOutcome.UNKNOWN)
+        self.state.pop_stop_orders()
+        self.state.release_lost(attempt.worker, "worker is gone", has_ended=True)
+        self.state.remove_worker(attempt.worker)
+        worker = self.state.sync_worker(attempt.worker.info)
+        report = self.report(incarnation_ms=2)
+        self.state.apply_report(worker, report, self.clock.now())
+        stops = [(s.task, s.run) for s in self.state.pop_stop_orders()]
+        self.assertEqual(stops, [(attempt.task, attempt.run)])
+
+    def answer_start(self, attempt, outcome):
+        sender = self.make_sender(mock.AsyncMock())
+        sender.stop_all = mock.Mock()
+        placement = mock.Mock(step=self.state.step_of(attempt.task))
+        answer = StartAnswer(outcome, None)
+        sender._apply_start_answer(attempt, placement, answer)
+        self.state.stop_orders += [
+            stop for call in sender.stop_all.mock_calls for stop in call.args[0]
+        ]
+
     # Guards against LOST: another worker at the former address of one that has moved
     # rejects the stop, and the task waits forever for an answer.
     def test_a_stop_that_another_worker_rejects_is_sent_again(self):
