Election: a claim names none of the latest leaders

A named entry that has ended could grant no lease for 10 s, so that after several changes of the leader in a row an outage of the whole store would have ended all starts after 2.5 s.

Entries keep the incarnations of the last 16 leaders that were replaced, and a claim leaves them out. One that lives enrols within a second and is listed then.

--- a/pimentomill/node/_election.py
+++ b/pimentomill/node/_election.py
@@ -313,16 +313,15 @@
         """Return a claim that names the other live entries.
 
         They may replace this entry if it is lost before any of them has enrolled. The
-        leader on record is left out: it is lost, or about to end.
+        latest leaders are left out: most have ended, and could grant no lease.
         """
         record = msgspec.structs.replace(self.record, epoch=epoch)
         records = [KeyedRecord(LEADER_KEY, msgspec.msgpack.encode(record))]
         if self.list_grantors is not None:
-            leader = self.watch.record_
             others = {
                 member.incarnation: member.address
                 for member in self.members.live_others()
-                if leader is None or member.incarnation != leader.incarnation
+                if not self.watch.has_led(member.incarnation)
             }
             records.append(self.list_grantors(epoch, others))
         sequence = secrets.randbelow(FIRST_SEQUENCE_SPAN)
--- a/pimentomill/node/tests/test_authority.py
+++ b/pimentomill/node/tests/test_authority.py
@@ -190,9 +190,10 @@
 
     # Guards against entries that wait for 26 s: the leader is lost together with all
     # others right after its claim, before it has stored whom it asks.
-    async def test_a_claim_names_the_other_entries(self):
+    async def test_a_claim_names_the_other_entries_but_the_latest_leaders(self):
+        self.apply_leader(1, "life-0")
         self.apply_leader(2, "life-1")
-        for name in ("1", "2", "3"):
+        for name in "0123":
             member = MemberRecord(f"m{name}", f"a{name}", f"life-{name}")
             value = msgspec.msgpack.encode(member)
             self.node._apply_work(KeyedRecord(member_key(f"m{name}"), value))
--- a/pimentomill/replica/_leadership.py
+++ b/pimentomill/replica/_leadership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from collections import deque
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -46,6 +47,8 @@
 """Milliseconds between two candidates of higher ranks. All claims go through one
 partition of the store, one at a time. Where the store is slow, those of a hundred
 entries would keep the first one from being read for seconds."""
+MAX_REPLACED = 16
+"""Incarnations of earlier leaders that are kept."""
 
 MAX_EPOCH = 1 << 36
 """Highest epoch that is believed; epochs count the changes of the leader. The numbers
@@ -177,6 +180,7 @@
         self._ended = ("", clock.now())
         self._link = ("", LinkView.UNKNOWN)
         self._current_as_of = clock.now()
+        self._replaced: deque[str] = deque(maxlen=MAX_REPLACED)
         self.changed = asyncio.Event()
 
     @property
@@ -209,6 +213,8 @@
             if record.incarnation != known.incarnation:
                 return
         elif record.epoch > self.epoch:
+            if known is not None:
+                self._replaced.append(known.incarnation)
             _log.info(
                 "Leader changed",
                 epoch=record.epoch,
@@ -231,6 +237,12 @@
             and not record.resigned
         )
 
+    def has_led(self, incarnation: str) -> bool:
+        """Return whether an incarnation is the leader on record or led recently."""
+        record = self.record_
+        is_on_record = record is not None and record.incarnation == incarnation
+        return is_on_record or incarnation in self._replaced
+
     def may_still_act(self) -> bool:
         """Return whether the leader on record may still act."""
         record = self.record_
