--- a/pimentomill/dispatch/_state.py
+++ b/pimentomill/dispatch/_state.py
@@ -369,12 +369,16 @@
     services : set of str
         Services to which the queue has sent the job: any leader may have started its
         tasks on their workers.
+    is_service_stored : bool
+        Whether the store names the present service of the queue, so that a successor
+        knows that tasks may run there.
     """
 
     def __init__(self, accepted: Accepted, first_run: int, seen_at: Instant) -> None:
         self.accepted = accepted
         self.queue: Queue = accepted.queue
         self.services = {accepted.queue.service}
+        self.is_service_stored = True
         self._stored_services = frozenset(self.services)
         self.first_run = first_run
         self.seen_at = seen_at
@@ -403,17 +407,14 @@
         """Apply the queue as configured by operators, perhaps for another service."""
         self.queue = queue
         self.services.add(queue.service)
+        self.is_service_stored = queue.service in self._stored_services
 
     def observe_stored(self, progress: Progress) -> None:
         """Record which services the store names by the newest progress record."""
         if progress.services is not UNSET:
             self._stored_services = frozenset(progress.services)
             self.services |= self._stored_services
-
-    @property
-    def is_service_stored(self) -> bool:
-        """Whether a successor knows that tasks may run in the queue's service."""
-        return self.queue.service in self._stored_services
+            self.is_service_stored = self.queue.service in self._stored_services
 
     def failed_path_ms(self, occurrence: int) -> int:
         """Return by how much failed runs lengthen the critical path of an occurrence.
