Election: a lease to an earlier leader replaces none to a later one

What could happen: an entry without the store grants a lease to a leader whose claim it has not read, then one to the leader before, which it still has on record. The second replaced the first. Once it could read the claim, it was free to replace the later leader, which still acted on the first lease: two leaders.

Change: an entry that has granted a lease grants none to an earlier leader. A claim that such a lease holds back is logged like any other. The test fails without the change.

--- a/pimentomill/node/_election.py
+++ b/pimentomill/node/_election.py
@@ -236,27 +236,33 @@
         """Return whether the leader on record may be replaced; log a change."""
         if self.grantor is None:
             return True
-        if self.grantor.has_granted_beyond(self.watch.epoch):
-            return False
-        record = self.watch.record_
-        if record is None or not self.watch.may_still_act():
-            return True
-        leader = LeaseRequest(record.epoch, record.incarnation)
-        silence_ms = self.work.current_as_of_ - self.watch.heartbeat_at_
-        may_claim = self.grantor.may_claim(leader, silence_ms, self.work.age_ms())
+        may_claim = self._is_claim_allowed(self.grantor)
         if may_claim == self._is_held_back:
             self._is_held_back = not may_claim
+            record = self.watch.record_
             _log.info(
                 "Claim is held back"
                 if self._is_held_back
                 else "Claim is allowed again",
-                leader=record.node,
-                epoch=record.epoch,
-                silent_ms=silence_ms,
+                leader=record.node if record is not None else "",
+                epoch=self.watch.epoch,
+                silent_ms=self._silence_ms(),
                 why=self.grantor.describe(),
             )
         return may_claim
 
+    def _is_claim_allowed(self, grantor: Grantor) -> bool:
+        if grantor.has_granted_beyond(self.watch.epoch):
+            return False
+        record = self.watch.record_
+        if record is None or not self.watch.may_still_act():
+            return True
+        leader = LeaseRequest(record.epoch, record.incarnation)
+        return grantor.may_claim(leader, self._silence_ms(), self.work.age_ms())
+
+    def _silence_ms(self) -> int:
+        return self.work.current_as_of_ - self.watch.heartbeat_at_
+
     async def _pause(self) -> None:
         """Wait until the next check of the leader is due."""
         if self.watch.is_suspected(self.work.current_as_of_):
--- a/pimentomill/node/tests/test_authority.py
+++ b/pimentomill/node/tests/test_authority.py
@@ -188,6 +188,18 @@
         self.node.clock.advance(GRANT_MS)
         self.assertTrue(candidate._may_claim())
 
+    # Guards against two leaders: a lease to an earlier leader replaced the one that
+    # binds this entry once it has read the claim.
+    def test_a_leader_before_one_that_was_granted_a_lease_is_granted_none(self):
+        self.apply_leader(2, "life-1")
+        self.assertIsNone(self.grant(2, "life-1"))
+        self.assertIsNone(self.grant(3, "life-2"))
+        self.assertIs(self.grant(2, "life-1"), GrantRefusal.OTHER_LEADER)
+        self.apply_leader(3, "life-2")
+        candidate = self.node._candidate
+        candidate._on_heartbeat("life-2", True, NOW)
+        self.assertFalse(candidate._may_claim())
+
     # Guards against entries that wait for 26 s: the leader is lost together with all
     # others right after its claim, before it has stored whom it asks.
     async def test_a_claim_names_the_other_entries_but_the_latest_leaders(self):
--- a/pimentomill/replica/_grants.py
+++ b/pimentomill/replica/_grants.py
@@ -166,7 +166,8 @@
         GrantRefusal or None
             Reason of a refusal; None if the lease is granted.
         """
-        if req != known:
+        # A leader whose claim this entry has not read may have been granted one.
+        if req != known or req.epoch < self._granted:
             return GrantRefusal.OTHER_LEADER
         if self._claimed > req.epoch:
             # The claim may still be carried out.
